--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+# Targets for people and CI. `make test` passes on a fresh machine with Go, make
+# and apt; `make demo` runs the main job on embedded defaults.
+
+GO      ?= go
+BIN     := bin
+RUN     := run
+FUZZPKG := ./...
+
+.PHONY: all build setup format vet lint generated unit test demo cluster stop clean
+
+all: build
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+# Installs the one tool that is no Go module: the protobuf compiler.
+setup:
+	@command -v protoc >/dev/null || { apt-get update -qq && apt-get install -y -qq protobuf-compiler; }
+
+format:
+	@bad=$$(gofmt -l cmd internal); if [ -n "$$bad" ]; then echo "not formatted:"; echo "$$bad"; exit 1; fi
+
+vet:
+	$(GO) vet ./...
+
+lint:
+	$(GO) tool staticcheck ./...
+
+# Fails when the committed generated code differs from what the generators write.
+generated: setup
+	@dir=$$(mktemp -d) && internal/peer/generate.sh $$dir \
+	  && diff -q $$dir/peer.pb.go internal/peer/peer.pb.go \
+	  && diff -q $$dir/peer.twirp.go internal/peer/peer.twirp.go && rm -r $$dir
+
+unit:
+	$(GO) test -race -timeout 20m ./...
+
+test: setup format vet lint generated unit
+
+clean:
+	rm -rf $(BIN) $(RUN)
--- /dev/null
+++ b/internal/config/slots.go
@@ -0,0 +1,80 @@
+package config
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// GroupID names the slots of a service that have one home: the unit that one
+// keeper decides about.
+type GroupID struct {
+	Service string
+	Domain  string
+	Index   int // which part of the domain's slots, when they are split
+}
+
+// String returns service/domain/index.
+func (g GroupID) String() string {
+	return g.Service + "/" + g.Domain + "/" + strconv.Itoa(g.Index)
+}
+
+// ParseGroupID reads the form that String writes.
+func ParseGroupID(s string) (GroupID, error) {
+	parts := strings.Split(s, "/")
+	if len(parts) != 3 || parts[0] == "" || parts[1] == "" {
+		return GroupID{}, fmt.Errorf("group %q: want service/domain/index", s)
+	}
+	index, err := strconv.Atoi(parts[2])
+	if err != nil || index < 0 {
+		return GroupID{}, fmt.Errorf("group %q: index %q is no number", s, parts[2])
+	}
+	return GroupID{Service: parts[0], Domain: parts[1], Index: index}, nil
+}
+
+// SlotOf returns the slot of a key.
+func (s *Service) SlotOf(key string) uint32 {
+	return uint32(xxhash.Sum64String(key) % uint64(s.SlotCount))
+}
+
+// GroupOf returns the group whose keeper decides about a slot.
+func (s *Service) GroupOf(slot uint32) GroupID {
+	return GroupID{Service: s.Name, Domain: s.Domains[int(slot)%len(s.Domains)]}
+}
+
+// Groups returns the service's groups, one a home domain.
+func (s *Service) Groups() []GroupID {
+	groups := make([]GroupID, 0, len(s.Domains))
+	for _, d := range s.Domains {
+		groups = append(groups, GroupID{Service: s.Name, Domain: d})
+	}
+	return groups
+}
+
+// SlotsOf returns the slots of a group in ascending order.
+func (s *Service) SlotsOf(g GroupID) []uint32 {
+	var slots []uint32
+	for slot := uint32(0); slot < s.SlotCount; slot++ {
+		if s.GroupOf(slot) == g {
+			slots = append(slots, slot)
+		}
+	}
+	return slots
+}
+
+// ServersOf returns the servers that may own a group's slots: those of its home
+// domain, and under IsolationMove those of the other domains after them.
+func (s *Service) ServersOf(g GroupID) []Server {
+	var home, away []Server
+	for _, server := range s.Servers {
+		switch {
+		case server.FailureDomain == g.Domain:
+			home = append(home, server)
+		case s.Isolation == IsolationMove:
+			away = append(away, server)
+		}
+	}
+	return append(home, away...)
+}
