--- /dev/null
+++ b/internal/platform/http.go
@@ -0,0 +1,159 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/zeromicro/go-zero/core/breaker"
+	"github.com/zeromicro/go-zero/rest/httpc"
+)
+
+// Paths of the platform's HTTP interface.
+const (
+	PathRow    = "/v1/table/row"    // GET ?key= : Row, 404
+	PathRows   = "/v1/table/rows"   // GET ?prefix= : []Row
+	PathCommit = "/v1/table/commit" // POST CommitRequest : CommitAnswer, 409
+	PathObject = "/v1/objects/"     // GET, PUT, with the name behind it
+	PathVMs    = "/v1/vms"          // GET : VMsAnswer
+)
+
+// CommitRequest is the body of a commit.
+type CommitRequest struct {
+	Writes []Write `json:"writes"`
+}
+
+// CommitAnswer is the answer to a commit that was applied.
+type CommitAnswer struct {
+	Versions []uint64 `json:"versions"`
+}
+
+// VMsAnswer is the answer to a read of the VM list.
+type VMsAnswer struct {
+	AgeMS int64 `json:"age_ms"`
+	VMs   []VM  `json:"vms"`
+}
+
+const (
+	callTimeout    = 2 * time.Second
+	maxAnswerBytes = 64 << 20
+	breakerName    = "platform"
+)
+
+// Client meets the platform's interfaces over HTTP. Safe for concurrent use.
+type Client struct {
+	base    string
+	service httpc.Service
+}
+
+// NewClient returns a client of the platform at address, host:port.
+func NewClient(address string) *Client {
+	// The breaker would refuse calls at random after an outage; retries here
+	// are bounded by their callers.
+	breaker.NoBreakerFor(breakerName)
+	transport := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second}
+	client := &http.Client{Transport: transport, Timeout: callTimeout}
+	return &Client{base: "http://" + address, service: httpc.NewServiceWithClient(breakerName, client)}
+}
+
+// Get implements Table.
+func (c *Client) Get(ctx context.Context, key string) (Row, error) {
+	var row Row
+	err := c.readJSON(ctx, PathRow+"?key="+url.QueryEscape(key), &row)
+	return row, err
+}
+
+// List implements Table.
+func (c *Client) List(ctx context.Context, prefix string) ([]Row, error) {
+	var rows []Row
+	err := c.readJSON(ctx, PathRows+"?prefix="+url.QueryEscape(prefix), &rows)
+	return rows, err
+}
+
+// Commit implements Table.
+func (c *Client) Commit(ctx context.Context, writes []Write) ([]uint64, error) {
+	body, err := json.Marshal(CommitRequest{Writes: writes})
+	if err != nil {
+		return nil, fmt.Errorf("platform: encode commit: %w", err)
+	}
+	data, err := c.call(ctx, http.MethodPost, PathCommit, body)
+	if err != nil {
+		return nil, err
+	}
+	var answer CommitAnswer
+	if err := json.Unmarshal(data, &answer); err != nil {
+		return nil, fmt.Errorf("platform: commit answer: %w", err)
+	}
+	return answer.Versions, nil
+}
+
+// VMs implements VMLister.
+func (c *Client) VMs(ctx context.Context) ([]VM, time.Duration, error) {
+	var answer VMsAnswer
+	if err := c.readJSON(ctx, PathVMs, &answer); err != nil {
+		return nil, 0, err
+	}
+	return answer.VMs, time.Duration(answer.AgeMS) * time.Millisecond, nil
+}
+
+// Objects returns the object store side of the client.
+func (c *Client) Objects() ObjectStore { return objectClient{c} }
+
+type objectClient struct{ client *Client }
+
+// Put implements ObjectStore.
+func (o objectClient) Put(ctx context.Context, name string, data []byte) error {
+	_, err := o.client.call(ctx, http.MethodPut, PathObject+url.PathEscape(name), data)
+	return err
+}
+
+// Get implements ObjectStore.
+func (o objectClient) Get(ctx context.Context, name string) ([]byte, error) {
+	return o.client.call(ctx, http.MethodGet, PathObject+url.PathEscape(name), nil)
+}
+
+func (c *Client) readJSON(ctx context.Context, path string, into any) error {
+	data, err := c.call(ctx, http.MethodGet, path, nil)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return fmt.Errorf("platform: answer of %s: %w", path, err)
+	}
+	return nil
+}
+
+// call returns the body of a 200 answer. Statuses 404 and 409 become
+// ErrNotFound and ErrConflict; everything else leaves a write's effect open.
+func (c *Client) call(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("platform: %s %s: %w", method, path, err)
+	}
+	// Without GetBody net/http never re-sends a write on its own.
+	req.GetBody = nil
+	resp, err := c.service.DoRequest(req)
+	if err != nil {
+		return nil, fmt.Errorf("platform: %s %s: %w", method, path, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, fmt.Errorf("platform: %s %s: answer: %w", method, path, err)
+	}
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return data, nil
+	case http.StatusNotFound:
+		return nil, ErrNotFound
+	case http.StatusConflict:
+		return nil, ErrConflict
+	default:
+		return nil, fmt.Errorf("platform: %s %s: status %d", method, path, resp.StatusCode)
+	}
+}
