--- /dev/null
+++ b/internal/limits/aimd.go
@@ -0,0 +1,59 @@
+package limits
+
+// aimd raises the limit by about one for each limit's worth of successes and
+// cuts it by a factor when a request is shed, lost or late. Requests that left
+// before a cut say nothing new of the limit after it, so after a cut it ignores
+// as many bad results as requests were out.
+type aimd struct {
+	current   float64
+	slots     int
+	backoff   float64
+	tolerance float64
+	latency   latencyMeter
+	ignore    int // bad results still to come from before the last cut
+}
+
+func newAIMD(start float64, slots int, backoff, tolerance float64) *aimd {
+	return &aimd{current: clamp(start, slots), slots: slots, backoff: backoff, tolerance: tolerance}
+}
+
+func (l *aimd) limit() float64 { return l.current }
+
+func (l *aimd) bound(slots int) {
+	l.slots = slots
+	l.current = clamp(l.current, slots)
+}
+
+func (l *aimd) observe(s sample) {
+	switch s.result {
+	case Succeeded:
+		l.latency.add(s.latency)
+		if float64(s.latency) > l.tolerance*l.latency.floor() {
+			l.cut(s.inFlight)
+			return
+		}
+		l.raise(s.inFlight)
+	case Shed, Failed:
+		l.cut(s.inFlight)
+	}
+}
+
+// raise grows the limit only while it is used: an idle VM learns nothing.
+func (l *aimd) raise(inFlight int) {
+	if l.ignore > 0 {
+		l.ignore--
+	}
+	if float64(inFlight) < l.current-1 {
+		return
+	}
+	l.current = clamp(l.current+1/l.current, l.slots)
+}
+
+func (l *aimd) cut(inFlight int) {
+	if l.ignore > 0 {
+		l.ignore--
+		return
+	}
+	l.current = clamp(l.current*l.backoff, l.slots)
+	l.ignore = inFlight - 1
+}
