--- /dev/null
+++ b/internal/retry/claimedkey.go
@@ -0,0 +1,111 @@
+package retry
+
+import (
+	"container/list"
+	"time"
+)
+
+// claimState is what a book knows of one request's claim. A larger state
+// outweighs a smaller one.
+type claimState int
+
+const (
+	stateUnknown claimState = iota
+	stateOpen
+	stateFreed
+	stateFinished
+)
+
+// claimant is one request that claimed a key.
+type claimant struct {
+	requestID string
+	state     claimState
+}
+
+// mostClaimants bounds the requests that one key remembers. Each belongs to a
+// copy that a server truthfully refused; a caller that re-sends more often within
+// the window is refused.
+const mostClaimants = 32
+
+// claimedKey is one idempotency key. Its book's lock owns it.
+type claimedKey struct {
+	claimants []claimant // in order of arrival
+	expires   time.Time
+	queued    *list.Element // place in the book's expiry list
+}
+
+func (k *claimedKey) stateOf(requestID string) claimState {
+	for _, c := range k.claimants {
+		if c.requestID == requestID {
+			return c.state
+		}
+	}
+	return stateUnknown
+}
+
+// holder returns the claimant that holds the key, a finished one before an open
+// one, or nil.
+func (k *claimedKey) holder() *claimant {
+	var open *claimant
+	for i := range k.claimants {
+		c := &k.claimants[i]
+		if c.state == stateFinished {
+			return c
+		}
+		if c.state == stateOpen && open == nil {
+			open = c
+		}
+	}
+	return open
+}
+
+// set joins a request's state and returns false when the key is full.
+func (k *claimedKey) set(requestID string, state claimState) bool {
+	for i := range k.claimants {
+		c := &k.claimants[i]
+		if c.requestID == requestID {
+			c.state = max(c.state, state)
+			return true
+		}
+	}
+	if len(k.claimants) >= mostClaimants {
+		return false
+	}
+	k.claimants = append(k.claimants, claimant{requestID: requestID, state: state})
+	return true
+}
+
+// expiryList orders the keys of a book by expiry: windows have one length, so the
+// key touched last expires last. Keys restored from a snapshot may stand before
+// one that expires sooner, which is then kept too long, never too short.
+type expiryList struct {
+	order list.List
+}
+
+type queuedKey struct {
+	key   string
+	known *claimedKey
+}
+
+// add puts a key last.
+func (l *expiryList) add(key string, known *claimedKey) {
+	if known.queued != nil {
+		l.order.MoveToBack(known.queued)
+		return
+	}
+	known.queued = l.order.PushBack(queuedKey{key: key, known: known})
+}
+
+// due removes and returns one key whose window ended.
+func (l *expiryList) due(now time.Time) (key string, ok bool) {
+	front := l.order.Front()
+	if front == nil {
+		return "", false
+	}
+	first := front.Value.(queuedKey)
+	if now.Before(first.known.expires) {
+		return "", false
+	}
+	l.order.Remove(front)
+	return first.key, true
+}
