Latency baseline from batch means instead of single requests

Cause: service times vary, so the least single latency is a lucky request, and a server without any queue looks crowded next to it. AIMD then cuts its limit at almost every request and sits at 1.

--- a/internal/limits/aimd.go
+++ b/internal/limits/aimd.go
@@ -27,8 +27,8 @@
 func (l *aimd) observe(s sample) {
 	switch s.result {
 	case Succeeded:
-		l.latency.add(s.latency)
-		if float64(s.latency) > l.tolerance*l.latency.floor() {
+		whole := l.latency.add(s.latency)
+		if whole && l.latency.last() > l.tolerance*l.latency.floor {
 			l.cut(s.inFlight)
 			return
 		}
--- a/internal/limits/gradient.go
+++ b/internal/limits/gradient.go
@@ -34,8 +34,7 @@
 		return
 	case Succeeded:
 		l.latency.add(s.latency)
-		ratio = l.tolerance * l.latency.floor() / l.latency.mean
-		ratio = min(max(ratio, leastRatio), 1)
+		ratio = l.ratio()
 	}
 	if ratio == 1 && float64(s.inFlight) < l.current-1 {
 		return
@@ -51,3 +50,12 @@
 	}
 	return 0
 }
+
+// ratio returns how far the least mean latency, with its tolerance, is below the
+// present one; 1 when it is not.
+func (l *gradient) ratio() float64 {
+	if l.latency.floor == 0 {
+		return 1
+	}
+	return min(max(l.tolerance*l.latency.floor/l.latency.mean, leastRatio), 1)
+}
