Limit may reach twice the slots, so that one VM can fill a server

Cause: a permit covers the round trip besides the run, so a limit of the slots leaves slots idle while answers travel.

Change: the upper bound is 2 x slots instead of slots.

--- a/internal/limits/limiter.go
+++ b/internal/limits/limiter.go
@@ -10,13 +10,13 @@
 }
 
 // limiter finds a concurrency limit from finished requests. It is owned by its
-// gate's lock. The limit stays within 1 and the bound last given.
+// gate's lock. The limit stays within 1 and roundTripRoom times the slots.
 type limiter interface {
 	// limit returns how many requests may be out at once.
 	limit() float64
 	// observe takes one finished request into account.
 	observe(s sample)
-	// bound sets the upper limit: the server's slots.
+	// bound sets the server's slots.
 	bound(slots int)
 }
 
@@ -44,9 +44,14 @@
 	return float64(max(part, 1))
 }
 
-// clamp keeps a limit within 1 and the slots.
+// roundTripRoom bounds the limit in multiples of the slots. A permit covers the
+// round trip besides the run: at 1, a VM that feeds a server alone leaves slots
+// idle while its answers and next requests travel.
+const roundTripRoom = 2
+
+// clamp keeps a limit within 1 and the slots with room for the round trip.
 func clamp(limit float64, slots int) float64 {
-	return min(max(limit, 1), float64(max(slots, 1)))
+	return min(max(limit, 1), float64(roundTripRoom*max(slots, 1)))
 }
 
 // staticLimiter holds an even share of the slots.
