Short wait for a server under lasting overload

Cause: at 3x of capacity the queue at the VM stands at its bound, and every answered request has waited for nearly all of its patience: p99 98 ms of 100.

Change: when interactive requests waited for 1 s without a break, the longest wait falls to 10 ms (or twice the latency without a queue) until no request missed it for 1 s. A pause of the server shorter than that is waited out.

Tried and dropped on the way: ending the state when the queue empties. Found by a test: stale waiters counted as ahead of a fresh request, which was refused because of requests that were not sent either; they are now swept first.

--- a/internal/limits/gate.go
+++ b/internal/limits/gate.go
@@ -1,6 +1,7 @@
 package limits
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -26,10 +27,16 @@
 	urgent   queue // interactive
 	patient  queue // deferred
 	service  latencyMeter
+	crowding crowding // of the interactive queue
 }
 
 func newGate(server string, s Settings, slots, vms int) *gate {
-	return &gate{server: server, settings: s, limiter: newLimiter(s, slots, vms)}
+	return &gate{
+		server:   server,
+		settings: s,
+		limiter:  newLimiter(s, slots, vms),
+		crowding: crowding{after: s.CrowdedAfter.Duration()},
+	}
 }
 
 // resize sets the server's slots and grants what a larger limit frees.
@@ -42,9 +49,11 @@
 // w.decided in the first and the last case.
 func (g *gate) arrive(now time.Time, w *waiter) {
 	w.index = notQueued
+	w.arrived = now
 	w.seq = g.arrivals
 	g.arrivals++
-	latest := now.Add(g.settings.queueWait(w.class))
+	g.sweep(now)
+	latest := now.Add(g.longestWait(now, w.class))
 	if w.deadline.IsZero() || w.deadline.After(latest) {
 		w.deadline = latest
 	}
@@ -58,12 +67,66 @@
 		return
 	}
 	if wait := g.expectedWait(w.class); now.Add(wait).After(w.deadline) {
+		g.missed(now, w.class)
 		w.decided(fault.New(fault.QueueTimeout, "server %s: expected wait of %v is past the deadline", g.server, wait))
 		return
 	}
+	if w.class != config.ClassDeferred && q.Len() == 0 {
+		g.crowding.queued(now)
+	}
 	q.add(w)
 }
 
+// longestWait bounds the wait of a class.
+func (g *gate) longestWait(now time.Time, class config.Class) time.Duration {
+	longest := g.settings.queueWait(class)
+	if class != config.ClassDeferred && g.crowding.holds(now, g.urgent.Len()) {
+		return min(longest, g.crowdedWait())
+	}
+	return longest
+}
+
+// crowdedRequests is the least wait at an overloaded server, in multiples of its
+// latency without a queue. With less, a server whose requests take long runs idle
+// between the arrivals that are fresh enough.
+const crowdedRequests = 2
+
+// crowdedWait is the wait of interactive requests at an overloaded server.
+func (g *gate) crowdedWait() time.Duration {
+	usual := time.Duration(g.service.floor)
+	return max(g.settings.CrowdedWait.Duration(), crowdedRequests*usual)
+}
+
+// sweep refuses the interactive waiters of an overloaded server that waited too
+// long. They would otherwise count as ahead of a fresh request, which would be
+// refused because of requests that are not sent either. Under the short wait the
+// queue holds few, so looking at each is cheap.
+func (g *gate) sweep(now time.Time) {
+	if !g.crowding.holds(now, g.urgent.Len()) {
+		return
+	}
+	longest := g.longestWait(now, config.ClassInteractive)
+	for _, w := range slices.Clone(g.urgent) {
+		if now.Sub(w.arrived) > longest {
+			g.urgent.remove(w)
+			g.refuseLate(now, w)
+		}
+	}
+}
+
+// refuseLate refuses a waiter that left its queue because it waited too long.
+func (g *gate) refuseLate(now time.Time, w *waiter) {
+	g.missed(now, w.class)
+	w.decided(fault.New(fault.QueueTimeout, "server %s: waited %v in the queue", g.server, now.Sub(w.arrived)))
+}
+
+// missed notes that a request could not be sent within its wait.
+func (g *gate) missed(now time.Time, class config.Class) {
+	if class != config.ClassDeferred {
+		g.crowding.missed(now, g.urgent.Len())
+	}
+}
+
 // release takes a permit back and grants what became free.
 func (g *gate) release(now time.Time, result Result, latency time.Duration) {
 	g.limiter.observe(sample{result: result, latency: latency, inFlight: g.inFlight})
@@ -76,25 +139,35 @@
 
 // abandon takes a waiter out whose deadline passed or whose caller left. It
 // returns false when the waiter was decided already.
-func (g *gate) abandon(w *waiter) bool {
+func (g *gate) abandon(now time.Time, w *waiter) bool {
 	if w.index == notQueued {
 		return false
 	}
+	g.missed(now, w.class)
 	g.queueOf(w.class).remove(w)
 	return true
 }
 
 // dispatch gives free permits to waiters, interactive ones first, and refuses
-// those whose deadline passed.
+// those that waited too long.
 func (g *gate) dispatch(now time.Time) {
 	for g.waiting() > 0 && g.inFlight < g.allowed() {
-		w := g.next()
-		if !now.Before(w.deadline) {
-			w.decided(fault.New(fault.QueueTimeout, "server %s: deadline passed in the queue", g.server))
+		longest := g.longestWait(now, g.dueClass())
+		w := g.queueOf(g.dueClass()).first()
+		if now.Before(w.deadline) && now.Sub(w.arrived) <= longest {
+			g.grant(w)
 			continue
 		}
-		g.grant(w)
+		g.refuseLate(now, w)
+	}
+}
+
+// dueClass returns the class of the waiter that is served next.
+func (g *gate) dueClass() config.Class {
+	if g.urgent.Len() > 0 {
+		return config.ClassInteractive
 	}
+	return config.ClassDeferred
 }
 
 func (g *gate) grant(w *waiter) {
@@ -102,13 +175,6 @@
 	w.decided(nil)
 }
 
-func (g *gate) next() *waiter {
-	if g.urgent.Len() > 0 {
-		return g.urgent.first()
-	}
-	return g.patient.first()
-}
-
 func (g *gate) queueOf(class config.Class) *queue {
 	if class == config.ClassDeferred {
 		return &g.patient
--- a/internal/limits/gate_test.go
+++ b/internal/limits/gate_test.go
@@ -166,6 +166,8 @@
 		"queue_length: 0":            func(s *Settings) { s.QueueLength = 0 },
 		"deferred_queue_length: -1":  func(s *Settings) { s.DeferredQueueLength = -1 },
 		"queue_wait_ms: 0":           func(s *Settings) { s.QueueWait = 0 },
+		"crowded_after_ms: 0":        func(s *Settings) { s.CrowdedAfter = 0 },
+		"crowded_wait_ms: -1":        func(s *Settings) { s.CrowdedWait = -1 },
 		"deferred_queue_wait_ms: -5": func(s *Settings) { s.DeferredQueueWait = -5 },
 		"backoff: 1":                 func(s *Settings) { s.Backoff = 1 },
 		"latency_tolerance: 0.5":     func(s *Settings) { s.LatencyTolerance = 0.5 },
@@ -179,3 +181,42 @@
 		}
 	}
 }
+
+func TestLastingOverloadShortensTheWait(t *testing.T) {
+	s := staticSettings()
+	s.QueueWait = 500
+	g := newGate("s1", s, 1, 1)
+	running := newRecorded(config.ClassInteractive, time.Time{})
+	g.arrive(at(0), &running.waiter)
+	var waiting []*recorded
+	for ms := 0; ms <= 1100; ms += 100 {
+		r := newRecorded(config.ClassInteractive, time.Time{})
+		g.arrive(at(ms), &r.waiter)
+		waiting = append(waiting, r)
+		if ms < 1000 {
+			g.release(at(ms+50), Succeeded, time.Millisecond)
+			g.arrive(at(ms+50), &newRecorded(config.ClassInteractive, time.Time{}).waiter)
+		}
+	}
+	if !g.crowding.holds(at(1100), g.urgent.Len()) {
+		t.Fatal("a queue that stood for a second is not taken for overload")
+	}
+	g.release(at(1101), Succeeded, time.Millisecond)
+	if last := waiting[len(waiting)-1]; !last.done || last.err != nil {
+		t.Fatalf("the fresh request was not sent: decided %v, %v", last.done, last.err)
+	}
+	if g.waiting() != 0 {
+		t.Fatalf("%d stale requests still wait at an overloaded server", g.waiting())
+	}
+}
+
+func TestShortPauseOfAServerIsWaitedOut(t *testing.T) {
+	g := newGate("s1", staticSettings(), 1, 1)
+	g.arrive(at(0), &newRecorded(config.ClassInteractive, time.Time{}).waiter)
+	patient := newRecorded(config.ClassInteractive, time.Time{})
+	g.arrive(at(0), &patient.waiter)
+	g.release(at(300), Succeeded, 300*time.Millisecond)
+	if !patient.done || patient.err != nil {
+		t.Fatalf("decided %v, %v; want it sent after the pause", patient.done, patient.err)
+	}
+}
--- a/internal/limits/gates.go
+++ b/internal/limits/gates.go
@@ -43,7 +43,7 @@
 	longest := w.deadline.Sub(now)
 	g.lock.Unlock()
 
-	err := g.await(ctx, w, decision, longest)
+	err := g.await(ctx, gs.now, w, decision, longest)
 	if err != nil {
 		return nil, err
 	}
@@ -51,7 +51,7 @@
 }
 
 // await returns nil once the waiter holds a permit.
-func (g *gate) await(ctx context.Context, w *waiter, decision <-chan error, longest time.Duration) error {
+func (g *gate) await(ctx context.Context, now func() time.Time, w *waiter, decision <-chan error, longest time.Duration) error {
 	select {
 	case err := <-decision:
 		return err
@@ -68,7 +68,7 @@
 		reason = ctx.Err()
 	}
 	g.lock.Lock()
-	left := g.abandon(w)
+	left := g.abandon(now(), w)
 	g.lock.Unlock()
 	if left {
 		return endedBefore(reason, g.server)
--- a/internal/limits/queue.go
+++ b/internal/limits/queue.go
@@ -10,6 +10,7 @@
 // waiter is one request that waits for a permit. Its gate's lock owns it.
 type waiter struct {
 	class    config.Class
+	arrived  time.Time
 	deadline time.Time
 	seq      uint64 // order of arrival at the gate
 	index    int    // place in the queue; notQueued once it left
--- a/internal/limits/settings.go
+++ b/internal/limits/settings.go
@@ -33,6 +33,14 @@
 	// QueueWait is the longest wait of an interactive request, in milliseconds.
 	// A caller's earlier deadline goes first. Default 500, at least 1.
 	QueueWait config.Milliseconds `json:"queue_wait_ms"`
+	// CrowdedAfter is how long interactive requests must have been waiting for a
+	// server without a break before it counts as overloaded, in milliseconds.
+	// Default 1000, at least 1.
+	CrowdedAfter config.Milliseconds `json:"crowded_after_ms"`
+	// CrowdedWait is the longest wait of an interactive request for a server
+	// that is overloaded, in milliseconds; twice the server's latency
+	// without a queue goes first where that is longer. Default 10, at least 1.
+	CrowdedWait config.Milliseconds `json:"crowded_wait_ms"`
 	// DeferredQueueWait is the longest wait of a deferred request, in
 	// milliseconds. Default 30000, at least 1.
 	DeferredQueueWait config.Milliseconds `json:"deferred_queue_wait_ms"`
@@ -51,6 +59,8 @@
 		QueueLength:         64,
 		DeferredQueueLength: 256,
 		QueueWait:           500,
+		CrowdedAfter:        1000,
+		CrowdedWait:         10,
 		DeferredQueueWait:   30000,
 		Backoff:             0.7,
 		LatencyTolerance:    2,
@@ -74,6 +84,12 @@
 	if s.QueueWait < 1 {
 		return fmt.Errorf("queue_wait_ms: %d is not allowed; want at least 1", s.QueueWait)
 	}
+	if s.CrowdedAfter < 1 {
+		return fmt.Errorf("crowded_after_ms: %d is not allowed; want at least 1", s.CrowdedAfter)
+	}
+	if s.CrowdedWait < 1 {
+		return fmt.Errorf("crowded_wait_ms: %d is not allowed; want at least 1", s.CrowdedWait)
+	}
 	if s.DeferredQueueWait < 1 {
 		return fmt.Errorf("deferred_queue_wait_ms: %d is not allowed; want at least 1", s.DeferredQueueWait)
 	}
