Deferred requests paced below an even share of a server

Cause: interactive requests go first in the VM's queue, but not in the server's. At 1.5x of capacity, 0.7x of it interactive, each of 12 VMs kept deferred requests at a server of 3 slots, and interactive ones waited behind them there: p99 53 ms where the server queues 42, and shed where it queues 3.

The pause is ended by one timer a gate.

Command: go test -run '^$' -bench Classes -benchtime=1x ./internal/limits

--- a/internal/limits/aimd.go
+++ b/internal/limits/aimd.go
@@ -19,7 +19,7 @@
 
 func (l *aimd) limit() float64 { return l.current }
 
-func (l *aimd) bound(slots int) {
+func (l *aimd) bound(slots, _ int) {
 	l.slots = slots
 	l.current = clamp(l.current, slots)
 }
--- a/internal/limits/bench_test.go
+++ b/internal/limits/bench_test.go
@@ -106,7 +106,9 @@
 	for range s.vms {
 		gates := make([]*gate, s.servers)
 		for i := range gates {
-			gates[i] = newGate("s", s.settings, s.slots, feeders)
+			g := newGate("s", s.settings, s.slots, feeders)
+			g.wakeIn = func(wait time.Duration) { b.in(wait, func() { g.wake(b.clock) }) }
+			gates[i] = g
 		}
 		b.gates = append(b.gates, gates)
 		policy := retry.Policy(retry.NoRetry{})
@@ -221,7 +223,7 @@
 
 func (r *request) answered(result Result) {
 	b := r.b
-	r.gate().release(b.clock(), result, b.now-r.sent)
+	r.gate().release(b.clock(), r.class, result, b.now-r.sent)
 	if result == Succeeded {
 		r.report.good++
 		_ = r.report.latency.RecordValue(max((b.now - r.arrived).Microseconds(), 1))
--- a/internal/limits/compare_test.go
+++ b/internal/limits/compare_test.go
@@ -67,3 +67,24 @@
 	b.ReportMetric(r.share(r.refused), "refused")
 	b.ReportMetric(r.share(r.tries), "tries")
 }
+
+// BenchmarkClasses shows both classes at 1.5x, interactive requests at 0.7x.
+func BenchmarkClasses(b *testing.B) {
+	for _, size := range userSizes {
+		s := oneServer(DefaultSettings(), size.slots, size.vms, loadOfManyClasses)
+		s.backlog = size.backlog
+		s.deferredShare = 1 - loadOfTargetP99/loadOfManyClasses
+		b.Run(size.String(), func(b *testing.B) {
+			var bench *bench
+			for b.Loop() {
+				bench = play(s, benchSeed)
+			}
+			interactive, deferred := bench.reports[config.ClassInteractive], bench.reports[config.ClassDeferred]
+			b.ReportMetric(0, "ns/op")
+			b.ReportMetric(float64(interactive.p99().Microseconds())/1000, "p99-ms")
+			b.ReportMetric(interactive.share(interactive.good), "good")
+			b.ReportMetric(deferred.share(deferred.good), "deferred-good")
+			b.ReportMetric(deferred.share(deferred.refused+deferred.shed), "deferred-refused")
+		})
+	}
+}
--- a/internal/limits/gate.go
+++ b/internal/limits/gate.go
@@ -13,10 +13,10 @@
 // decisions on a clock that is passed in; they start no goroutine and wait for
 // nothing. lock owns every field.
 //
-// Invariant: a waiter is in a queue only while no permit is free, so a gate
-// without permits out has nobody waiting. An estimate of the wait that went wrong
-// can therefore not shut a server off: the next request is sent at once, and its
-// latency corrects the estimate.
+// Invariant: an interactive waiter is in its queue only while permits are out, and
+// a deferred one only while permits are out or its pacer pauses. An estimate of the
+// wait that went wrong can therefore not shut a server off: the next request is
+// sent, and its latency corrects the estimate.
 type gate struct {
 	lock     sync.Mutex
 	server   string
@@ -28,6 +28,10 @@
 	patient  queue // deferred
 	service  latencyMeter
 	crowding crowding // of the interactive queue
+	deferred pacer
+	// wakeIn asks for a call of dispatch after a while. It must not block.
+	wakeIn   func(time.Duration)
+	armedFor time.Time // end of the pause that wakeIn was last called for
 }
 
 func newGate(server string, s Settings, slots, vms int) *gate {
@@ -36,12 +40,16 @@
 		settings: s,
 		limiter:  newLimiter(s, slots, vms),
 		crowding: crowding{after: s.CrowdedAfter.Duration()},
+		deferred: newPacer(slots, vms),
+		wakeIn:   func(time.Duration) {},
 	}
 }
 
-// resize sets the server's slots and grants what a larger limit frees.
-func (g *gate) resize(now time.Time, slots int) {
-	g.limiter.bound(slots)
+// resize sets the server's slots and the number of VMs that feed it, and grants
+// what a larger limit frees.
+func (g *gate) resize(now time.Time, slots, vms int) {
+	g.limiter.bound(slots, vms)
+	g.deferred.setShare(slots, vms)
 	g.dispatch(now)
 }
 
@@ -57,7 +65,7 @@
 	if w.deadline.IsZero() || w.deadline.After(latest) {
 		w.deadline = latest
 	}
-	if g.inFlight < g.allowed() && g.waiting() == 0 {
+	if g.mayStart(now, w.class) && g.ahead(w.class) == 0 {
 		g.grant(w)
 		return
 	}
@@ -75,6 +83,7 @@
 		g.crowding.queued(now)
 	}
 	q.add(w)
+	g.armWake(now)
 }
 
 // longestWait bounds the wait of a class.
@@ -128,15 +137,30 @@
 }
 
 // release takes a permit back and grants what became free.
-func (g *gate) release(now time.Time, result Result, latency time.Duration) {
+func (g *gate) release(now time.Time, class config.Class, result Result, latency time.Duration) {
 	g.limiter.observe(sample{result: result, latency: latency, inFlight: g.inFlight})
+	g.deferred.observe(result)
 	if result == Succeeded {
 		g.service.add(latency)
 	}
 	g.inFlight--
+	if class == config.ClassDeferred {
+		g.deferred.ended(now, &g.service)
+	}
 	g.dispatch(now)
 }
 
+// armWake has the deferred queue looked at again when the pacer's pause ends: no
+// other request may come by to do so.
+func (g *gate) armWake(now time.Time) {
+	resumeAt := g.deferred.resumeAt
+	if g.patient.Len() == 0 || !resumeAt.After(now) || g.armedFor.Equal(resumeAt) {
+		return
+	}
+	g.armedFor = resumeAt
+	g.wakeIn(resumeAt.Sub(now))
+}
+
 // abandon takes a waiter out whose deadline passed or whose caller left. It
 // returns false when the waiter was decided already.
 func (g *gate) abandon(now time.Time, w *waiter) bool {
@@ -151,7 +175,7 @@
 // dispatch gives free permits to waiters, interactive ones first, and refuses
 // those that waited too long.
 func (g *gate) dispatch(now time.Time) {
-	for g.waiting() > 0 && g.inFlight < g.allowed() {
+	for g.waiting() > 0 && g.mayStart(now, g.dueClass()) {
 		longest := g.longestWait(now, g.dueClass())
 		w := g.queueOf(g.dueClass()).first()
 		if now.Before(w.deadline) && now.Sub(w.arrived) <= longest {
@@ -160,6 +184,7 @@
 		}
 		g.refuseLate(now, w)
 	}
+	g.armWake(now)
 }
 
 // dueClass returns the class of the waiter that is served next.
@@ -170,8 +195,19 @@
 	return config.ClassDeferred
 }
 
+// mayStart returns whether a request of a class may be sent now.
+func (g *gate) mayStart(now time.Time, class config.Class) bool {
+	if g.inFlight >= int(g.limiter.limit()) {
+		return false
+	}
+	return class != config.ClassDeferred || g.deferred.mayStart(now, &g.service)
+}
+
 func (g *gate) grant(w *waiter) {
 	g.inFlight++
+	if w.class == config.ClassDeferred {
+		g.deferred.started()
+	}
 	w.decided(nil)
 }
 
@@ -184,14 +220,21 @@
 
 func (g *gate) waiting() int { return g.urgent.Len() + g.patient.Len() }
 
-func (g *gate) allowed() int { return int(g.limiter.limit()) }
+// ahead returns how many waiters go before a new one of a class.
+func (g *gate) ahead(class config.Class) int {
+	if class == config.ClassDeferred {
+		return g.waiting()
+	}
+	return g.urgent.Len()
+}
 
 // expectedWait estimates how long a new waiter of a class waits: the requests
 // that go before it, at the pace of the last ones.
 func (g *gate) expectedWait(class config.Class) time.Duration {
-	ahead := g.urgent.Len() + 1
+	atOnce := g.limiter.limit()
 	if class == config.ClassDeferred {
-		ahead += g.patient.Len()
+		atOnce = min(atOnce, g.deferred.share(&g.service))
 	}
-	return time.Duration(float64(ahead) * float64(g.service.estimate()) / g.limiter.limit())
+	turns := float64(g.ahead(class)+1) / atOnce
+	return time.Duration(turns * float64(g.service.estimate()))
 }
--- a/internal/limits/gate_test.go
+++ b/internal/limits/gate_test.go
@@ -47,7 +47,7 @@
 		g.arrive(at(0), &r.waiter)
 	}
 	for i, want := range []*recorded{sooner, soon, late} {
-		g.release(at(i+1), Succeeded, time.Millisecond)
+		g.release(at(i+1), config.ClassInteractive, Succeeded, time.Millisecond)
 		if !want.done || want.err != nil {
 			t.Fatalf("release %d: the waiter due was not granted: %v", i, want.err)
 		}
@@ -71,7 +71,7 @@
 func TestDeadlineThatCannotBeMetIsRefusedAtOnce(t *testing.T) {
 	g := newGate("s1", staticSettings(), 1, 1)
 	g.arrive(at(0), &newRecorded(config.ClassInteractive, at(900)).waiter)
-	g.release(at(100), Succeeded, 100*time.Millisecond)
+	g.release(at(100), config.ClassInteractive, Succeeded, 100*time.Millisecond)
 	g.arrive(at(100), &newRecorded(config.ClassInteractive, at(900)).waiter)
 	hopeless := newRecorded(config.ClassInteractive, at(150))
 	g.arrive(at(100), &hopeless.waiter)
@@ -87,7 +87,7 @@
 	fresh := newRecorded(config.ClassInteractive, at(900))
 	g.arrive(at(0), &stale.waiter)
 	g.arrive(at(0), &fresh.waiter)
-	g.release(at(10), Succeeded, time.Millisecond)
+	g.release(at(10), config.ClassInteractive, Succeeded, time.Millisecond)
 	if fault.KindOf(stale.err) != fault.QueueTimeout || !fresh.done || fresh.err != nil {
 		t.Fatalf("stale: %v; fresh: decided %v, %v", stale.err, fresh.done, fresh.err)
 	}
@@ -194,14 +194,14 @@
 		g.arrive(at(ms), &r.waiter)
 		waiting = append(waiting, r)
 		if ms < 1000 {
-			g.release(at(ms+50), Succeeded, time.Millisecond)
+			g.release(at(ms+50), config.ClassInteractive, Succeeded, time.Millisecond)
 			g.arrive(at(ms+50), &newRecorded(config.ClassInteractive, time.Time{}).waiter)
 		}
 	}
 	if !g.crowding.holds(at(1100), g.urgent.Len()) {
 		t.Fatal("a queue that stood for a second is not taken for overload")
 	}
-	g.release(at(1101), Succeeded, time.Millisecond)
+	g.release(at(1101), config.ClassInteractive, Succeeded, time.Millisecond)
 	if last := waiting[len(waiting)-1]; !last.done || last.err != nil {
 		t.Fatalf("the fresh request was not sent: decided %v, %v", last.done, last.err)
 	}
@@ -215,8 +215,26 @@
 	g.arrive(at(0), &newRecorded(config.ClassInteractive, time.Time{}).waiter)
 	patient := newRecorded(config.ClassInteractive, time.Time{})
 	g.arrive(at(0), &patient.waiter)
-	g.release(at(300), Succeeded, 300*time.Millisecond)
+	g.release(at(300), config.ClassInteractive, Succeeded, 300*time.Millisecond)
 	if !patient.done || patient.err != nil {
 		t.Fatalf("decided %v, %v; want it sent after the pause", patient.done, patient.err)
 	}
 }
+
+func TestDeferredThatArrivesDuringAPauseIsWoken(t *testing.T) {
+	g := newGate("s1", DefaultSettings(), 3, 12)
+	var wakes []time.Duration
+	g.wakeIn = func(wait time.Duration) { wakes = append(wakes, wait) }
+	first := newRecorded(config.ClassDeferred, time.Time{})
+	g.arrive(at(0), &first.waiter)
+	g.release(at(8), config.ClassDeferred, Succeeded, 8*time.Millisecond)
+	second := newRecorded(config.ClassDeferred, time.Time{})
+	g.arrive(at(9), &second.waiter)
+	if second.done || len(wakes) != 1 {
+		t.Fatalf("decided %v, %d wakes; want it queued and one wake", second.done, len(wakes))
+	}
+	g.wake(func() time.Time { return at(9).Add(wakes[0]) })
+	if !second.done || second.err != nil {
+		t.Fatalf("decided %v, %v after the pause", second.done, second.err)
+	}
+}
--- a/internal/limits/gates.go
+++ b/internal/limits/gates.go
@@ -38,7 +38,7 @@
 
 	g.lock.Lock()
 	now := gs.now()
-	g.resize(now, server.Slots)
+	g.resize(now, server.Slots, gs.vms())
 	g.arrive(now, w)
 	longest := w.deadline.Sub(now)
 	g.lock.Unlock()
@@ -47,7 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &permit{gate: g, now: gs.now}, nil
+	return &permit{gate: g, class: class, now: gs.now}, nil
 }
 
 // await returns nil once the waiter holds a permit.
@@ -116,14 +116,24 @@
 	defer gs.lock.Unlock()
 	if g = gs.gates[server.ID]; g == nil {
 		g = newGate(server.ID, gs.settings, server.Slots, gs.vms())
+		g.wakeIn = func(wait time.Duration) { time.AfterFunc(wait, func() { g.wake(gs.now) }) }
 		gs.gates[server.ID] = g
 	}
 	return g
 }
 
+// wake lets the waiters go on after a pause.
+func (g *gate) wake(now func() time.Time) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	g.armedFor = time.Time{}
+	g.dispatch(now())
+}
+
 // permit implements Permit.
 type permit struct {
 	gate     *gate
+	class    config.Class
 	now      func() time.Time
 	returned bool // owned by the gate's lock
 }
@@ -136,5 +146,5 @@
 		return
 	}
 	p.returned = true
-	p.gate.release(p.now(), result, latency)
+	p.gate.release(p.now(), p.class, result, latency)
 }
--- a/internal/limits/gradient.go
+++ b/internal/limits/gradient.go
@@ -18,7 +18,7 @@
 
 func (l *gradient) limit() float64 { return l.current }
 
-func (l *gradient) bound(slots int) {
+func (l *gradient) bound(slots, _ int) {
 	l.slots = slots
 	l.current = clamp(l.current, slots)
 }
--- a/internal/limits/limiter.go
+++ b/internal/limits/limiter.go
@@ -16,8 +16,8 @@
 	limit() float64
 	// observe takes one finished request into account.
 	observe(s sample)
-	// bound sets the server's slots.
-	bound(slots int)
+	// bound sets the server's slots and how many VMs feed it.
+	bound(slots, vms int)
 }
 
 // newLimiter returns the limiter that the settings name. It starts at an even
@@ -62,4 +62,7 @@
 
 func (l *staticLimiter) limit() float64   { return share(l.slots, l.vms) }
 func (l *staticLimiter) observe(_ sample) {}
-func (l *staticLimiter) bound(slots int)  { l.slots = slots }
+func (l *staticLimiter) bound(slots, vms int) {
+	l.slots = slots
+	l.vms = vms
+}
