Retry ways in a fault, load of a server for the less loaded of two

Cause: (1) the retry ways had no figures. (2) Requests without a key go to the server with fewer requests in flight; a server that refuses at once has none in flight and draws most of them, and a slow one is not told from a fast one.

Change: Gates.Load, the requests at a server times their mean latency, raised by failures since the last success. InFlight stays for status pages.

--- a/internal/limits/bench_test.go
+++ b/internal/limits/bench_test.go
@@ -31,6 +31,7 @@
 	feeder        bool          // one VM feeds each server, the others forward to it
 	deferredShare float64       // part of the arrivals in the deferred class
 	reportFrom    time.Duration // earlier arrivals are not reported
+	reportTo      time.Duration // later ones neither; zero: all are
 	disturb       func(b *bench)
 }
 
@@ -59,7 +60,30 @@
 	gates    [][]*gate // by VM, then by server
 	policies []retry.Policy
 	reports  map[config.Class]*report
-	lastGood time.Duration // when the last interactive request was answered
+	windows  []window
+}
+
+// windowLength divides a run for the time that it takes to recover.
+const windowLength = 100 * time.Millisecond
+
+// window counts the interactive requests that arrived within windowLength, and
+// those of them answered within targetP99.
+type window struct{ offered, met int }
+
+func (b *bench) window(arrived time.Duration) *window {
+	return &b.windows[arrived/windowLength]
+}
+
+// recovered returns how long after a moment the service was first as it should be:
+// the start of the first window with 99 of 100 requests answered in time.
+func (b *bench) recovered(since time.Duration) time.Duration {
+	for i, w := range b.windows {
+		begin := time.Duration(i) * windowLength
+		if begin >= since && float64(w.met) >= 0.99*float64(w.offered) {
+			return begin - since
+		}
+	}
+	return b.length - since
 }
 
 type event struct {
@@ -92,7 +116,7 @@
 
 // play runs a scenario until its last request is answered.
 func play(s scenario, seed uint64) *bench {
-	b := &bench{scenario: s, random: rand.New(rand.NewPCG(seed, 1)), reports: map[config.Class]*report{}}
+	b := &bench{scenario: s, windows: make([]window, s.length/windowLength+1), random: rand.New(rand.NewPCG(seed, 1)), reports: map[config.Class]*report{}}
 	for _, class := range []config.Class{config.ClassInteractive, config.ClassDeferred} {
 		b.reports[class] = &report{latency: hdrhistogram.New(1, 60_000_000, 3)}
 	}
@@ -141,10 +165,13 @@
 		r.deadline = b.now + b.settings.DeferredQueueWait.Duration()
 	}
 	r.report = b.reports[r.class]
-	if b.now < b.reportFrom {
+	if b.now < b.reportFrom || b.reportTo > 0 && b.now >= b.reportTo {
 		r.report = &report{latency: hdrhistogram.New(1, 60_000_000, 1)}
 	}
 	r.report.offered++
+	if r.class == config.ClassInteractive {
+		b.window(b.now).offered++
+	}
 	r.enter()
 	capacity := float64(b.servers*b.slots) / float64(b.service)
 	gap := -math.Log(1-b.random.Float64()) / (b.load * capacity)
@@ -193,7 +220,7 @@
 	first := r.b.random.IntN(r.b.servers)
 	second := r.b.random.IntN(r.b.servers)
 	gates := r.b.gates[r.vm]
-	if r.b.keyless && gates[second].inFlight < gates[first].inFlight {
+	if r.b.keyless && gates[second].load() < gates[first].load() {
 		return second
 	}
 	return first
@@ -228,7 +255,9 @@
 		r.report.good++
 		_ = r.report.latency.RecordValue(max((b.now - r.arrived).Microseconds(), 1))
 		b.policies[r.vm].Succeeded()
-		b.lastGood = b.now
+		if r.class == config.ClassInteractive && b.now-r.arrived <= targetP99 {
+			b.window(r.arrived).met++
+		}
 		return
 	}
 	kind := fault.ConnectFailed
--- a/internal/limits/fakeserver_test.go
+++ b/internal/limits/fakeserver_test.go
@@ -10,6 +10,7 @@
 	queue   []*job
 	slow    float64 // factor of the service time
 	down    bool    // refuses connections and loses what it runs
+	faulty  float64 // part of the connections that it refuses
 }
 
 type job struct {
@@ -19,7 +20,7 @@
 
 func (s *fakeServer) offer(j *job) {
 	switch {
-	case s.down:
+	case s.down, s.faulty > 0 && s.b.random.Float64() < s.faulty:
 		j.done(Failed)
 	case s.running < s.b.slots:
 		s.start(j)
--- a/internal/limits/gate_test.go
+++ b/internal/limits/gate_test.go
@@ -238,3 +238,25 @@
 		t.Fatalf("decided %v, %v after the pause", second.done, second.err)
 	}
 }
+
+func TestServerThatRefusesAtOnceDoesNotDrawRequests(t *testing.T) {
+	good := newGate("good", DefaultSettings(), 6, 9)
+	for _, answeredBefore := range []bool{true, false} {
+		bad := newGate("bad", DefaultSettings(), 6, 9)
+		for range 10 {
+			good.arrive(at(0), &newRecorded(config.ClassInteractive, time.Time{}).waiter)
+			bad.arrive(at(0), &newRecorded(config.ClassInteractive, time.Time{}).waiter)
+			good.release(at(1), config.ClassInteractive, Succeeded, time.Millisecond)
+			if answeredBefore {
+				bad.release(at(1), config.ClassInteractive, Succeeded, time.Millisecond)
+				answeredBefore = false
+				continue
+			}
+			bad.release(at(1), config.ClassInteractive, Failed, time.Microsecond)
+		}
+		good.arrive(at(2), &newRecorded(config.ClassInteractive, time.Time{}).waiter)
+		if bad.load() <= good.load() {
+			t.Errorf("load of the server that refuses %g, of the busy good one %g", bad.load(), good.load())
+		}
+	}
+}
--- a/internal/limits/gates.go
+++ b/internal/limits/gates.go
@@ -97,6 +97,22 @@
 	return g.inFlight
 }
 
+// Load returns how loaded a server is, for the choice of the less loaded of two:
+// the requests of this VM at it times their mean latency, raised by each failure
+// since the last success. It compares servers of one service and has no unit. A
+// server without requests so far has the least load.
+func (gs *Gates) Load(server string) float64 {
+	gs.lock.RLock()
+	g := gs.gates[server]
+	gs.lock.RUnlock()
+	if g == nil {
+		return 0
+	}
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	return g.load()
+}
+
 // Forget drops a server's gate, for a server that left the configuration.
 // Requests that are out or waiting finish at the gate that was dropped.
 func (gs *Gates) Forget(server string) {
--- a/internal/limits/target_test.go
+++ b/internal/limits/target_test.go
@@ -13,6 +13,7 @@
 	targetP99         = 12 * time.Millisecond // at 0.7x of capacity, service time 1 ms
 	targetGoodput     = 0.9                   // at 3x, of the goodput at 1x
 	targetTries       = 1.1                   // per request in a brown-out
+	targetServedAgain = 3 * time.Second       // after a loss
 	loadOfTargetP99   = 0.7
 	loadOfManyClasses = 1.5
 )
@@ -33,6 +34,7 @@
 }
 
 func TestAnswersStayWithinTargetBelowCapacity(t *testing.T) {
+	t.Parallel()
 	for _, size := range userSizes {
 		s := oneServer(DefaultSettings(), size.slots, size.vms, loadOfTargetP99)
 		s.backlog = size.backlog
@@ -43,6 +45,7 @@
 }
 
 func TestOverloadKeepsGoodputAndTries(t *testing.T) {
+	t.Parallel()
 	for _, size := range userSizes {
 		s := oneServer(DefaultSettings(), size.slots, size.vms, 1)
 		s.backlog = size.backlog
@@ -60,6 +63,7 @@
 }
 
 func TestInteractiveKeepsItsP99BesideDeferredWork(t *testing.T) {
+	t.Parallel()
 	for _, size := range userSizes {
 		s := oneServer(DefaultSettings(), size.slots, size.vms, loadOfManyClasses)
 		s.backlog = size.backlog
