--- a/internal/retry/claimbook.go
+++ b/internal/retry/claimbook.go
@@ -159,7 +159,7 @@
 		return refused("claims of a lost VM may still hold the key")
 	}
 	if !known.set(requestID, stateOpen) {
-		return refused("too many claims of this key were given up")
+		return refused("too many claims of this key are held")
 	}
 	b.touch(key, known, now)
 	return BeginAnswer{Verdict: ClaimFirst}
--- a/internal/retry/claimedkey.go
+++ b/internal/retry/claimedkey.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"slices"
 	"time"
 )
 
@@ -22,9 +23,9 @@
 	state     claimState
 }
 
-// mostClaimants bounds the requests that one key remembers. Each belongs to a
-// copy that a server truthfully refused; a caller that re-sends more often within
-// the window is refused.
+// mostClaimants bounds the requests that one key remembers. Beyond it the oldest
+// that was given up is forgotten; should its Begin come later still, the key is
+// held for a request that can't run any more until the window ends.
 const mostClaimants = 32
 
 // claimedKey is one idempotency key. Its book's lock owns it.
@@ -59,7 +60,8 @@
 	return open
 }
 
-// set joins a request's state and returns false when the key is full.
+// set joins a request's state and returns false when the key is full of requests
+// that may have run.
 func (k *claimedKey) set(requestID string, state claimState) bool {
 	for i := range k.claimants {
 		c := &k.claimants[i]
@@ -68,13 +70,24 @@
 			return true
 		}
 	}
-	if len(k.claimants) >= mostClaimants {
+	if len(k.claimants) >= mostClaimants && !k.forgetFreed() {
 		return false
 	}
 	k.claimants = append(k.claimants, claimant{requestID: requestID, state: state})
 	return true
 }
 
+// forgetFreed drops the oldest claimant that was given up.
+func (k *claimedKey) forgetFreed() bool {
+	for i, c := range k.claimants {
+		if c.state == stateFreed {
+			k.claimants = slices.Delete(k.claimants, i, i+1)
+			return true
+		}
+	}
+	return false
+}
+
 // expiryList orders the keys of a book by expiry: windows have one length, so the
 // key touched last expires last. Keys restored from a snapshot may stand before
 // one that expires sooner, which is then kept too long, never too short.
--- /dev/null
+++ b/internal/retry/property_test.go
@@ -0,0 +1,121 @@
+package retry
+
+import (
+	"cmp"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"kumquatcleat/internal/fault"
+)
+
+const (
+	propertyRuns = 500
+	propertySeed = 7
+)
+
+func propertyParameters() *gopter.TestParameters {
+	p := gopter.DefaultTestParametersWithSeed(propertySeed)
+	p.MinSuccessfulTests = propertyRuns
+	return p
+}
+
+// suspectsOf turns random numbers into reports of few fingerprints and servers.
+func suspectsOf(numbers []int) []Suspect {
+	var list []Suspect
+	for _, n := range numbers {
+		servers := union([]string{[]string{"s1", "s2", "s3"}[n/4%3]}, []string{[]string{"s1", "s2", "s3"}[n/12%3]})
+		list = append(list, Suspect{
+			Service: "swapbay", Fingerprint: uint64(n % 4), Servers: servers,
+			TTL: time.Duration(n/36%50) * time.Second,
+		})
+	}
+	return list
+}
+
+type merger func(q *MemoryQuarantine, list []Suspect)
+
+// replacing seeds a bug: the last report wins.
+func replacing(q *MemoryQuarantine, list []Suspect) {
+	for _, s := range list {
+		delete(q.suspects, suspectKey{s.Service, s.Fingerprint})
+	}
+	q.Merge(list)
+}
+
+// merged returns what a quarantine holds after it took the reports in this order.
+func merged(merge merger, reports ...[]Suspect) []Suspect {
+	q := NewQuarantine(DefaultQuarantineSettings(), newClock().now)
+	for _, report := range reports {
+		merge(q, report)
+	}
+	list := q.Snapshot()
+	slices.SortFunc(list, func(a, b Suspect) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	return list
+}
+
+func mergeProperty(merge merger) gopter.Prop {
+	reports := gen.SliceOf(gen.IntRange(0, 1<<16))
+	return prop.ForAll(func(x, y, z []int) bool {
+		a, b, c := suspectsOf(x), suspectsOf(y), suspectsOf(z)
+		want := merged(merge, a, b, c)
+		return reflect.DeepEqual(want, merged(merge, c, a, b)) &&
+			reflect.DeepEqual(want, merged(merge, b, a, c, b, a)) &&
+			reflect.DeepEqual(want, merged(merge, a, merged(merge, b, c)))
+	}, reports, reports, reports)
+}
+
+func TestQuarantinesAgreeWhateverTheOrderOfReports(t *testing.T) {
+	properties := gopter.NewProperties(propertyParameters())
+	properties.Property("merge is commutative, associative, idempotent", mergeProperty(func(q *MemoryQuarantine, list []Suspect) {
+		q.Merge(list)
+	}))
+	properties.TestingRun(t)
+	if mergeProperty(replacing).Check(propertyParameters()).Passed() {
+		t.Error("seeded bug not found: the last report wins")
+	}
+}
+
+// spend counts the retries that a policy allows in a random sequence of successes
+// and failures, and returns whether they stay within the budget.
+func spend(p Policy, s BudgetSettings, steps []int) bool {
+	retries, successes := 0.0, 0.0
+	for _, n := range steps {
+		if n%3 == 0 {
+			p.Succeeded()
+			successes++
+			continue
+		}
+		a := failure(fault.ConnectFailed, n%2 == 0)
+		a.Number = 1 + n/6%4
+		if again, wait := p.Next(a); again {
+			retries++
+			if wait >= a.Remaining {
+				return false
+			}
+		}
+	}
+	const rounding = 1e-6 // of adding shares
+	return retries <= s.Reserve+s.Share*successes+rounding
+}
+
+func TestRetriesStayWithinShareOfSuccesses(t *testing.T) {
+	steps := gen.SliceOfN(500, gen.IntRange(0, 1<<16))
+	properties := gopter.NewProperties(propertyParameters())
+	properties.Property("retries <= reserve + share x successes", prop.ForAll(func(steps []int) bool {
+		s := DefaultBudgetSettings()
+		return spend(NewBudgetPolicy(s, half), s, steps)
+	}, steps))
+	properties.TestingRun(t)
+	unbounded := prop.ForAllNoShrink(func(steps []int) bool {
+		return spend(Fixed{Attempts: 3, Wait: time.Millisecond}, DefaultBudgetSettings(), steps)
+	}, steps)
+	if unbounded.Check(propertyParameters()).Passed() {
+		t.Error("seeded bug not found: no budget")
+	}
+}
