--- a/internal/config/record.go
+++ b/internal/config/record.go
@@ -34,12 +34,13 @@
 
 // Rule gives the requests that match it their handling. The first match wins.
 type Rule struct {
-	Methods       []string `json:"methods,omitempty"`     // empty: every method
-	PathPrefix    string   `json:"path_prefix,omitempty"` // within the service; empty: every path
-	NonIdempotent bool     `json:"non_idempotent,omitempty"`
-	Class         Class    `json:"class,omitempty"`      // empty: interactive
-	DeferOK       bool     `json:"defer_ok,omitempty"`   // may be accepted for later (202)
-	KeyPrefix     string   `json:"key_prefix,omitempty"` // path prefix whose next segment is the key
+	Methods       []string `json:"methods,omitempty"`        // empty: every method
+	PathPrefix    string   `json:"path_prefix,omitempty"`    // within the service; empty: every path
+	NonIdempotent bool     `json:"non_idempotent,omitempty"` // never sent twice
+	Idempotent    bool     `json:"idempotent,omitempty"`     // may be sent twice, whatever its method
+	Class         Class    `json:"class,omitempty"`          // empty: interactive
+	DeferOK       bool     `json:"defer_ok,omitempty"`       // may be accepted for later (202)
+	KeyPrefix     string   `json:"key_prefix,omitempty"`     // path prefix whose next segment is the key
 }
 
 // Server is one backend server of a service.
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -18,6 +18,9 @@
 	BadRequest Kind = "bad_request"
 	// BodyTooLarge is a request body over the limit of its service.
 	BodyTooLarge Kind = "body_too_large"
+	// BodyCut is a body of unstated length that passed the limit, or broke off,
+	// after its first part was sent to a server.
+	BodyCut Kind = "body_cut"
 	// UnknownService is a path that names no configured service.
 	UnknownService Kind = "unknown_service"
 	// KeyRequired is a request without a key for a service divided by key.
@@ -84,6 +87,7 @@
 var answers = map[Kind]Answer{
 	BadRequest:          {http.StatusBadRequest, NotRun, 0},
 	BodyTooLarge:        {http.StatusRequestEntityTooLarge, NotRun, 0},
+	BodyCut:             {http.StatusRequestEntityTooLarge, Unknown, 0},
 	UnknownService:      {http.StatusNotFound, NotRun, 0},
 	KeyRequired:         {http.StatusBadRequest, NotRun, 0},
 	NoOwner:             {http.StatusServiceUnavailable, NotRun, time.Second},
--- /dev/null
+++ b/internal/logging/decisions.go
@@ -0,0 +1,66 @@
+package logging
+
+import (
+	"context"
+	"log/slog"
+
+	"github.com/rcrowley/go-metrics"
+
+	"kumquatcleat/internal/ring"
+)
+
+// decisionRingLines holds the lines of about a tenth of a second at full load.
+const decisionRingLines = 8192
+
+// Decision is one line of the decision log.
+type Decision struct {
+	Message string // begins with the prefix of its part, such as "routing: "
+	Attrs   []slog.Attr
+}
+
+// Decisions writes decision lines from its own goroutine. A full ring drops
+// the line and counts it in decision_lines_dropped.
+type Decisions struct {
+	lines   *ring.Ring[Decision]
+	dropped metrics.Counter
+}
+
+// NewDecisions returns a decision log that counts dropped lines in registry.
+func NewDecisions(registry metrics.Registry) *Decisions {
+	return &Decisions{
+		lines:   ring.New[Decision](decisionRingLines),
+		dropped: metrics.GetOrRegisterCounter("decision_lines_dropped", registry),
+	}
+}
+
+// Log queues one line.
+func (d *Decisions) Log(message string, attrs ...slog.Attr) {
+	if !d.lines.Offer(Decision{Message: message, Attrs: attrs}) {
+		d.dropped.Inc(1)
+	}
+}
+
+// Run writes lines until ctx ends, then those still queued.
+func (d *Decisions) Run(ctx context.Context) {
+	logger := slog.Default()
+	for {
+		select {
+		case line := <-d.lines.Items():
+			logger.LogAttrs(ctx, slog.LevelInfo, line.Message, line.Attrs...)
+		case <-ctx.Done():
+			d.drain(logger)
+			return
+		}
+	}
+}
+
+func (d *Decisions) drain(logger *slog.Logger) {
+	for {
+		select {
+		case line := <-d.lines.Items():
+			logger.LogAttrs(context.Background(), slog.LevelInfo, line.Message, line.Attrs...)
+		default:
+			return
+		}
+	}
+}
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -1,8 +1,11 @@
 // Package ring holds the bounded queue that joins one duty's goroutine to
-// another's. A full ring refuses and counts; it never blocks the sender.
+// another's. A full ring refuses and counts in Offer, and makes the sender wait in Put.
 package ring
 
-import "sync/atomic"
+import (
+	"context"
+	"sync/atomic"
+)
 
 // Ring is a bounded first-in first-out queue, safe for concurrent use.
 type Ring[T any] struct {
@@ -26,6 +29,17 @@
 	}
 }
 
+// Put adds an item, waiting for room until ctx ends. It returns false when ctx
+// ended first.
+func (r *Ring[T]) Put(ctx context.Context, item T) bool {
+	select {
+	case r.items <- item:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // Items returns the receiving end. It is never closed.
 func (r *Ring[T]) Items() <-chan T { return r.items }
 
