--- /dev/null
+++ b/internal/daemon/groups.go
@@ -0,0 +1,281 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"kumquatcleat/internal/backend"
+	"kumquatcleat/internal/config"
+	"kumquatcleat/internal/ownership"
+	"kumquatcleat/internal/peer"
+	"kumquatcleat/internal/placement"
+)
+
+const (
+	keepersPerGroup = 3                      // keeper, standby, and the one that follows them
+	manageInterval  = 100 * time.Millisecond // how late a change of VMs or records reaches the groups
+	planInterval    = time.Second            // of placement decisions
+)
+
+// Groups runs a Driver for each group that this VM may keep. Its goroutine
+// starts and stops them; mu guards running.
+type Groups struct {
+	self      ownership.VMRef
+	timing    ownership.Timing
+	placement placement.Settings
+	env       ownership.Environment
+	members   *Members
+	store     *config.Store
+	clients   *backend.ControlClients
+
+	mu      sync.Mutex
+	running map[string]*groupRun
+}
+
+// groupRun is one running Driver with what it was last told.
+type groupRun struct {
+	id       config.GroupID
+	driver   *ownership.Driver
+	cancel   context.CancelFunc
+	rates    *rateBook
+	told     string // fingerprint of the last MembersChanged
+	planned  time.Duration
+	stopping bool
+}
+
+// NewGroups returns the duty. env.Servers is set here: the configuration names
+// the servers.
+func NewGroups(self ownership.VMRef, timing ownership.Timing, placing placement.Settings,
+	env ownership.Environment, members *Members, store *config.Store) *Groups {
+	g := &Groups{
+		self:      self,
+		timing:    timing,
+		placement: placing,
+		members:   members,
+		store:     store,
+		clients:   backend.NewControlClients(),
+		running:   map[string]*groupRun{},
+	}
+	env.Servers = g
+	g.env = env
+	return g
+}
+
+// Controller implements ownership.ControllerFinder.
+func (g *Groups) Controller(server string) (backend.Controller, bool) {
+	for _, service := range g.store.Services() {
+		for _, s := range service.Servers {
+			if s.ID == server {
+				return g.clients.For(s.Address), true
+			}
+		}
+	}
+	return nil, false
+}
+
+// Run starts and stops drivers until ctx ends.
+func (g *Groups) Run(ctx context.Context) {
+	for sleep(ctx, manageInterval) {
+		roster := g.members.Roster()
+		g.startWanted(ctx, roster)
+		for _, run := range g.runs() {
+			g.tell(ctx, run, roster)
+		}
+	}
+}
+
+func (g *Groups) runs() []*groupRun {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	runs := make([]*groupRun, 0, len(g.running))
+	for _, run := range g.running {
+		runs = append(runs, run)
+	}
+	return runs
+}
+
+func (g *Groups) startWanted(ctx context.Context, roster *Roster) {
+	for name, keepers := range roster.Groups {
+		if !isCandidate(keepers.Candidates, g.self) {
+			continue
+		}
+		g.mu.Lock()
+		if _, ok := g.running[name]; !ok {
+			g.running[name] = g.start(ctx, keepers.ID)
+		}
+		g.mu.Unlock()
+	}
+}
+
+func isCandidate(candidates []ownership.VMRef, self ownership.VMRef) bool {
+	for i, ref := range candidates {
+		if ref == self && i < keepersPerGroup {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *Groups) start(ctx context.Context, id config.GroupID) *groupRun {
+	service, _ := g.store.Service(id.Service)
+	replica := ownership.NewReplica(g.self, id.String(), service.SlotsOf(id), g.timing, uuid.NewString)
+	driver := ownership.NewDriver(id.String(), replica, g.env)
+	runCtx, cancel := context.WithCancel(ctx)
+	go driver.Run(runCtx)
+	return &groupRun{id: id, driver: driver, cancel: cancel, rates: newRateBook()}
+}
+
+// tell passes on what changed: the VMs that may keep the group, and the plan.
+func (g *Groups) tell(ctx context.Context, run *groupRun, roster *Roster) {
+	keepers, ok := roster.Groups[run.id.String()]
+	if !ok || run.stopping {
+		return
+	}
+	if told := fmt.Sprint(keepers.Candidates, keepers.Gone); told != run.told {
+		run.told = told
+		run.driver.Tell(ctx, ownership.MembersChanged{Candidates: keepers.Candidates, Gone: keepers.Gone})
+	}
+	now := g.env.Clock()
+	if run.planned != 0 && now-run.planned < planInterval {
+		return
+	}
+	run.planned = now
+	g.plan(ctx, run, roster)
+}
+
+// plan decides the wanted owners of a group's slots and tells the driver.
+func (g *Groups) plan(ctx context.Context, run *groupRun, roster *Roster) {
+	service, ok := g.store.Service(run.id.Service)
+	if !ok {
+		return
+	}
+	status, err := run.driver.Status(ctx)
+	if err != nil {
+		return
+	}
+	input := placementInput(service, run.id, status, run.rates.total(g.env.Clock()), roster.Leave)
+	event := ownership.PlanChanged{
+		Servers: make(map[string]ownership.ServerPlan, len(input.Servers)),
+		Owners:  placement.Plan(input, g.placement),
+	}
+	for _, server := range service.ServersOf(run.id) {
+		event.Servers[server.ID] = ownership.ServerPlan{
+			Drain:  server.Drain || roster.Leave[server.ID],
+			Checks: server.Checks,
+		}
+	}
+	run.driver.Tell(ctx, event)
+}
+
+func placementInput(service *config.Service, id config.GroupID, status ownership.Status,
+	rates map[uint32]float64, leaving map[string]bool) placement.Input {
+	input := placement.Input{Current: map[uint32]string{}}
+	for _, slot := range service.SlotsOf(id) {
+		input.Slots = append(input.Slots, placement.SlotLoad{Slot: slot, Load: rates[slot]})
+	}
+	lost := map[string]bool{}
+	for _, server := range status.Servers {
+		lost[server.ID] = server.Lost
+	}
+	for _, server := range service.ServersOf(id) {
+		input.Servers = append(input.Servers, placement.Server{
+			ID:       server.ID,
+			Capacity: float64(server.Slots),
+			Home:     server.FailureDomain == id.Domain,
+			Drain:    server.Drain || leaving[server.ID],
+			Lost:     lost[server.ID],
+		})
+	}
+	for _, slot := range status.Slots {
+		if slot.Owner != "" {
+			input.Current[slot.Slot] = slot.Owner
+		}
+	}
+	return input
+}
+
+// Stop hands every role over and waits for that until ctx ends.
+func (g *Groups) Stop(ctx context.Context) {
+	runs := g.runs()
+	for _, run := range runs {
+		run.stopping = true
+		run.driver.Tell(ctx, ownership.StopRequested{})
+	}
+	for _, run := range runs {
+		select {
+		case <-run.driver.Stopped():
+		case <-ctx.Done():
+			slog.Warn("ownership: role not handed over in time", "group", run.id.String())
+		}
+		run.cancel()
+	}
+}
+
+func (g *Groups) find(group string) (*groupRun, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	run, ok := g.running[group]
+	return run, ok
+}
+
+// AnswerRoutes answers another VM's question, or this VM's own.
+func (g *Groups) AnswerRoutes(ctx context.Context, request *peer.RoutesRequest) (*peer.RoutesAnswer, error) {
+	run, ok := g.find(request.GetGroup())
+	if !ok {
+		return &peer.RoutesAnswer{}, nil
+	}
+	from := decodeVM(request.GetFrom())
+	routes, err := run.driver.Routes(ctx, from)
+	if err != nil {
+		return nil, err
+	}
+	if routes.Keeper {
+		run.rates.report(g.env.Clock(), from.ID, request.GetLoads())
+	}
+	return encodeRoutes(routes, request.GetKnownVersion()), nil
+}
+
+func encodeRoutes(routes ownership.Routes, known uint64) *peer.RoutesAnswer {
+	out := &peer.RoutesAnswer{
+		Keeper:       routes.Keeper,
+		KeeperHint:   encodeVM(routes.Hint),
+		Version:      routes.Version,
+		Token:        &peer.Token{Epoch: routes.Token.Epoch, Seq: routes.Token.Seq},
+		RouteLeaseMs: uint32(routes.Lease.Milliseconds()),
+	}
+	if !routes.Keeper || routes.Version == known {
+		return out
+	}
+	for _, r := range routes.Slots {
+		out.Routes = append(out.Routes, &peer.Route{
+			Slot:              r.Slot,
+			Server:            r.Server.ID,
+			ServerIncarnation: r.Server.Incarnation,
+			Token:             &peer.Token{Epoch: r.Token.Epoch, Seq: r.Token.Seq},
+			Moving:            r.Moving,
+		})
+	}
+	return out
+}
+
+// Agree hands an agreement message to the group's driver.
+func (g *Groups) Agree(ctx context.Context, in *peer.Agreement) error {
+	if decodeVM(in.GetTo()) != g.self {
+		return fmt.Errorf("agreement: meant for VM %s", decodeVM(in.GetTo()))
+	}
+	event, err := decodeAgreement(in)
+	if err != nil {
+		return err
+	}
+	run, ok := g.find(in.GetGroup())
+	if !ok {
+		return fmt.Errorf("agreement: group %q is not kept here", in.GetGroup())
+	}
+	run.driver.Tell(ctx, event)
+	return nil
+}
--- /dev/null
+++ b/internal/daemon/peerservice.go
@@ -0,0 +1,97 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"kumquatcleat/internal/config"
+	"kumquatcleat/internal/peer"
+	"kumquatcleat/internal/retry"
+)
+
+// peerService answers the other VMs. It implements peer.Peer.
+type peerService struct {
+	daemon *Daemon
+}
+
+// Ping implements peer.Peer.
+func (s *peerService) Ping(_ context.Context, _ *peer.PingRequest) (*peer.PingAnswer, error) {
+	return &peer.PingAnswer{
+		From:         encodeVM(s.daemon.self),
+		Stopping:     s.daemon.stopping.Load(),
+		ConfigDigest: s.daemon.store.Digest(),
+	}, nil
+}
+
+// Routes implements peer.Peer.
+func (s *peerService) Routes(ctx context.Context, request *peer.RoutesRequest) (*peer.RoutesAnswer, error) {
+	answer, err := s.daemon.groups.AnswerRoutes(ctx, request)
+	return answer, wireError(err)
+}
+
+// Agree implements peer.Peer.
+func (s *peerService) Agree(ctx context.Context, in *peer.Agreement) (*peer.Agreement, error) {
+	if err := s.daemon.groups.Agree(ctx, in); err != nil {
+		return nil, wireError(err)
+	}
+	return &peer.Agreement{Kind: peer.Agreement_NONE}, nil
+}
+
+// Configs implements peer.Peer.
+func (s *peerService) Configs(_ context.Context, request *peer.ConfigsRequest) (*peer.ConfigsAnswer, error) {
+	answer := &peer.ConfigsAnswer{Records: s.daemon.store.RawNewer(request.GetKnown())}
+	for _, schema := range config.ReadableSchemas() {
+		answer.ReadableSchemas = append(answer.ReadableSchemas, int32(schema))
+	}
+	return answer, nil
+}
+
+// Claim implements peer.Peer.
+func (s *peerService) Claim(ctx context.Context, request *peer.ClaimRequest) (*peer.ClaimAnswer, error) {
+	answer, err := s.daemon.claims.Answer(ctx, request)
+	return answer, wireError(err)
+}
+
+// Suspects implements peer.Peer.
+func (s *peerService) Suspects(_ context.Context, in *peer.SuspectsMessage) (*peer.SuspectsMessage, error) {
+	s.daemon.quarantine.Merge(decodeSuspects(in.GetSuspects()))
+	return &peer.SuspectsMessage{
+		From:     encodeVM(s.daemon.self),
+		Suspects: encodeSuspects(s.daemon.quarantine.Snapshot()),
+	}, nil
+}
+
+func wireError(err error) error {
+	if err == nil {
+		return nil
+	}
+	return twirp.NewError(twirp.FailedPrecondition, err.Error())
+}
+
+func decodeSuspects(in []*peer.Suspect) []retry.Suspect {
+	out := make([]retry.Suspect, 0, len(in))
+	for _, s := range in {
+		out = append(out, retry.Suspect{
+			Service:     s.GetService(),
+			Fingerprint: s.GetFingerprint(),
+			Servers:     s.GetServers(),
+			TTL:         time.Duration(s.GetTtlMs()) * time.Millisecond,
+		})
+	}
+	return out
+}
+
+func encodeSuspects(in []retry.Suspect) []*peer.Suspect {
+	out := make([]*peer.Suspect, 0, len(in))
+	for _, s := range in {
+		out = append(out, &peer.Suspect{
+			Service:     s.Service,
+			Fingerprint: s.Fingerprint,
+			Servers:     s.Servers,
+			TtlMs:       uint32(s.TTL.Milliseconds()),
+		})
+	}
+	return out
+}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -43,6 +43,9 @@
 	ConnectionLost Kind = "connection_lost"
 	// ServerTimeout is a deadline that passed after the request was sent.
 	ServerTimeout Kind = "server_timeout"
+	// AnswerCut is an answer that broke off after its first bytes went to the
+	// caller, whose connection is closed instead of an answer.
+	AnswerCut Kind = "answer_cut"
 	// Quarantined is a request whose fingerprint crashed its servers before.
 	Quarantined Kind = "quarantined"
 	// ClaimUnavailable is a once-only claim that could not be made.
@@ -99,6 +102,7 @@
 	NotOwner:            {http.StatusServiceUnavailable, NotRun, time.Second},
 	ConnectionLost:      {http.StatusBadGateway, Unknown, 0},
 	ServerTimeout:       {http.StatusGatewayTimeout, Unknown, 0},
+	AnswerCut:           {http.StatusBadGateway, Unknown, 0},
 	Quarantined:         {http.StatusUnprocessableEntity, NotRun, time.Minute},
 	ClaimUnavailable:    {http.StatusServiceUnavailable, NotRun, time.Second},
 	DuplicateRequest:    {http.StatusConflict, Unknown, 0},
--- /dev/null
+++ b/internal/ownership/driver.go
@@ -0,0 +1,263 @@
+package ownership
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"kumquatcleat/internal/backend"
+	"kumquatcleat/internal/logging"
+	"kumquatcleat/internal/platform"
+	"kumquatcleat/internal/ring"
+)
+
+const (
+	inboxEvents  = 1024                  // answers wait for room; a full ring only slows I/O
+	tickInterval = 50 * time.Millisecond // how late a lapse may be noticed; small against a lease
+	rowTimeout   = time.Second           // a row read slower than this gives no useful right
+	callTimeout  = 400 * time.Millisecond
+	peerTimeout  = 300 * time.Millisecond
+)
+
+// Decider is the state machine that a Driver runs. Replica implements it.
+type Decider interface {
+	// Step takes one event and returns what is to be done.
+	Step(now Instant, ev Event) []Action
+	// Routes returns what may be told to a VM that asks, and records the route
+	// lease that it thereby gets.
+	Routes(now Instant, leaseTo VMRef) Routes
+	// Status describes the replica for operators.
+	Status(now Instant) Status
+}
+
+// PeerSender sends agreement messages to other VMs. An error means nothing: the
+// message may have arrived.
+type PeerSender interface {
+	SendAgreement(ctx context.Context, to VMRef, group string, message PeerMessage) error
+}
+
+// ControllerFinder finds the control side of a server by its id.
+type ControllerFinder interface {
+	Controller(server string) (backend.Controller, bool)
+}
+
+// Environment is what a Driver carries actions out with.
+type Environment struct {
+	Table     platform.Table
+	Servers   ControllerFinder
+	Peers     PeerSender
+	Decisions *logging.Decisions
+	Clock     func() Instant // monotonic
+}
+
+// Driver runs one group's Decider on its own goroutine and carries out its
+// actions. Answers come back as events through a bounded ring.
+type Driver struct {
+	group   string
+	env     Environment
+	decider Decider
+	inbox   *ring.Ring[message]
+	stopped chan struct{} // closed when the decider holds no role any more
+}
+
+// message is an event, or a question that the decider's goroutine answers.
+type message struct {
+	event Event
+	ask   func(d Decider, now Instant)
+}
+
+// NewDriver returns a Driver. Run starts it.
+func NewDriver(group string, decider Decider, env Environment) *Driver {
+	return &Driver{
+		group:   group,
+		env:     env,
+		decider: decider,
+		inbox:   ring.New[message](inboxEvents),
+		stopped: make(chan struct{}),
+	}
+}
+
+// Run steps the decider until ctx ends.
+func (d *Driver) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			d.step(ctx, Tick{})
+		case m := <-d.inbox.Items():
+			if m.ask != nil {
+				m.ask(d.decider, d.env.Clock())
+				continue
+			}
+			d.step(ctx, m.event)
+		}
+	}
+}
+
+// Tell hands an event over, waiting for room until ctx ends.
+func (d *Driver) Tell(ctx context.Context, ev Event) bool {
+	return d.inbox.Put(ctx, message{event: ev})
+}
+
+// Stopped is closed once the decider handed its role over.
+func (d *Driver) Stopped() <-chan struct{} { return d.stopped }
+
+// Routes asks the decider for its routes on behalf of a VM.
+func (d *Driver) Routes(ctx context.Context, leaseTo VMRef) (Routes, error) {
+	return ask(ctx, d, func(decider Decider, now Instant) Routes { return decider.Routes(now, leaseTo) })
+}
+
+// Status asks the decider for its status.
+func (d *Driver) Status(ctx context.Context) (Status, error) {
+	return ask(ctx, d, func(decider Decider, now Instant) Status { return decider.Status(now) })
+}
+
+func ask[T any](ctx context.Context, d *Driver, question func(Decider, Instant) T) (T, error) {
+	answers := make(chan T, 1)
+	var none T
+	put := d.inbox.Put(ctx, message{ask: func(decider Decider, now Instant) { answers <- question(decider, now) }})
+	if !put {
+		return none, ctx.Err()
+	}
+	select {
+	case answer := <-answers:
+		return answer, nil
+	case <-ctx.Done():
+		return none, ctx.Err()
+	}
+}
+
+func (d *Driver) step(ctx context.Context, ev Event) {
+	for _, action := range d.decider.Step(d.env.Clock(), ev) {
+		d.carryOut(ctx, action)
+	}
+}
+
+// carryOut starts an action. Those that wait run on goroutines of their own,
+// as many as the decider has calls open.
+func (d *Driver) carryOut(ctx context.Context, action Action) {
+	switch a := action.(type) {
+	case ReadRow:
+		go d.readRow(ctx)
+	case WriteRow:
+		go d.writeRow(ctx, a)
+	case SendGrant:
+		go d.grant(ctx, a)
+	case SendRevoke:
+		go d.revoke(ctx, a)
+	case AskState:
+		go d.askState(ctx, a)
+	case SendPeer:
+		go d.sendPeer(ctx, a)
+	case LogDecision:
+		d.log(a)
+	case Stopped:
+		d.markStopped()
+	}
+}
+
+func (d *Driver) markStopped() {
+	select {
+	case <-d.stopped:
+	default:
+		close(d.stopped)
+	}
+}
+
+func (d *Driver) readRow(ctx context.Context) {
+	event := RowRead{SentAt: d.env.Clock()}
+	callCtx, cancel := context.WithTimeout(ctx, rowTimeout)
+	defer cancel()
+	row, err := d.env.Table.Get(callCtx, RowKey(d.group))
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+	case err != nil:
+		event.Err = err
+	default:
+		event.Version = row.Version
+		event.Row, event.Err = DecodeRow(row.Value)
+	}
+	d.Tell(ctx, event)
+}
+
+func (d *Driver) writeRow(ctx context.Context, a WriteRow) {
+	event := RowWritten{WriteID: a.Row.WriteID, SentAt: d.env.Clock(), Result: WriteUnknown}
+	value, err := EncodeRow(a.Row)
+	if err != nil {
+		slog.Error("ownership: row can't be encoded", "group", d.group, "error", err.Error())
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, rowTimeout)
+	defer cancel()
+	write := platform.Write{Key: RowKey(d.group), Expect: a.Expect, Value: value}
+	versions, err := d.env.Table.Commit(callCtx, []platform.Write{write})
+	switch {
+	case err == nil && len(versions) == 1:
+		event.Result = WriteApplied
+		event.Version = versions[0]
+	case errors.Is(err, platform.ErrConflict):
+		event.Result = WriteConflicted
+	}
+	d.Tell(ctx, event)
+}
+
+func (d *Driver) grant(ctx context.Context, a SendGrant) {
+	event := ServerAnswered{Server: a.Server, Call: CallGrant, Token: a.Request.Token}
+	d.callServer(ctx, event, func(ctx context.Context, c backend.Controller) (backend.ServerState, error) {
+		return c.Grant(ctx, a.Request)
+	})
+}
+
+func (d *Driver) revoke(ctx context.Context, a SendRevoke) {
+	event := ServerAnswered{Server: a.Server, Call: CallRevoke, Token: a.Request.Token}
+	d.callServer(ctx, event, func(ctx context.Context, c backend.Controller) (backend.ServerState, error) {
+		return c.Revoke(ctx, a.Request)
+	})
+}
+
+func (d *Driver) askState(ctx context.Context, a AskState) {
+	event := ServerAnswered{Server: a.Server, Call: CallState}
+	d.callServer(ctx, event, func(ctx context.Context, c backend.Controller) (backend.ServerState, error) {
+		return c.State(ctx, d.group)
+	})
+}
+
+var errUnknownServer = errors.New("ownership: the configuration names no such server")
+
+func (d *Driver) callServer(ctx context.Context, event ServerAnswered,
+	call func(context.Context, backend.Controller) (backend.ServerState, error)) {
+	event.SentAt = d.env.Clock()
+	controller, ok := d.env.Servers.Controller(event.Server)
+	if !ok {
+		event.Err = errUnknownServer
+		d.Tell(ctx, event)
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	event.State, event.Err = call(callCtx, controller)
+	d.Tell(ctx, event)
+}
+
+func (d *Driver) sendPeer(ctx context.Context, a SendPeer) {
+	callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	if err := d.env.Peers.SendAgreement(callCtx, a.To, d.group, a.Message); err != nil {
+		slog.Debug("ownership: message to VM not answered", "group", d.group, "vm", a.To.String(), "error", err.Error())
+	}
+}
+
+func (d *Driver) log(a LogDecision) {
+	attrs := []slog.Attr{slog.String("group", d.group), slog.String("token", a.Token.String())}
+	if a.Slot >= 0 {
+		attrs = append(attrs, slog.Int64("slot", a.Slot))
+	}
+	if a.Server != "" {
+		attrs = append(attrs, slog.String("server", a.Server))
+	}
+	d.env.Decisions.Log("ownership: "+a.What, attrs...)
+}
--- /dev/null
+++ b/internal/routing/body.go
@@ -0,0 +1,86 @@
+package routing
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+)
+
+// replayBytesLimit bounds the bodies that are kept to be sent again after a
+// truthful refusal: it is multiplied by the requests in flight.
+const replayBytesLimit = 64 << 10
+
+var errBodyOverLimit = errors.New("the body passed the limit of its service")
+
+// callerBody is a caller's request body: kept whole when small, streamed
+// otherwise. A streamed body can be sent only while nothing was read from it.
+type callerBody struct {
+	kept     []byte
+	stream   io.ReadCloser // nil: kept holds all of it
+	limit    int64
+	length   int64 // -1: not stated
+	started  atomic.Bool
+	failed   atomic.Bool // reading from the caller failed
+	overLong atomic.Bool
+}
+
+// readCallerBody keeps a small body and prepares a large one for streaming.
+func readCallerBody(r *http.Request, limit int64) (*callerBody, error) {
+	body := &callerBody{limit: limit, length: r.ContentLength}
+	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
+		body.length = 0
+		return body, nil
+	}
+	if r.ContentLength > limit {
+		return nil, errBodyOverLimit
+	}
+	if r.ContentLength < 0 || r.ContentLength > replayBytesLimit {
+		body.stream = r.Body
+		return body, nil
+	}
+	kept := make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, kept); err != nil {
+		return nil, err
+	}
+	body.kept = kept
+	return body, nil
+}
+
+// replayable reports whether the body can be sent from its start.
+func (b *callerBody) replayable() bool { return b.stream == nil || !b.started.Load() }
+
+// open returns a reader for one attempt. It is never http.NoBody, so that
+// net/http holds the request for not repeatable.
+func (b *callerBody) open() io.ReadCloser {
+	if b.stream == nil {
+		return io.NopCloser(bytes.NewReader(b.kept))
+	}
+	return &streamReader{body: b}
+}
+
+// streamReader reads the caller's stream and enforces the limit on the bytes
+// that really arrive. Close leaves the stream to the HTTP server.
+type streamReader struct {
+	body *callerBody
+	read int64
+}
+
+// Read implements io.Reader.
+func (s *streamReader) Read(p []byte) (int, error) {
+	s.body.started.Store(true)
+	n, err := s.body.stream.Read(p)
+	s.read += int64(n)
+	if s.read > s.body.limit {
+		s.body.overLong.Store(true)
+		return 0, errBodyOverLimit
+	}
+	if err != nil && err != io.EOF {
+		s.body.failed.Store(true)
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (s *streamReader) Close() error { return nil }
--- /dev/null
+++ b/internal/routing/call.go
@@ -0,0 +1,202 @@
+package routing
+
+import (
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"kumquatcleat/internal/config"
+	"kumquatcleat/internal/fault"
+)
+
+const (
+	maxKeyBytes            = 1024
+	maxIdempotencyKeyBytes = 256
+)
+
+// call is one caller's request, as the router understands it.
+type call struct {
+	requestID      string
+	service        *config.Service
+	path           string // behind the service's name, begins with a slash
+	key            string // empty: none
+	idempotencyKey string
+	idempotent     bool
+	class          config.Class
+	deferOK        bool
+	timeout        time.Duration
+}
+
+// splitPath splits /service/rest into its two parts.
+func splitPath(path string) (service, rest string, ok bool) {
+	trimmed, found := strings.CutPrefix(path, "/")
+	if !found || trimmed == "" {
+		return "", "", false
+	}
+	service, rest, _ = strings.Cut(trimmed, "/")
+	return service, "/" + rest, service != ""
+}
+
+// parseCall reads a request's headers and path against the configuration.
+func parseCall(r *http.Request, services Services) (*call, *fault.Error) {
+	c := &call{requestID: uuid.NewString()}
+	if !r.ProtoAtLeast(1, 1) {
+		return c, fault.New(fault.BadRequest, "HTTP/1.0 can't mark a cut answer: use HTTP/1.1")
+	}
+	name, rest, ok := splitPath(r.URL.EscapedPath())
+	if !ok {
+		return c, fault.New(fault.BadRequest, "path %q names no service: use /SERVICE/PATH", r.URL.Path)
+	}
+	if hasDotSegment(rest) {
+		return c, fault.New(fault.BadRequest, "path %q has a dot segment: send the resolved path", r.URL.Path)
+	}
+	service, ok := services.Service(name)
+	if !ok {
+		return c, fault.New(fault.UnknownService, "no service %q: ask the operator for the services in force", name)
+	}
+	c.service = service
+	c.path = rest
+	rule := matchRule(service, r.Method, rest)
+	c.applyRule(rule, r.Method)
+	if err := c.readKey(r, rule); err != nil {
+		return c, err
+	}
+	if err := c.readTimeout(r); err != nil {
+		return c, err
+	}
+	return c, c.readIdempotencyKey(r)
+}
+
+// matchRule returns the first rule that matches, or nil.
+func matchRule(service *config.Service, method, path string) *config.Rule {
+	for i := range service.Rules {
+		rule := &service.Rules[i]
+		if len(rule.Methods) > 0 && !slices.Contains(rule.Methods, method) {
+			continue
+		}
+		if strings.HasPrefix(path, rule.PathPrefix) {
+			return rule
+		}
+	}
+	return nil
+}
+
+// applyRule sets class and idempotence. Without a rule that says otherwise
+// POST and PATCH are not idempotent.
+func (c *call) applyRule(rule *config.Rule, method string) {
+	c.class = config.ClassInteractive
+	c.idempotent = method != http.MethodPost && method != http.MethodPatch
+	if rule == nil {
+		return
+	}
+	if rule.Class != "" {
+		c.class = rule.Class
+	}
+	c.deferOK = rule.DeferOK
+	if rule.Idempotent {
+		c.idempotent = true
+	}
+	if rule.NonIdempotent {
+		c.idempotent = false
+	}
+}
+
+func (c *call) readKey(r *http.Request, rule *config.Rule) *fault.Error {
+	values := r.Header.Values(HeaderKey)
+	if len(values) > 1 {
+		return fault.New(fault.BadRequest, "header %s stands %d times: send it once", HeaderKey, len(values))
+	}
+	if len(values) == 1 {
+		c.key = values[0]
+	} else {
+		key, err := keyFromPath(c.path, rule)
+		if err != nil {
+			return fault.New(fault.BadRequest, "path %q: %v", c.path, err)
+		}
+		c.key = key
+	}
+	if len(c.key) > maxKeyBytes {
+		return fault.New(fault.BadRequest, "key has %d bytes, at most %d are allowed", len(c.key), maxKeyBytes)
+	}
+	if c.key == "" && c.service.DividedByKey {
+		return fault.New(fault.KeyRequired, "service %q is divided by key: send header %s or a path that names the key",
+			c.service.Name, HeaderKey)
+	}
+	return nil
+}
+
+// keyFromPath returns the unescaped path segment behind the rule's key prefix,
+// so that two spellings of one key have one owner.
+func keyFromPath(path string, rule *config.Rule) (string, error) {
+	if rule == nil || rule.KeyPrefix == "" {
+		return "", nil
+	}
+	rest, ok := strings.CutPrefix(path, rule.KeyPrefix)
+	if !ok {
+		return "", nil
+	}
+	segment, _, _ := strings.Cut(rest, "/")
+	return url.PathUnescape(segment)
+}
+
+// hasDotSegment reports whether a path has a segment that a server may resolve
+// to another path, and so to another key, than the router read.
+func hasDotSegment(path string) bool {
+	for segment := range strings.SplitSeq(path, "/") {
+		plain, err := url.PathUnescape(segment)
+		if err != nil || plain == "." || plain == ".." {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *call) readTimeout(r *http.Request) *fault.Error {
+	c.timeout = defaultTimeout(c.service)
+	text := r.Header.Get(HeaderTimeout)
+	if text == "" {
+		return nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	most := maxTimeout(c.service)
+	if err != nil || ms < 1 || ms > most.Milliseconds() {
+		return fault.New(fault.BadRequest, "header %s is %q: want 1 to %d milliseconds", HeaderTimeout, text, most.Milliseconds())
+	}
+	c.timeout = time.Duration(ms) * time.Millisecond
+	return nil
+}
+
+func (c *call) readIdempotencyKey(r *http.Request) *fault.Error {
+	c.idempotencyKey = r.Header.Get(HeaderIdempotencyKey)
+	if len(c.idempotencyKey) > maxIdempotencyKeyBytes {
+		return fault.New(fault.BadRequest, "header %s has %d bytes, at most %d are allowed",
+			HeaderIdempotencyKey, len(c.idempotencyKey), maxIdempotencyKeyBytes)
+	}
+	return nil
+}
+
+func defaultTimeout(s *config.Service) time.Duration {
+	if s.Limits.DefaultTimeout > 0 {
+		return s.Limits.DefaultTimeout.Duration()
+	}
+	return config.DefaultTimeoutMS * time.Millisecond
+}
+
+func maxTimeout(s *config.Service) time.Duration {
+	if s.Limits.MaxTimeout > 0 {
+		return s.Limits.MaxTimeout.Duration()
+	}
+	return config.DefaultMaxTimeoutMS * time.Millisecond
+}
+
+func maxBody(s *config.Service) int64 {
+	if s.Limits.MaxBodyBytes > 0 {
+		return s.Limits.MaxBodyBytes
+	}
+	return config.DefaultMaxBodyBytes
+}
--- /dev/null
+++ b/internal/routing/handler.go
@@ -0,0 +1,176 @@
+package routing
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"kumquatcleat/internal/backend"
+	"kumquatcleat/internal/fault"
+	"kumquatcleat/internal/limits"
+	"kumquatcleat/internal/logging"
+	"kumquatcleat/internal/retry"
+)
+
+// Canceler tells a server that nobody waits for a request any more.
+type Canceler interface {
+	Cancel(address, requestID string)
+}
+
+// Parts are what a Handler works with. All are needed.
+type Parts struct {
+	Services   Services
+	Resolver   Resolver
+	Gate       limits.Gate
+	Policy     retry.Policy
+	Claimer    retry.Claimer
+	Quarantine retry.Quarantine
+	Transport  *Transport
+	Canceler   Canceler
+	Decisions  *logging.Decisions
+	Registry   metrics.Registry
+}
+
+// Handler serves callers. Safe for concurrent use.
+type Handler struct {
+	Parts
+	chooser  *chooser
+	meters   *meters
+	inFlight atomic.Int64
+	stopping atomic.Bool
+}
+
+// NewHandler returns a Handler.
+func NewHandler(parts Parts) *Handler {
+	return &Handler{
+		Parts:   parts,
+		chooser: newChooser(parts.Gate),
+		meters:  newMeters(parts.Registry),
+	}
+}
+
+// Stop makes further answers close their connections, so that callers leave.
+func (h *Handler) Stop() { h.stopping.Store(true) }
+
+// InFlight returns how many requests are being served.
+func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	began := time.Now()
+	h.inFlight.Add(1)
+	defer h.inFlight.Add(-1)
+	if h.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	call, err := parseCall(r, h.Services)
+	if err == nil {
+		err = h.serve(w, r, call)
+	}
+	h.meters.answered(err, time.Since(began))
+	if err != nil {
+		h.refuse(w, r, call, err)
+	}
+}
+
+// serve answers the caller, or returns why it did not. After an error nothing
+// was written to w, but for the kind AnswerCut.
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request, call *call) *fault.Error {
+	ctx, cancel := context.WithTimeout(r.Context(), call.timeout)
+	defer cancel()
+	body, err := readCallerBody(r, maxBody(call.service))
+	if err != nil {
+		return bodyFault(err, call)
+	}
+	once, ferr := h.claim(ctx, call)
+	if ferr != nil {
+		return ferr
+	}
+	run := &run{handler: h, call: call, body: body, request: r, writer: w}
+	run.fingerprint = run.computeFingerprint()
+	ferr = run.attempts(ctx)
+	h.settle(r.Context(), once, ferr)
+	return ferr
+}
+
+func bodyFault(err error, call *call) *fault.Error {
+	if err == errBodyOverLimit {
+		return fault.New(fault.BodyTooLarge, "the body is over the limit of %d bytes of service %q", maxBody(call.service), call.service.Name)
+	}
+	return fault.Wrap(fault.BadRequest, err, "the body broke off before it was whole")
+}
+
+// claim makes the once-only claim of a non-idempotent request that carries an
+// idempotency key. A nil claim means that none is needed.
+func (h *Handler) claim(ctx context.Context, call *call) (retry.Claim, *fault.Error) {
+	if call.idempotent || call.idempotencyKey == "" {
+		return nil, nil
+	}
+	name := call.key
+	if name == "" {
+		name = call.idempotencyKey
+	}
+	group := call.service.GroupOf(call.service.SlotOf(name)).String()
+	once, verdict, err := h.Claimer.Claim(ctx, group, call.service.Name+"\x00"+call.key+"\x00"+call.idempotencyKey, call.requestID)
+	switch {
+	case verdict == retry.ClaimFirst:
+		return once, nil
+	case verdict == retry.ClaimDuplicate:
+		return nil, fault.New(fault.DuplicateRequest, "a request with this %s ran or may have run: ask for its result instead of sending it again", HeaderIdempotencyKey)
+	default:
+		return nil, fault.Wrap(fault.ClaimUnavailable, err, "no VM could record the %s now: send the request again", HeaderIdempotencyKey)
+	}
+}
+
+// settle ends a claim. An unknown outcome keeps the claim: the request may have
+// run, and a copy must be refused.
+func (h *Handler) settle(ctx context.Context, once retry.Claim, err *fault.Error) {
+	if once == nil {
+		return
+	}
+	ctx = context.WithoutCancel(ctx)
+	switch {
+	case err == nil:
+		once.Finished(ctx)
+	case fault.AnswerFor(err.Kind).Outcome == fault.NotRun:
+		once.NotRun(ctx)
+	}
+}
+
+func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, call *call, err *fault.Error) {
+	service := ""
+	if call.service != nil {
+		service = call.service.Name
+	}
+	h.Decisions.Log("routing: refused",
+		slog.String(logRequest, call.requestID),
+		slog.String(logService, service),
+		slog.String("method", r.Method),
+		slog.String("kind", string(err.Kind)),
+		slog.String("outcome", string(fault.AnswerFor(err.Kind).Outcome)),
+		slog.String("reason", err.Error()))
+	if err.Kind == fault.AnswerCut {
+		// Closes the connection: the caller sees that the answer is not whole.
+		panic(http.ErrAbortHandler)
+	}
+	writeRefusal(w, call.requestID, err)
+}
+
+// Names of attributes in the decision log.
+const (
+	logRequest = "request"
+	logService = "service"
+	logServer  = "server"
+)
+
+// notStartedKind maps a server's statement to an error kind.
+func notStartedKind(reason string) fault.Kind {
+	if reason == backend.NotStartedNotOwner {
+		return fault.NotOwner
+	}
+	return fault.ServerRefused
+}
--- /dev/null
+++ b/internal/routing/headers.go
@@ -0,0 +1,83 @@
+package routing
+
+import (
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+
+	"kumquatcleat/internal/backend"
+)
+
+// Headers between callers and the router.
+const (
+	HeaderKey            = "Kumquatcleat-Key"
+	HeaderTimeout        = "Kumquatcleat-Timeout-Ms"
+	HeaderOutcome        = "Kumquatcleat-Outcome"
+	HeaderIdempotencyKey = "Idempotency-Key"
+)
+
+const ownPrefix = "Kumquatcleat-"
+
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// removeHopByHop deletes the headers that concern one connection only.
+func removeHopByHop(h http.Header) {
+	for _, line := range h.Values("Connection") {
+		for name := range strings.SplitSeq(line, ",") {
+			h.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+}
+
+// requestHeader returns the header that one attempt carries to a server.
+func requestHeader(in http.Header, call *call, target Target, remaining time.Duration) http.Header {
+	out := in.Clone()
+	removeHopByHop(out)
+	removeOwn(out)
+	if call.key != "" {
+		out.Set(HeaderKey, call.key)
+	}
+	out.Set(backend.HeaderRequestID, call.requestID)
+	out.Set(backend.HeaderDeadline, strconv.FormatInt(max(1, remaining.Milliseconds()), 10))
+	if target.HasKey {
+		out.Set(backend.HeaderGroup, target.Group)
+		out.Set(backend.HeaderSlot, strconv.FormatUint(uint64(target.Slot), 10))
+		out.Set(backend.HeaderToken, target.Token.String())
+	}
+	if _, ok := out["User-Agent"]; !ok {
+		out.Set("User-Agent", "") // keeps net/http from adding its own
+	}
+	return out
+}
+
+// removeOwn deletes the router's internal headers, which a caller must not set.
+// The stand-ins' headers, which begin with the same word, pass.
+func removeOwn(h http.Header) {
+	for _, name := range []string{
+		backend.HeaderRequestID, backend.HeaderGroup, backend.HeaderSlot,
+		backend.HeaderToken, backend.HeaderDeadline, backend.HeaderServer,
+		backend.HeaderNotStarted, HeaderOutcome, HeaderTimeout,
+	} {
+		h.Del(name)
+	}
+}
+
+// copyAnswerHeader copies a server's header to the caller.
+func copyAnswerHeader(out, in http.Header) {
+	clean := in.Clone()
+	removeHopByHop(clean)
+	for name, values := range clean {
+		if strings.HasPrefix(name, ownPrefix) && name != backend.HeaderServer {
+			continue
+		}
+		out[name] = values
+	}
+}
--- /dev/null
+++ b/internal/routing/meters.go
@@ -0,0 +1,47 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"kumquatcleat/internal/fault"
+)
+
+const (
+	sampleSize  = 4096  // enough for a stable 99.9th percentile
+	sampleAlpha = 0.015 // weights the last minutes
+)
+
+// meters are the request path's metrics. Kinds are registered at start, so that
+// counting takes no lock on the registry.
+type meters struct {
+	requests metrics.Counter
+	retries  metrics.Counter
+	answerUS metrics.Histogram
+	refused  map[fault.Kind]metrics.Counter
+}
+
+func newMeters(registry metrics.Registry) *meters {
+	m := &meters{
+		requests: metrics.GetOrRegisterCounter("requests", registry),
+		retries:  metrics.GetOrRegisterCounter("retries", registry),
+		answerUS: metrics.GetOrRegisterHistogram("answer_us", registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
+		refused:  map[fault.Kind]metrics.Counter{},
+	}
+	for _, kind := range fault.Kinds() {
+		m.refused[kind] = metrics.GetOrRegisterCounter("refused_"+string(kind), registry)
+	}
+	return m
+}
+
+func (m *meters) answered(err *fault.Error, took time.Duration) {
+	m.requests.Inc(1)
+	m.answerUS.Update(took.Microseconds())
+	if err == nil {
+		return
+	}
+	if counter, ok := m.refused[err.Kind]; ok {
+		counter.Inc(1)
+	}
+}
--- /dev/null
+++ b/internal/routing/routes.go
@@ -0,0 +1,297 @@
+package routing
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"kumquatcleat/internal/backend"
+	"kumquatcleat/internal/config"
+	"kumquatcleat/internal/fault"
+)
+
+const (
+	refreshInterval    = time.Second            // a moved slot's refusal refreshes at once; this only bounds silence
+	minRefreshInterval = 10 * time.Millisecond  // bounds the questions that refusals can cause
+	askTimeout         = 500 * time.Millisecond // a lost keeper is asked past within the 3 s to service
+	unusedAfter        = time.Minute            // a group that nobody asked for is forgotten
+)
+
+// SlotRoute is the owner of one slot, as a VM learnt it.
+type SlotRoute struct {
+	Server            string
+	ServerIncarnation string
+	Token             backend.Token
+	Moving            bool // nobody owns the slot until the move ends
+}
+
+// RouteAnswer is what the keeper of a group told.
+type RouteAnswer struct {
+	Unchanged bool // nothing is newer than the version in the question
+	Version   uint64
+	Slots     map[uint32]SlotRoute
+	// Lease is the right to send to servers that do not check, counted from
+	// when the question was sent.
+	Lease time.Duration
+}
+
+// SlotRate is how often a slot was sent to, for the keeper's placement.
+type SlotRate struct {
+	Slot      uint32
+	PerSecond float64
+}
+
+// RouteSource asks the keeper of a group for its routes.
+type RouteSource interface {
+	AskRoutes(ctx context.Context, group string, known uint64, rates []SlotRate) (RouteAnswer, error)
+}
+
+// RouteTable is a Resolver that keeps each used group's routes and refreshes
+// them from the keeper. Safe for concurrent use.
+type RouteTable struct {
+	source RouteSource
+	ctx    context.Context // ends the refreshing goroutines
+	mu     sync.Mutex      // guards groups
+	groups map[string]*groupRoutes
+}
+
+// NewRouteTable returns a table whose goroutines end with ctx.
+func NewRouteTable(ctx context.Context, source RouteSource) *RouteTable {
+	return &RouteTable{source: source, ctx: ctx, groups: map[string]*groupRoutes{}}
+}
+
+// Resolve implements Resolver.
+func (t *RouteTable) Resolve(ctx context.Context, service *config.Service, slot uint32) (Target, error) {
+	name := service.GroupOf(slot).String()
+	for {
+		group := t.group(name)
+		target, ok, changed := group.lookup(service, slot)
+		if ok {
+			target.Group = name
+			return target, nil
+		}
+		group.kick()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return Target{}, fault.New(fault.NoOwner, "slot %d of service %q has no owner now: send the request again", slot, service.Name)
+		}
+	}
+}
+
+// Stale implements Resolver.
+func (t *RouteTable) Stale(target Target) {
+	group := t.group(target.Group)
+	group.distrust(target.Slot, time.Now())
+	group.kick()
+}
+
+// Confirm implements Resolver. A server that checks refuses a stale target
+// itself; for one that doesn't, the route lease must still be valid.
+func (t *RouteTable) Confirm(target Target) bool {
+	if target.Server.Checks {
+		return true
+	}
+	snapshot := t.group(target.Group).snapshot.Load()
+	if snapshot == nil || !time.Now().Before(snapshot.leaseUntil) {
+		return false
+	}
+	route, ok := snapshot.slots[target.Slot]
+	return ok && !route.Moving && route.Server == target.Server.ID && route.Token == target.Token
+}
+
+func (t *RouteTable) group(name string) *groupRoutes {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	group, ok := t.groups[name]
+	if !ok {
+		group = newGroupRoutes(name, t.source)
+		t.groups[name] = group
+		go func() {
+			group.refreshWhileUsed(t.ctx)
+			t.forget(name, group)
+		}()
+	}
+	group.used.Store(time.Now().UnixNano())
+	return group
+}
+
+func (t *RouteTable) forget(name string, group *groupRoutes) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.groups[name] == group {
+		delete(t.groups, name)
+	}
+}
+
+// routeSnapshot is an immutable set of routes.
+type routeSnapshot struct {
+	askedAt    time.Time // when the question was sent: the routes may be that old
+	leaseUntil time.Time
+	version    uint64
+	slots      map[uint32]SlotRoute
+}
+
+// groupRoutes holds one group's routes. Readers load snapshot; only the
+// refreshing goroutine stores it. mu guards changed, distrusted and counts.
+type groupRoutes struct {
+	name       string
+	source     RouteSource
+	snapshot   atomic.Pointer[routeSnapshot]
+	kicks      chan struct{}
+	used       atomic.Int64 // Unix nanoseconds of the last use
+	mu         sync.Mutex
+	changed    chan struct{}        // closed when a refresh ends
+	distrusted map[uint32]time.Time // a server refused the route at that time
+	counts     map[uint32]int
+	countedAt  time.Time
+}
+
+func newGroupRoutes(name string, source RouteSource) *groupRoutes {
+	return &groupRoutes{
+		name:       name,
+		source:     source,
+		kicks:      make(chan struct{}, 1),
+		changed:    make(chan struct{}),
+		distrusted: map[uint32]time.Time{},
+		counts:     map[uint32]int{},
+		countedAt:  time.Now(),
+	}
+}
+
+// lookup returns the slot's target, or a channel that closes with the next refresh.
+func (g *groupRoutes) lookup(service *config.Service, slot uint32) (Target, bool, <-chan struct{}) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	snapshot := g.snapshot.Load()
+	if snapshot == nil {
+		return Target{}, false, g.changed
+	}
+	route, ok := snapshot.slots[slot]
+	if !ok || route.Moving || route.Server == "" {
+		return Target{}, false, g.changed
+	}
+	if since, bad := g.distrusted[slot]; bad && !snapshot.askedAt.After(since) {
+		return Target{}, false, g.changed
+	}
+	server, ok := serverByID(service, route.Server)
+	if !ok || (!server.Checks && !time.Now().Before(snapshot.leaseUntil)) {
+		return Target{}, false, g.changed
+	}
+	g.counts[slot]++
+	return Target{Server: server, Slot: slot, Token: route.Token, HasKey: true}, true, nil
+}
+
+func serverByID(service *config.Service, id string) (config.Server, bool) {
+	for _, server := range service.Servers {
+		if server.ID == id {
+			return server, true
+		}
+	}
+	return config.Server{}, false
+}
+
+func (g *groupRoutes) distrust(slot uint32, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.distrusted[slot] = now
+}
+
+func (g *groupRoutes) kick() {
+	select {
+	case g.kicks <- struct{}{}:
+	default:
+	}
+}
+
+func (g *groupRoutes) refreshWhileUsed(ctx context.Context) {
+	for {
+		wait := g.refresh(ctx)
+		if !pauseFor(ctx, minRefreshInterval) {
+			return
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-g.kicks:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		idle := time.Since(time.Unix(0, g.used.Load()))
+		if ctx.Err() != nil || idle > unusedAfter {
+			return
+		}
+	}
+}
+
+func pauseFor(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// refresh asks the keeper once and returns how long the answer is good for.
+func (g *groupRoutes) refresh(ctx context.Context) time.Duration {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	old := g.snapshot.Load()
+	var known uint64
+	if old != nil {
+		known = old.version
+	}
+	askedAt := time.Now()
+	answer, err := g.source.AskRoutes(ctx, g.name, known, g.takeRates(askedAt))
+	if err != nil {
+		return refreshInterval / 10
+	}
+	next := &routeSnapshot{
+		askedAt:    askedAt,
+		leaseUntil: askedAt.Add(answer.Lease),
+		version:    answer.Version,
+		slots:      answer.Slots,
+	}
+	if answer.Unchanged && old != nil {
+		next.slots = old.slots
+	}
+	g.publish(next)
+	if answer.Lease > 0 {
+		return min(refreshInterval, answer.Lease/3)
+	}
+	return refreshInterval
+}
+
+func (g *groupRoutes) publish(next *routeSnapshot) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.snapshot.Store(next)
+	for slot, since := range g.distrusted {
+		if next.askedAt.After(since) {
+			delete(g.distrusted, slot)
+		}
+	}
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// takeRates returns and clears the request counts as rates.
+func (g *groupRoutes) takeRates(now time.Time) []SlotRate {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	seconds := now.Sub(g.countedAt).Seconds()
+	if seconds <= 0 || len(g.counts) == 0 {
+		return nil
+	}
+	rates := make([]SlotRate, 0, len(g.counts))
+	for slot, count := range g.counts {
+		rates = append(rates, SlotRate{Slot: slot, PerSecond: float64(count) / seconds})
+	}
+	clear(g.counts)
+	g.countedAt = now
+	return rates
+}
--- /dev/null
+++ b/internal/routing/run.go
@@ -0,0 +1,284 @@
+package routing
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"kumquatcleat/internal/backend"
+	"kumquatcleat/internal/config"
+	"kumquatcleat/internal/fault"
+	"kumquatcleat/internal/limits"
+	"kumquatcleat/internal/retry"
+)
+
+// run brings one call through its attempts. It belongs to one goroutine.
+type run struct {
+	handler     *Handler
+	call        *call
+	body        *callerBody
+	request     *http.Request
+	writer      http.ResponseWriter
+	fingerprint uint64
+	maybeSent   bool // an earlier attempt may have run
+}
+
+func (r *run) computeFingerprint() uint64 {
+	return retry.Fingerprint(r.request.Method, r.call.path, r.request.URL.RawQuery, r.body.kept)
+}
+
+// attempts sends the request until it is answered, refused for good, or the
+// deadline passes. Once an attempt may have run, the outcome of the whole is
+// unknown whatever later attempts say.
+func (r *run) attempts(ctx context.Context) *fault.Error {
+	for number := 1; ; number++ {
+		err := r.attempt(ctx, number)
+		if err == nil {
+			r.handler.Policy.Succeeded()
+			return nil
+		}
+		if fault.AnswerFor(err.Kind).Outcome == fault.Unknown {
+			r.maybeSent = true
+		}
+		if !r.tryAgain(ctx, number, err) {
+			return r.final(err)
+		}
+	}
+}
+
+// final keeps the answer truthful: a late 'not-run' of one attempt says nothing
+// of an earlier attempt that may have run.
+func (r *run) final(err *fault.Error) *fault.Error {
+	if !r.maybeSent || fault.AnswerFor(err.Kind).Outcome == fault.Unknown {
+		return err
+	}
+	return fault.Wrap(fault.ConnectionLost, err, "an earlier attempt may have run; the last one was refused")
+}
+
+func (r *run) tryAgain(ctx context.Context, number int, err *fault.Error) bool {
+	if err.Kind == fault.AnswerCut {
+		return false // the caller has the beginning of this answer
+	}
+	deadline, _ := ctx.Deadline()
+	again, wait := r.handler.Policy.Next(retry.Attempt{
+		Number:     number,
+		Idempotent: r.call.idempotent,
+		Kind:       err.Kind,
+		Replayable: r.body.replayable(),
+		Remaining:  time.Until(deadline),
+	})
+	if !again {
+		return false
+	}
+	r.handler.meters.retries.Inc(1)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// attempt makes one try: quarantine, target, permit, send, answer.
+func (r *run) attempt(ctx context.Context, number int) *fault.Error {
+	if err := r.handler.Quarantine.Admit(r.call.service.Name, r.fingerprint); err != nil {
+		return asFault(err)
+	}
+	target, err := r.target(ctx)
+	if err != nil {
+		return err
+	}
+	permit, gateErr := r.handler.Gate.Acquire(ctx, target.Server, r.call.class)
+	if gateErr != nil {
+		return asFault(gateErr)
+	}
+	began := time.Now()
+	err = r.send(ctx, target)
+	took := time.Since(began)
+	permit.Done(limitResult(err), took)
+	r.logAttempt(number, target, err, took)
+	r.learn(target, err)
+	return err
+}
+
+func (r *run) target(ctx context.Context) (Target, *fault.Error) {
+	if r.call.key == "" {
+		return r.handler.chooser.choose(r.call.service)
+	}
+	target, err := r.handler.Resolver.Resolve(ctx, r.call.service, r.call.service.SlotOf(r.call.key))
+	if err != nil {
+		return Target{}, asFault(err)
+	}
+	return target, nil
+}
+
+// send makes the attempt and, when the server answers, brings the answer to
+// the caller.
+func (r *run) send(ctx context.Context, target Target) *fault.Error {
+	if r.body.stream != nil && !r.body.replayable() {
+		return fault.New(fault.BodyCut, "the body was streamed to a server and can't be sent again")
+	}
+	req, err := r.newRequest(ctx, target)
+	if err != nil {
+		return fault.Wrap(fault.BadRequest, err, "the request can't be forwarded")
+	}
+	guard := func() bool {
+		return ctx.Err() == nil && (!target.HasKey || r.handler.Resolver.Confirm(target))
+	}
+	resp, sent, err := r.handler.Transport.send(req, guard)
+	if err != nil {
+		return r.sendFault(ctx, target, sent, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if reason := resp.Header.Get(backend.HeaderNotStarted); reason != "" && resp.StatusCode == http.StatusServiceUnavailable {
+		_, _ = io.CopyN(io.Discard, resp.Body, copyBufferBytes)
+		return fault.New(notStartedKind(reason), "server %s did not start the request: %s", target.Server.ID, reason)
+	}
+	return r.bringAnswer(ctx, target, resp)
+}
+
+func (r *run) newRequest(ctx context.Context, target Target) (*http.Request, error) {
+	deadline, _ := ctx.Deadline()
+	url := "http://" + target.Server.Address + r.call.path
+	if r.request.URL.RawQuery != "" {
+		url += "?" + r.request.URL.RawQuery
+	}
+	req, err := http.NewRequestWithContext(ctx, r.request.Method, url, r.body.open())
+	if err != nil {
+		return nil, err
+	}
+	req.GetBody = nil // see Transport
+	req.ContentLength = r.body.length
+	req.Header = requestHeader(r.request.Header, r.call, target, time.Until(deadline))
+	req.Host = r.request.Host
+	return req, nil
+}
+
+// sendFault classes a failed send by whether bytes may have left.
+func (r *run) sendFault(ctx context.Context, target Target, sent sendResult, err error) *fault.Error {
+	id := target.Server.ID
+	switch {
+	case errors.Is(err, errGuardRefused):
+		r.handler.Resolver.Stale(target)
+		return fault.Wrap(fault.NotOwner, err, "server %s may no longer be sent to", id)
+	case sent == sentNothing && ctx.Err() != nil:
+		return fault.Wrap(fault.QueueTimeout, err, "the deadline passed before anything was sent to server %s", id)
+	case sent == sentNothing:
+		return fault.Wrap(fault.ConnectFailed, err, "server %s took no connection", id)
+	case r.body.overLong.Load():
+		return fault.Wrap(fault.BodyCut, err, "the body is over the limit of %d bytes", r.body.limit)
+	}
+	r.cancel(target)
+	switch {
+	case r.request.Context().Err() != nil || r.body.failed.Load():
+		return fault.Wrap(fault.CallerGone, err, "the caller left before the answer of server %s", id)
+	case ctx.Err() != nil:
+		return fault.Wrap(fault.ServerTimeout, err, "server %s did not answer before the deadline", id)
+	default:
+		return fault.Wrap(fault.ConnectionLost, err, "the connection to server %s broke before the answer", id)
+	}
+}
+
+func (r *run) cancel(target Target) {
+	r.handler.Canceler.Cancel(target.Server.Address, r.call.requestID)
+}
+
+// learn passes what the attempt showed to the parts that keep track of servers.
+func (r *run) learn(target Target, err *fault.Error) {
+	if err == nil {
+		r.handler.chooser.answered(target.Server.ID)
+		r.handler.Quarantine.Ran(r.call.service.Name, r.fingerprint)
+		return
+	}
+	switch err.Kind {
+	case fault.NotOwner:
+		r.handler.Resolver.Stale(target)
+	case fault.ConnectFailed:
+		r.handler.chooser.failed(target.Server.ID)
+		if target.HasKey {
+			r.handler.Resolver.Stale(target)
+		}
+	case fault.ConnectionLost, fault.AnswerCut:
+		r.handler.chooser.failed(target.Server.ID)
+		r.handler.Quarantine.ServerLost(r.call.service.Name, r.fingerprint, target.Server.ID)
+	}
+}
+
+func (r *run) logAttempt(number int, target Target, err *fault.Error, took time.Duration) {
+	result := "answered"
+	if err != nil {
+		result = string(err.Kind)
+	}
+	r.handler.Decisions.Log("routing: sent",
+		slog.String(logRequest, r.call.requestID),
+		slog.String(logService, r.call.service.Name),
+		slog.String(logServer, target.Server.ID),
+		slog.Uint64("slot", uint64(target.Slot)),
+		slog.Bool("keyed", target.HasKey),
+		slog.String("token", target.Token.String()),
+		slog.Int("attempt", number),
+		slog.String("result", result),
+		slog.Int64("took_us", took.Microseconds()))
+}
+
+// limitResult tells the limits what an attempt says about the server's load.
+func limitResult(err *fault.Error) limits.Result {
+	if err == nil {
+		return limits.Succeeded
+	}
+	switch err.Kind {
+	case fault.ServerRefused:
+		return limits.Shed
+	case fault.ConnectionLost, fault.AnswerCut, fault.ServerTimeout, fault.ConnectFailed:
+		return limits.Failed
+	default:
+		return limits.Ignored
+	}
+}
+
+func asFault(err error) *fault.Error {
+	var known *fault.Error
+	if errors.As(err, &known) {
+		return known
+	}
+	return fault.Wrap(fault.Internal, err, "unexpected error before the send")
+}
+
+// chooser picks a server for requests without a key: the one with fewer of
+// this VM's requests out, of two picked at random.
+type chooser struct {
+	gate   limits.Gate
+	health *healthTracker
+}
+
+func newChooser(gate limits.Gate) *chooser {
+	return &chooser{gate: gate, health: newHealthTracker(time.Now)}
+}
+
+func (c *chooser) answered(server string) { c.health.answered(server) }
+
+func (c *chooser) failed(server string) { c.health.failed(server) }
+
+func (c *chooser) choose(service *config.Service) (Target, *fault.Error) {
+	usable := make([]config.Server, 0, len(service.Servers))
+	for _, server := range service.Servers {
+		if !server.Drain && c.health.usable(server.ID) {
+			usable = append(usable, server)
+		}
+	}
+	if len(usable) == 0 {
+		return Target{}, fault.New(fault.NoServer, "service %q has no server that answers now", service.Name)
+	}
+	a := usable[rand.IntN(len(usable))]
+	b := usable[rand.IntN(len(usable))]
+	if c.gate.InFlight(b.ID)*a.Slots < c.gate.InFlight(a.ID)*b.Slots {
+		a = b
+	}
+	return Target{Server: a}, nil
+}
