Stand-ins of the platform and of servers, with a switch for each fault

Cause: nothing met the platform and backend interfaces yet, so no request could go end to end and no failure could be provoked.

--- /dev/null
+++ b/internal/standin/platform_test.go
@@ -0,0 +1,130 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"kumquatcleat/internal/platform"
+)
+
+func startPlatform(t *testing.T, s PlatformSettings) (*Platform, *platform.Client) {
+	t.Helper()
+	p := NewPlatform(s)
+	server := httptest.NewServer(p)
+	t.Cleanup(server.Close)
+	return p, platform.NewClient(strings.TrimPrefix(server.URL, "http://"))
+}
+
+func TestRaceOfTwoCommitsHasOneWinner(t *testing.T) {
+	_, client := startPlatform(t, PlatformSettings{})
+	ctx := context.Background()
+	versions, err := client.Commit(ctx, []platform.Write{{Key: "a", Value: []byte("1")}})
+	if err != nil || len(versions) != 1 || versions[0] != 1 {
+		t.Fatalf("first commit: %v, %v", versions, err)
+	}
+	if _, err := client.Commit(ctx, []platform.Write{{Key: "a", Value: []byte("2")}}); !errors.Is(err, platform.ErrConflict) {
+		t.Fatalf("second commit of version 0: %v", err)
+	}
+	row, err := client.Get(ctx, "a")
+	if err != nil || row.Version != 1 || string(row.Value) != "1" {
+		t.Fatalf("row %+v, %v", row, err)
+	}
+}
+
+func TestTransactionWithOneConflictWritesNothing(t *testing.T) {
+	_, client := startPlatform(t, PlatformSettings{})
+	ctx := context.Background()
+	_, err := client.Commit(ctx, []platform.Write{{Key: "a"}, {Key: "b", Expect: 3}})
+	if !errors.Is(err, platform.ErrConflict) {
+		t.Fatalf("commit: %v", err)
+	}
+	if _, err := client.Get(ctx, "a"); !errors.Is(err, platform.ErrNotFound) {
+		t.Fatalf("row a: %v", err)
+	}
+}
+
+func TestLostAnswerLeavesTheWriteInEffect(t *testing.T) {
+	_, client := startPlatform(t, PlatformSettings{Faults: PlatformFaults{LostAnswerShare: 1}})
+	ctx := context.Background()
+	_, err := client.Commit(ctx, []platform.Write{{Key: "a", Value: []byte("1")}})
+	if err == nil || errors.Is(err, platform.ErrConflict) {
+		t.Fatalf("commit answered: %v", err)
+	}
+	if row, err := client.Get(ctx, "a"); err != nil || row.Version != 1 {
+		t.Fatalf("row %+v, %v", row, err)
+	}
+}
+
+func TestPlatformDownAppliesNothing(t *testing.T) {
+	p, client := startPlatform(t, PlatformSettings{})
+	ctx := context.Background()
+	p.SetFaults(PlatformFaults{Down: true})
+	if _, err := client.Commit(ctx, []platform.Write{{Key: "a"}}); err == nil {
+		t.Fatal("commit answered while down")
+	}
+	p.SetFaults(PlatformFaults{})
+	if _, err := client.Get(ctx, "a"); !errors.Is(err, platform.ErrNotFound) {
+		t.Fatalf("row: %v", err)
+	}
+}
+
+func TestCutCallerGetsNoAnswer(t *testing.T) {
+	p, client := startPlatform(t, PlatformSettings{})
+	p.SetFaults(PlatformFaults{CutCallers: []string{"127.0.0.1"}})
+	if _, err := client.List(context.Background(), ""); err == nil {
+		t.Fatal("a cut caller was answered")
+	}
+	p.SetFaults(PlatformFaults{CutCallers: []string{"127.0.0.9"}})
+	if _, err := client.List(context.Background(), ""); err != nil {
+		t.Fatalf("another caller was cut: %v", err)
+	}
+}
+
+func TestListIsShownAsItWasBeforeTheLag(t *testing.T) {
+	list := newVMList()
+	list.apply(100, VMChange{VM: platform.VM{ID: "vm1"}})
+	list.apply(200, VMChange{VM: platform.VM{ID: "vm1"}, Remove: true})
+	for _, c := range []struct {
+		now  int64
+		want int
+	}{{199, 0}, {200, 1}, {299, 1}, {300, 0}} {
+		if got := len(list.shown(c.now, 100)); got != c.want {
+			t.Errorf("at %d with lag 100: %d entries, want %d", c.now, got, c.want)
+		}
+	}
+}
+
+func TestVMRegistersItself(t *testing.T) {
+	p, client := startPlatform(t, PlatformSettings{})
+	body, _ := json.Marshal(VMChange{VM: platform.VM{ID: "vm1", State: platform.VMLive}})
+	r := httptest.NewRequest(http.MethodPost, PathVMs, strings.NewReader(string(body)))
+	w := httptest.NewRecorder()
+	p.ServeHTTP(w, r)
+	if w.Code != http.StatusOK {
+		t.Fatalf("status %d: %s", w.Code, w.Body)
+	}
+	vms, _, err := client.VMs(context.Background())
+	if err != nil || len(vms) != 1 || vms[0].ID != "vm1" {
+		t.Fatalf("list %v, %v", vms, err)
+	}
+}
+
+func TestObjectNamesMayHoldSlashes(t *testing.T) {
+	_, client := startPlatform(t, PlatformSettings{})
+	ctx := context.Background()
+	if err := client.Objects().Put(ctx, "a/b c", []byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	data, err := client.Objects().Get(ctx, "a/b c")
+	if err != nil || string(data) != "x" {
+		t.Fatalf("%q, %v", data, err)
+	}
+	if _, err := client.Objects().Get(ctx, "a"); !errors.Is(err, platform.ErrNotFound) {
+		t.Fatalf("missing object: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/standin/results.go
@@ -0,0 +1,51 @@
+package standin
+
+import (
+	"sync"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+)
+
+// resultStore lets a request id run once: a second copy gets the stored answer,
+// or waits for it. It forgets the oldest ids once it is full.
+type resultStore struct {
+	mu      sync.Mutex
+	entries *lru.Cache[string, *storedResult]
+}
+
+type storedResult struct {
+	done   chan struct{} // closed once answer is set
+	answer answer
+}
+
+func newResultStore(size int) *resultStore {
+	entries, err := lru.New[string, *storedResult](size)
+	if err != nil {
+		panic("standin: result store: " + err.Error()) // only for a size below 1
+	}
+	return &resultStore{entries: entries}
+}
+
+// once runs execute for the first copy of id. A copy that did not start leaves
+// the id free.
+func (s *resultStore) once(id string, execute func() answer) answer {
+	s.mu.Lock()
+	entry, known := s.entries.Get(id)
+	if !known {
+		entry = &storedResult{done: make(chan struct{})}
+		s.entries.Add(id, entry)
+	}
+	s.mu.Unlock()
+	if known {
+		<-entry.done
+		return entry.answer
+	}
+	entry.answer = execute()
+	if entry.answer.notStarted != "" {
+		s.mu.Lock()
+		s.entries.Remove(id)
+		s.mu.Unlock()
+	}
+	close(entry.done)
+	return entry.answer
+}
--- /dev/null
+++ b/internal/standin/serve.go
@@ -0,0 +1,55 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+)
+
+// shutdownTimeout bounds how long requests in flight may go on after a stop.
+const shutdownTimeout = 10 * time.Second
+
+// ServePlatform serves a platform stand-in at listen, host:port, until ctx ends.
+func ServePlatform(ctx context.Context, listen string, p *Platform) error {
+	listener, err := net.Listen("tcp", listen)
+	if err != nil {
+		return fmt.Errorf("standin: platform: %w", err)
+	}
+	slog.Info("standin: platform ready", "address", listener.Addr().String())
+	return serve(ctx, listener, p)
+}
+
+// ServeServer serves a server stand-in at listen, host:port, until ctx ends. It
+// then refuses new requests and finishes the running ones.
+func ServeServer(ctx context.Context, listen string, s *Server) error {
+	listener, err := net.Listen("tcp", listen)
+	if err != nil {
+		return fmt.Errorf("standin: server %s: %w", s.settings.ID, err)
+	}
+	slog.Info("standin: server ready", "server", s.settings.ID, "address", listener.Addr().String())
+	stop := context.AfterFunc(ctx, func() { s.Drain(true) })
+	defer stop()
+	return serve(ctx, s.Listener(listener), s)
+}
+
+func serve(ctx context.Context, listener net.Listener, handler http.Handler) error {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: shutdownTimeout}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(listener) }()
+	select {
+	case err := <-failed:
+		return fmt.Errorf("standin: serve %s: %w", listener.Addr(), err)
+	case <-ctx.Done():
+	}
+	limit, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	err := server.Shutdown(limit)
+	if errors.Is(err, context.DeadlineExceeded) {
+		return fmt.Errorf("standin: %s: requests still in flight after %s", listener.Addr(), shutdownTimeout)
+	}
+	return err
+}
