--- a/internal/config/record.go
+++ b/internal/config/record.go
@@ -33,6 +33,7 @@
 func (m Milliseconds) Duration() time.Duration { return time.Duration(m) * time.Millisecond }
 
 // Rule gives the requests that match it their handling. The first match wins.
+// The fields marked schema 2 are refused in a record of schema 1.
 type Rule struct {
 	Methods       []string `json:"methods,omitempty"`     // empty: every method
 	PathPrefix    string   `json:"path_prefix,omitempty"` // within the service; empty: every path
@@ -40,6 +41,9 @@
 	Class         Class    `json:"class,omitempty"`      // empty: interactive
 	DeferOK       bool     `json:"defer_ok,omitempty"`   // may be accepted for later (202)
 	KeyPrefix     string   `json:"key_prefix,omitempty"` // path prefix whose next segment is the key
+
+	KeyPrefixAliases []string     `json:"key_prefix_aliases,omitempty"` // schema 2: other prefixes of the same keys
+	Timeout          Milliseconds `json:"timeout_ms,omitempty"`         // schema 2: in place of the default timeout
 }
 
 // Server is one backend server of a service.
@@ -62,9 +66,10 @@
 	QueueLength    int          `json:"queue_length,omitempty"`
 }
 
-// Service is the configuration record of one service, in the newest schema.
+// Service is the configuration record of one service, in the form of the newest
+// schema. A Service in force is shared by goroutines and never changed.
 type Service struct {
-	Schema       int       `json:"schema"`
+	Schema       int       `json:"schema"`  // as read; Encode picks its own
 	Version      uint64    `json:"version"` // raised by one at each accepted change
 	Name         string    `json:"name"`
 	DividedByKey bool      `json:"divided_by_key,omitempty"` // requests without a key are refused
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,103 @@
+// Package settings holds the settings of one daemon: a JSON file, read once at
+// start and checked whole.
+package settings
+
+import (
+	"encoding/json"
+	"time"
+
+	"kumquatcleat/internal/ownership"
+)
+
+// Settings of one kumquatcleatd.
+type Settings struct {
+	Process
+
+	Limits json.RawMessage `json:"limits,omitempty"` // read by the limits package
+	Retry  json.RawMessage `json:"retry,omitempty"`  // read by the retry package
+}
+
+// Process holds the settings that go-zero's conf loads; it can't carry
+// json.RawMessage. Every address is IP:port, never a name.
+type Process struct {
+	ID            string `json:"id"`             // of this VM, as in the platform's list
+	FailureDomain string `json:"failure_domain"` // that this VM stands in
+	Listen        string `json:"listen"`         // for callers
+	PeerListen    string `json:"peer_listen"`    // for other VMs and operators
+	Platform      string `json:"platform"`       // the platform's service
+	LogLevel      string `json:"log_level"`      // debug, info, warn or error
+
+	// ShutdownGraceMS bounds how long a planned stop waits for requests in flight.
+	ShutdownGraceMS int64 `json:"shutdown_grace_ms"`
+	// Embedded starts stand-ins of the platform and of servers in the process.
+	Embedded bool   `json:"embedded"`
+	Timing   Timing `json:"timing"`
+}
+
+// Timing holds the durations of the ownership protocol, in milliseconds. All VMs
+// of a system need the same values.
+type Timing struct {
+	LeaseMS       int64 `json:"lease_ms"`
+	RowRightMS    int64 `json:"row_right_ms"`
+	RowReadMS     int64 `json:"row_read_ms"`
+	PromiseMS     int64 `json:"promise_ms"`
+	OutageLeaseMS int64 `json:"outage_lease_ms"`
+	RouteLeaseMS  int64 `json:"route_lease_ms"`
+	DriftPerMill  int64 `json:"drift_per_mill"` // clock drift allowed for, in thousandths
+}
+
+// DefaultShutdownGrace lets the longest request of a service with default limits finish.
+const DefaultShutdownGrace = 60 * time.Second
+
+// Default returns complete settings for one VM on loopback addresses with
+// embedded stand-ins.
+func Default() *Settings {
+	s := defaults()
+	s.ID = "vm-1"
+	s.FailureDomain = "a"
+	s.Listen = "127.0.0.1:8080"
+	s.PeerListen = "127.0.0.1:8081"
+	s.Platform = "127.0.0.1:8082"
+	s.Embedded = true
+	return s
+}
+
+// defaults returns what a settings file may leave out.
+func defaults() *Settings {
+	return &Settings{Process: Process{
+		LogLevel:        "info",
+		ShutdownGraceMS: DefaultShutdownGrace.Milliseconds(),
+		Timing:          fromOwnership(ownership.DefaultTiming),
+	}}
+}
+
+// ShutdownGrace returns the bound on a planned stop.
+func (s *Settings) ShutdownGrace() time.Duration { return milliseconds(s.ShutdownGraceMS) }
+
+// OwnershipTiming returns the durations for the ownership protocol.
+func (s *Settings) OwnershipTiming() ownership.Timing {
+	t := s.Timing
+	return ownership.Timing{
+		Lease:        milliseconds(t.LeaseMS),
+		RowRight:     milliseconds(t.RowRightMS),
+		RowRead:      milliseconds(t.RowReadMS),
+		Promise:      milliseconds(t.PromiseMS),
+		OutageLease:  milliseconds(t.OutageLeaseMS),
+		RouteLease:   milliseconds(t.RouteLeaseMS),
+		DriftPerMill: t.DriftPerMill,
+	}
+}
+
+func fromOwnership(t ownership.Timing) Timing {
+	return Timing{
+		LeaseMS:       t.Lease.Milliseconds(),
+		RowRightMS:    t.RowRight.Milliseconds(),
+		RowReadMS:     t.RowRead.Milliseconds(),
+		PromiseMS:     t.Promise.Milliseconds(),
+		OutageLeaseMS: t.OutageLease.Milliseconds(),
+		RouteLeaseMS:  t.RouteLease.Milliseconds(),
+		DriftPerMill:  t.DriftPerMill,
+	}
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,80 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"kumquatcleat/internal/ownership"
+)
+
+const minimal = `"id":"vm-1","failure_domain":"a","listen":"10.0.0.1:80","peer_listen":"10.0.0.1:81","platform":"10.0.0.9:80"`
+
+func TestLoadKeepsDefaultsAndOverrides(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "vm.json")
+	text := `{` + minimal + `,"timing":{"lease_ms":2000},"limits":{"way":"aimd"},"shutdown_grace_ms":5000}`
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s, err := Load(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := ownership.DefaultTiming
+	want.Lease = 2 * time.Second
+	if s.OwnershipTiming() != want {
+		t.Errorf("timing %+v, want %+v", s.OwnershipTiming(), want)
+	}
+	if s.ID != "vm-1" || s.LogLevel != "info" || s.ShutdownGrace() != 5*time.Second {
+		t.Errorf("settings %+v", s)
+	}
+	if string(s.Limits) != `{"way":"aimd"}` {
+		t.Errorf("limits %q", s.Limits)
+	}
+}
+
+func TestDefaultIsValid(t *testing.T) {
+	if problems := Default().Validate(); len(problems) > 0 {
+		t.Fatal(problems)
+	}
+}
+
+func TestEachWrongSettingIsNamedWithItsValue(t *testing.T) {
+	cases := []struct{ name, text, want string }{
+		{"unknown field", `{` + minimal + `,"adress":"x"}`, "adress: unknown field: want one of"},
+		{"unknown nested field", `{` + minimal + `,"timing":{"leese_ms":1}}`, "timing.leese_ms: unknown field"},
+		{"wrong case", `{` + minimal + `,"Listen":"x"}`, "Listen: unknown field"},
+		{"doubled field", `{` + minimal + `,"id":"vm-2"}`, "id: given twice"},
+		{"missing address", `{"id":"vm-1"}`, "listen: missing: want IP:port"},
+		{"host name", `{` + strings.Replace(minimal, "10.0.0.9:80", "platform:80", 1) + `}`, `platform: "platform:80": want IP:port`},
+		{"no port", `{` + strings.Replace(minimal, "10.0.0.9:80", "10.0.0.9", 1) + `}`, `platform: "10.0.0.9"`},
+		{"negative duration", `{` + minimal + `,"shutdown_grace_ms":-1}`, "shutdown_grace_ms: -1: want 0 to 3600000 milliseconds"},
+		{"duration with a unit", `{` + minimal + `,"timing":{"lease_ms":"2s"}}`, `timing.lease_ms: "2s": want a whole number`},
+		{"zero lease", `{` + minimal + `,"timing":{"lease_ms":0}}`, "timing.lease_ms: 0"},
+		{"reads too rare", `{` + minimal + `,"timing":{"row_read_ms":900}}`, "timing.row_read_ms: 900: want at most half"},
+		{"log level", `{` + minimal + `,"log_level":"loud"}`, `log_level: "loud": want debug`},
+		{"bad id", `{` + strings.Replace(minimal, "vm-1", "VM 1", 1) + `}`, `id: "VM 1"`},
+		{"syntax", "{\n\"id\":\n}", "line 3"},
+		{"a list", `[]`, "document: a list: want an object"},
+		{"empty", ``, "well-formed JSON"},
+		{"trailing text", `{` + minimal + `} x`, "more text behind the document"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, problems := Parse([]byte(c.text))
+			got := (&Invalid{Path: "f", Problems: problems}).Error()
+			if !strings.Contains(got, c.want) {
+				t.Errorf("got %q, want it to say %q", got, c.want)
+			}
+		})
+	}
+}
+
+func TestAllProblemsAreReportedAtOnce(t *testing.T) {
+	_, problems := Parse([]byte(`{"id":"vm-1","log_level":"x","shutdown_grace_ms":-1}`))
+	if len(problems) != 6 {
+		t.Fatalf("%d problems: %v", len(problems), problems)
+	}
+}
--- /dev/null
+++ b/internal/settings/validate.go
@@ -0,0 +1,100 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"regexp"
+	"strconv"
+
+	"kumquatcleat/internal/strictjson"
+)
+
+// Bounds of the durations, in milliseconds.
+const (
+	maxGraceMS  = 3600_000 // a platform that stops VMs waits no longer
+	maxTimingMS = 3600_000 // longer leases leave keys without an owner for hours
+	minTimingMS = 10       // shorter leases lapse on an ordinary garbage collection pause
+	maxDrift    = 500      // thousandths; beyond it a clock is broken
+	ratioRight  = 2        // reads that must fit into the right that one read gives
+)
+
+var nameForm = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,62}[a-z0-9])?$`)
+
+const nameWant = "1 to 64 lower case letters, digits, dashes and dots, with a letter or digit at both ends"
+
+// Validate returns every problem of the settings.
+func (s *Settings) Validate() []strictjson.Problem {
+	c := &check{}
+	c.name("id", s.ID)
+	c.name("failure_domain", s.FailureDomain)
+	c.address("listen", s.Listen)
+	c.address("peer_listen", s.PeerListen)
+	c.address("platform", s.Platform)
+	c.distinct(s)
+	c.logLevel(s.LogLevel)
+	c.between("shutdown_grace_ms", s.ShutdownGraceMS, 0, maxGraceMS, "milliseconds")
+	c.timing(s.Timing)
+	return c.problems
+}
+
+type check struct{ problems []strictjson.Problem }
+
+func (c *check) add(field, value, want string) {
+	c.problems = append(c.problems, strictjson.Problem{Field: field, Value: value, Want: want})
+}
+
+func (c *check) name(field, value string) {
+	if value == "" {
+		c.add(field, "missing", nameWant)
+		return
+	}
+	if !nameForm.MatchString(value) {
+		c.add(field, strictjson.Show(value), nameWant)
+	}
+}
+
+func (c *check) address(field, value string) {
+	const want = "IP:port with a port from 1 to 65535, such as 10.0.0.7:8080"
+	if value == "" {
+		c.add(field, "missing", want)
+		return
+	}
+	addr, err := netip.ParseAddrPort(value)
+	if err != nil || addr.Port() == 0 {
+		c.add(field, strictjson.Show(value), want)
+	}
+}
+
+func (c *check) distinct(s *Settings) {
+	if s.Listen != "" && s.Listen == s.PeerListen {
+		c.add("peer_listen", strictjson.Show(s.PeerListen), "another address than listen")
+	}
+}
+
+func (c *check) logLevel(value string) {
+	switch value {
+	case "debug", "info", "warn", "error":
+	default:
+		c.add("log_level", strictjson.Show(value), "debug, info, warn or error")
+	}
+}
+
+func (c *check) between(field string, value, low, high int64, unit string) {
+	if value < low || value > high {
+		c.add(field, strconv.FormatInt(value, 10), fmt.Sprintf("%d to %d %s", low, high, unit))
+	}
+}
+
+func (c *check) timing(t Timing) {
+	c.between("timing.lease_ms", t.LeaseMS, minTimingMS, maxTimingMS, "milliseconds")
+	c.between("timing.row_right_ms", t.RowRightMS, minTimingMS, maxTimingMS, "milliseconds")
+	c.between("timing.row_read_ms", t.RowReadMS, minTimingMS, maxTimingMS, "milliseconds")
+	c.between("timing.promise_ms", t.PromiseMS, minTimingMS, maxTimingMS, "milliseconds")
+	c.between("timing.outage_lease_ms", t.OutageLeaseMS, minTimingMS, maxTimingMS, "milliseconds")
+	c.between("timing.route_lease_ms", t.RouteLeaseMS, minTimingMS, maxTimingMS, "milliseconds")
+	c.between("timing.drift_per_mill", t.DriftPerMill, 0, maxDrift, "thousandths")
+	if t.RowReadMS*ratioRight > t.RowRightMS {
+		c.add("timing.row_read_ms", strconv.FormatInt(t.RowReadMS, 10),
+			fmt.Sprintf("at most half of timing.row_right_ms (%d), or one slow read costs the keeper its right", t.RowRightMS))
+	}
+}
--- /dev/null
+++ b/internal/strictjson/strictjson.go
@@ -0,0 +1,293 @@
+// Package strictjson checks a JSON document against a Go type before it is
+// decoded: unknown and doubled fields, wrong types and numbers out of range are
+// all reported, each with its path. encoding/json reports only the first
+// mistake, matches names in any case and takes the last of doubled fields;
+// go-zero's conf ignores unknown fields.
+package strictjson
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"reflect"
+	"sort"
+	"strconv"
+	"strings"
+)
+
+// Problem is one mistake in a document.
+type Problem struct {
+	Field string // path such as servers[2].address; empty: the document as a whole
+	Value string // as written, shortened
+	Want  string // what is allowed
+}
+
+// String names the field, the value and what is allowed.
+func (p Problem) String() string {
+	field := p.Field
+	if field == "" {
+		field = "document"
+	}
+	if p.Value == "" {
+		return fmt.Sprintf("%s: want %s", field, p.Want)
+	}
+	return fmt.Sprintf("%s: %s: want %s", field, p.Value, p.Want)
+}
+
+// Decode checks data against the type that into points to and, if there is no
+// problem, decodes it there.
+func Decode(data []byte, into any) []Problem {
+	problems := Check(data, reflect.TypeOf(into).Elem())
+	if len(problems) > 0 {
+		return problems
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return []Problem{{Want: "JSON of the documented form (" + err.Error() + ")"}}
+	}
+	return nil
+}
+
+// Check returns every mistake of data against a type. A syntax error ends the
+// check, because nothing behind it can be read.
+func Check(data []byte, t reflect.Type) []Problem {
+	c := &checker{data: data, dec: json.NewDecoder(bytes.NewReader(data))}
+	c.dec.UseNumber()
+	if err := c.value("", t); err != nil {
+		c.syntax(err)
+		return c.problems
+	}
+	if _, err := c.dec.Token(); err != io.EOF {
+		c.add("", "more text behind the document", "one JSON document")
+	}
+	return c.problems
+}
+
+// maxShown bounds how much of a wrong value a message repeats, in bytes.
+const maxShown = 60
+
+// Show returns a value quoted and shortened for a message.
+func Show(value string) string {
+	if len(value) > maxShown {
+		return strconv.Quote(value[:maxShown]) + "..."
+	}
+	return strconv.Quote(value)
+}
+
+type checker struct {
+	data     []byte
+	dec      *json.Decoder
+	problems []Problem
+}
+
+func (c *checker) add(field, value, want string) {
+	c.problems = append(c.problems, Problem{Field: field, Value: value, Want: want})
+}
+
+func (c *checker) syntax(err error) {
+	offset := int(c.dec.InputOffset())
+	if s, ok := err.(*json.SyntaxError); ok {
+		offset = int(s.Offset)
+	}
+	line := 1 + bytes.Count(c.data[:min(offset, len(c.data))], []byte("\n"))
+	c.add("", fmt.Sprintf("line %d: %v", line, err), "well-formed JSON")
+}
+
+var rawMessage = reflect.TypeFor[json.RawMessage]()
+
+// value checks the next value against t. Its error is a syntax error.
+func (c *checker) value(path string, t reflect.Type) error {
+	if t == rawMessage {
+		var raw json.RawMessage
+		return c.dec.Decode(&raw)
+	}
+	token, err := c.dec.Token()
+	if err != nil {
+		return err
+	}
+	switch t.Kind() {
+	case reflect.Struct:
+		return c.object(path, t, token)
+	case reflect.Map:
+		return c.mapping(path, t, token)
+	case reflect.Slice:
+		return c.list(path, t, token)
+	default:
+		return c.scalar(path, t, token)
+	}
+}
+
+func (c *checker) object(path string, t reflect.Type, token json.Token) error {
+	if token != json.Delim('{') {
+		return c.mismatch(path, token, "an object")
+	}
+	fields := fieldsOf(t)
+	seen := make(map[string]bool)
+	for c.dec.More() {
+		name, err := c.name()
+		if err != nil {
+			return err
+		}
+		at := join(path, name)
+		if seen[name] {
+			c.add(at, "given twice", "each field once")
+		}
+		seen[name] = true
+		ft, known := fields[name]
+		if !known {
+			c.add(at, "unknown field", "one of "+strings.Join(names(fields), ", "))
+			ft = rawMessage
+		}
+		if err := c.value(at, ft); err != nil {
+			return err
+		}
+	}
+	return c.end()
+}
+
+func (c *checker) mapping(path string, t reflect.Type, token json.Token) error {
+	if token != json.Delim('{') {
+		return c.mismatch(path, token, "an object")
+	}
+	for c.dec.More() {
+		name, err := c.name()
+		if err != nil {
+			return err
+		}
+		if err := c.value(join(path, name), t.Elem()); err != nil {
+			return err
+		}
+	}
+	return c.end()
+}
+
+func (c *checker) list(path string, t reflect.Type, token json.Token) error {
+	if token != json.Delim('[') {
+		return c.mismatch(path, token, "a list")
+	}
+	for i := 0; c.dec.More(); i++ {
+		if err := c.value(fmt.Sprintf("%s[%d]", path, i), t.Elem()); err != nil {
+			return err
+		}
+	}
+	return c.end()
+}
+
+func (c *checker) scalar(path string, t reflect.Type, token json.Token) error {
+	switch t.Kind() {
+	case reflect.String:
+		if _, ok := token.(string); !ok {
+			return c.mismatch(path, token, "a string")
+		}
+	case reflect.Bool:
+		if _, ok := token.(bool); !ok {
+			return c.mismatch(path, token, "true or false")
+		}
+	case reflect.Int, reflect.Int32, reflect.Int64:
+		number, ok := token.(json.Number)
+		if !ok {
+			return c.mismatch(path, token, "a whole number")
+		}
+		if _, err := strconv.ParseInt(number.String(), 10, t.Bits()); err != nil {
+			c.add(path, number.String(), "a whole number of "+strconv.Itoa(t.Bits())+" bits")
+		}
+	case reflect.Uint32, reflect.Uint64:
+		number, ok := token.(json.Number)
+		if !ok {
+			return c.mismatch(path, token, "a whole number from 0")
+		}
+		if _, err := strconv.ParseUint(number.String(), 10, t.Bits()); err != nil {
+			c.add(path, number.String(), "a whole number from 0, of "+strconv.Itoa(t.Bits())+" bits")
+		}
+	default:
+		return fmt.Errorf("type %s is not supported", t)
+	}
+	return nil
+}
+
+// mismatch reports a value of another type and passes over it.
+func (c *checker) mismatch(path string, token json.Token, want string) error {
+	c.add(path, describe(token), want)
+	if _, opens := token.(json.Delim); !opens {
+		return nil
+	}
+	for depth := 1; depth > 0; {
+		next, err := c.dec.Token()
+		if err != nil {
+			return err
+		}
+		switch next {
+		case json.Delim('{'), json.Delim('['):
+			depth++
+		case json.Delim('}'), json.Delim(']'):
+			depth--
+		}
+	}
+	return nil
+}
+
+func (c *checker) name() (string, error) {
+	token, err := c.dec.Token()
+	if err != nil {
+		return "", err
+	}
+	name, ok := token.(string)
+	if !ok {
+		return "", fmt.Errorf("field name %v is no string", token)
+	}
+	return name, nil
+}
+
+func (c *checker) end() error {
+	_, err := c.dec.Token()
+	return err
+}
+
+func describe(token json.Token) string {
+	switch v := token.(type) {
+	case nil:
+		return "null"
+	case string:
+		return Show(v)
+	case json.Delim:
+		if v == '{' {
+			return "an object"
+		}
+		return "a list"
+	default:
+		return fmt.Sprint(v)
+	}
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+// fieldsOf returns the JSON names of a struct's fields, embedded structs included.
+func fieldsOf(t reflect.Type) map[string]reflect.Type {
+	fields := make(map[string]reflect.Type, t.NumField())
+	for i := range t.NumField() {
+		if t.Field(i).Anonymous {
+			maps.Copy(fields, fieldsOf(t.Field(i).Type))
+			continue
+		}
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		if name != "" && name != "-" {
+			fields[name] = t.Field(i).Type
+		}
+	}
+	return fields
+}
+
+func names(fields map[string]reflect.Type) []string {
+	list := make([]string, 0, len(fields))
+	for name := range fields {
+		list = append(list, name)
+	}
+	sort.Strings(list)
+	return list
+}
