--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -66,7 +66,7 @@
 	if err := c.readKey(r, rule); err != nil {
 		return c, err
 	}
-	if err := c.readTimeout(r); err != nil {
+	if err := c.readTimeout(r, rule); err != nil {
 		return c, err
 	}
 	return c, c.readIdempotencyKey(r)
@@ -130,18 +130,19 @@
 	return nil
 }
 
-// keyFromPath returns the unescaped path segment behind the rule's key prefix,
-// so that two spellings of one key have one owner.
+// keyFromPath returns the unescaped path segment behind the rule's key prefix
+// or one of its aliases, so that two spellings of one key have one owner.
 func keyFromPath(path string, rule *config.Rule) (string, error) {
 	if rule == nil || rule.KeyPrefix == "" {
 		return "", nil
 	}
-	rest, ok := strings.CutPrefix(path, rule.KeyPrefix)
-	if !ok {
-		return "", nil
+	for _, prefix := range append([]string{rule.KeyPrefix}, rule.KeyPrefixAliases...) {
+		if rest, ok := strings.CutPrefix(path, prefix); ok {
+			segment, _, _ := strings.Cut(rest, "/")
+			return url.PathUnescape(segment)
+		}
 	}
-	segment, _, _ := strings.Cut(rest, "/")
-	return url.PathUnescape(segment)
+	return "", nil
 }
 
 // hasDotSegment reports whether a path has a segment that a server may resolve
@@ -156,8 +157,11 @@
 	return false
 }
 
-func (c *call) readTimeout(r *http.Request) *fault.Error {
+func (c *call) readTimeout(r *http.Request, rule *config.Rule) *fault.Error {
 	c.timeout = defaultTimeout(c.service)
+	if rule != nil && rule.Timeout > 0 {
+		c.timeout = rule.Timeout.Duration()
+	}
 	text := r.Header.Get(HeaderTimeout)
 	if text == "" {
 		return nil
