--- /dev/null
+++ b/internal/membership/pings.go
@@ -0,0 +1,99 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"kumquatcleat/internal/ownership"
+	"kumquatcleat/internal/platform"
+)
+
+// PingTargets returns the VMs to ping now and schedules their next pings. Over
+// time it names at most Settings.MaxPingTargets VMs each Settings.PingInterval.
+func (v *View) PingTargets(now time.Duration) []platform.VM {
+	v.Tick(now)
+	var due []platform.VM
+	for _, m := range v.watched() {
+		if now >= m.nextPing {
+			m.nextPing = now + v.settings.PingInterval
+			due = append(due, m.vm)
+		}
+	}
+	return due
+}
+
+// watched returns the VMs that this one pings: co-keepers, then successors on
+// the hash ring, then VMs that the list does not name.
+func (v *View) watched() []*member {
+	targets := v.coKeepers()
+	targets = v.appendNew(targets, v.successors())
+	targets = v.appendNew(targets, v.unlisted())
+	return targets[:min(len(targets), v.settings.MaxPingTargets)]
+}
+
+func (v *View) coKeepers() []*member {
+	ids := make([]string, 0, len(v.partners))
+	for id := range v.partners {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	var found []*member
+	for _, id := range ids {
+		if m := v.members[id]; m != nil {
+			found = append(found, m)
+		}
+	}
+	return found
+}
+
+// successors returns the next VMs on the hash ring of this VM's failure domain.
+// Every VM is so pinged by as many others, and no two need agree on who.
+func (v *View) successors() []*member {
+	ring := v.rosters.domain(v, v.self.vm.FailureDomain)
+	at := slices.Index(ring, v.self)
+	count := min(v.settings.RingSuccessors, len(ring)-1)
+	found := make([]*member, 0, count)
+	for i := range count {
+		found = append(found, ring[(at+1+i)%len(ring)])
+	}
+	return found
+}
+
+func (v *View) unlisted() []*member {
+	var found []*member
+	for _, m := range v.rosters.all(v) {
+		if !m.listed && m != v.self {
+			found = append(found, m)
+		}
+	}
+	return found
+}
+
+// appendNew appends the members that targets lacks.
+func (v *View) appendNew(targets, more []*member) []*member {
+	for _, m := range more {
+		if !slices.Contains(targets, m) {
+			targets = append(targets, m)
+		}
+	}
+	return targets
+}
+
+// Heard is a VM that this one has heard from, and how long ago.
+type Heard struct {
+	VM  ownership.VMRef
+	Ago time.Duration
+}
+
+// HeardLately returns the VMs that answered this one's pings within
+// Settings.SuspicionTime. Sent along with ping answers, it serves as the others'
+// indirect evidence (PeerHeard).
+func (v *View) HeardLately(now time.Duration) []Heard {
+	var heard []Heard
+	for _, m := range v.watched() {
+		if m.answeredAt != never && now-m.answeredAt < v.settings.SuspicionTime {
+			heard = append(heard, Heard{m.ref(), now - m.answeredAt})
+		}
+	}
+	return heard
+}
--- /dev/null
+++ b/internal/membership/settings.go
@@ -0,0 +1,77 @@
+package membership
+
+import (
+	"fmt"
+	"time"
+)
+
+// Settings are the durations and bounds of a View.
+type Settings struct {
+	// PingInterval is the time between two pings of one VM. Default 400 ms.
+	PingInterval time.Duration `json:"ping_interval"`
+	// PingTimeout is how long an answer is waited for. Default 300 ms.
+	PingTimeout time.Duration `json:"ping_timeout"`
+	// SuspicionTime is how long a VM is silent before it is suspected.
+	// Default 1 s.
+	SuspicionTime time.Duration `json:"suspicion_time"`
+	// ListGrace is how long a VM may run before the VM list names it, beyond
+	// the age that the list states. Default 5 s.
+	ListGrace time.Duration `json:"list_grace"`
+	// CoKeepers is how many candidates of a group ping each other. Default 3.
+	CoKeepers int `json:"co_keepers"`
+	// RingSuccessors is how many VMs that follow this one on the hash ring of
+	// its failure domain it pings. Default 2.
+	RingSuccessors int `json:"ring_successors"`
+	// MaxPingTargets bounds the VMs that this one pings. Default 12.
+	MaxPingTargets int `json:"max_ping_targets"`
+	// MaxCandidates bounds the candidates of a group. Default 16.
+	MaxCandidates int `json:"max_candidates"`
+}
+
+// DefaultSettings are used where settings leave membership out.
+var DefaultSettings = Settings{
+	PingInterval:   400 * time.Millisecond,
+	PingTimeout:    300 * time.Millisecond,
+	SuspicionTime:  time.Second, // longer delays a standby beyond the 3 s in which keys are served again
+	ListGrace:      5 * time.Second,
+	CoKeepers:      3, // 2 leaves a keeper and its standby without a witness
+	RingSuccessors: 2,
+	MaxPingTargets: 12, // each target costs a ping every interval
+	MaxCandidates:  16,
+}
+
+// Validate checks that every value is in its range. The error names the field,
+// its value and what is allowed.
+func (s Settings) Validate() error {
+	durations := []struct {
+		field    string
+		value    time.Duration
+		min, max time.Duration
+	}{
+		{"ping_interval", s.PingInterval, 10 * time.Millisecond, time.Minute},
+		{"ping_timeout", s.PingTimeout, 10 * time.Millisecond, time.Minute},
+		{"suspicion_time", s.SuspicionTime, s.PingInterval + s.PingTimeout, time.Hour},
+		{"list_grace", s.ListGrace, 0, time.Hour},
+	}
+	for _, d := range durations {
+		if d.value < d.min || d.value > d.max {
+			return fmt.Errorf("membership.%s: %v is not between %v and %v", d.field, d.value, d.min, d.max)
+		}
+	}
+	counts := []struct {
+		field    string
+		value    int
+		min, max int
+	}{
+		{"co_keepers", s.CoKeepers, 2, 16},
+		{"ring_successors", s.RingSuccessors, 0, 16},
+		{"max_ping_targets", s.MaxPingTargets, 1, 256},
+		{"max_candidates", s.MaxCandidates, s.CoKeepers, 256},
+	}
+	for _, c := range counts {
+		if c.value < c.min || c.value > c.max {
+			return fmt.Errorf("membership.%s: %d is not between %d and %d", c.field, c.value, c.min, c.max)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/membership/view.go
@@ -0,0 +1,398 @@
+// Package membership holds one VM's view of the entry VMs: which run, which are
+// gone, which of them may keep a group, and whom to ping.
+//
+// Two sources are combined. The platform's VM list names every VM but lags.
+// Pings are answered at once but reach few VMs: no VM pings all others. A VM
+// pings its co-keepers (the first candidates of the groups for which it is a
+// first candidate itself), the next VMs on the hash ring of its failure domain,
+// and VMs that answer but are not in the list, up to Settings.MaxPingTargets.
+// So its pings a second are bounded whatever the number of VMs.
+//
+// Three states are told apart:
+//   - live: named by the list or heard of lately, and not suspected;
+//   - suspected: silent for Settings.SuspicionTime. It may be paused or cut off,
+//     so it may come back and may still act on rights that it holds;
+//   - gone: proved to run no longer. Only this lets a third VM take over.
+//
+// The proof of gone is what keeps two keepers apart, so it is drawn narrowly. A
+// list read counts as the truth at the time of its reading less its age. A VM is
+// gone if such a time, later than any at which the VM was known to run, finds it
+// absent or its id under another incarnation; or if another incarnation answers
+// under its id to a ping that was sent after that time. An answer may have been
+// under way for PingTimeout and so proves nothing about the time of its arrival.
+// Where the order of two incarnations is open, nothing is concluded. A VM that
+// was never listed may be too young for the list: it gets ListGrace in addition.
+package membership
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"kumquatcleat/internal/ownership"
+	"kumquatcleat/internal/platform"
+)
+
+// roleEntry is the role of entry VMs in the VM list.
+const roleEntry = "entry"
+
+// maxGone bounds the VMs remembered as gone. One that is forgotten while a row
+// still names it is proved gone anew after Mention.
+const maxGone = 4096
+
+// Self is this VM.
+type Self struct {
+	ID            string
+	Incarnation   string
+	FailureDomain string
+	Address       string // host:port that its peers use
+}
+
+// View is what one VM knows of the entry VMs. It is owned by one goroutine; no
+// method may be called from another. Times are readings of that process's
+// monotonic clock and never decrease from call to call.
+type View struct {
+	self     *member
+	settings Settings
+
+	members  map[string]*member // by id, this VM among them
+	doubtful map[string]*member // by id: unlisted, or with pings unanswered
+	gone     goneSet
+	mentions map[ownership.VMRef]time.Duration // refs in rows, not known to run: since when
+
+	listAsOf   time.Duration            // what the newest list read was the truth of
+	holders    map[string]string        // address: id of the VM heard there last
+	partners   map[string]time.Duration // co-keepers by id: until when they are pinged
+	rosters    rosters
+	generation uint64
+}
+
+// NewView returns a view that knows this VM alone.
+func NewView(self Self, s Settings) *View {
+	v := &View{
+		settings: s,
+		members:  map[string]*member{},
+		doubtful: map[string]*member{},
+		gone:     newGoneSet(maxGone),
+		mentions: map[ownership.VMRef]time.Duration{},
+		listAsOf: never,
+		holders:  map[string]string{},
+		partners: map[string]time.Duration{},
+	}
+	v.self = v.add(0, platform.VM{
+		ID:            self.ID,
+		Incarnation:   self.Incarnation,
+		Role:          roleEntry,
+		FailureDomain: self.FailureDomain,
+		Address:       self.Address,
+		State:         platform.VMLive,
+	})
+	v.self.listed = true
+	delete(v.doubtful, self.ID)
+	return v
+}
+
+// Generation changes whenever Live, Candidates or gone VMs may have changed. It
+// tells a caller when to ask again.
+func (v *View) Generation() uint64 { return v.generation }
+
+// Tick lets time pass: it suspects VMs that have been silent for too long, and
+// trusts the list again about VMs that are no longer pinged.
+func (v *View) Tick(now time.Duration) {
+	for id, m := range v.doubtful {
+		v.review(now, m)
+		if m.listed && m.failures == 0 {
+			delete(v.doubtful, id)
+		}
+	}
+	for id, until := range v.partners {
+		if now >= until {
+			delete(v.partners, id)
+		}
+	}
+}
+
+// review decides anew whether a doubtful member is suspected.
+func (v *View) review(now time.Duration, m *member) {
+	if m.listed && m.failures > 0 && now-m.failedAt >= partnerTime {
+		m.failures = 0
+	}
+	suspected := m.silent(now, v.settings)
+	if suspected != m.suspected {
+		m.suspected = suspected
+		v.generation++
+	}
+}
+
+// Stop tells that this VM is shutting down: it is no candidate any more.
+func (v *View) Stop() {
+	v.self.stopping = true
+	v.changed()
+}
+
+// ListRead takes in a reading of the VM list. sentAt is when the read was sent,
+// not when it was answered: the list may have been made at any time in between.
+// age is how old the platform says that it is. A read older than an earlier one
+// is ignored, and so is a read without any entry VM, which can only be wrong.
+func (v *View) ListRead(sentAt time.Duration, vms []platform.VM, age time.Duration) {
+	asOf := sentAt - max(0, age)
+	entries := entriesOf(vms)
+	if asOf < v.listAsOf || len(entries) == 0 {
+		return
+	}
+	v.listAsOf = asOf
+	for _, vm := range entries {
+		v.listNames(sentAt, asOf, vm)
+	}
+	for _, m := range v.members {
+		entry, named := entries[m.vm.ID]
+		if !named || entry.Incarnation != m.vm.Incarnation {
+			v.listLacks(asOf, m, named)
+		}
+	}
+	v.settleMentions(asOf, entries)
+}
+
+func entriesOf(vms []platform.VM) map[string]platform.VM {
+	entries := make(map[string]platform.VM, len(vms))
+	for _, vm := range vms {
+		if vm.Role == roleEntry {
+			entries[vm.ID] = vm
+		}
+	}
+	return entries
+}
+
+// listNames takes in one VM that the list names.
+func (v *View) listNames(now, asOf time.Duration, vm platform.VM) {
+	m := v.members[vm.ID]
+	if m != nil && m.vm.Incarnation != vm.Incarnation {
+		if !v.replaces(vm, asOf, m) {
+			return
+		}
+		v.remove(m)
+		m = nil
+	}
+	if m == nil {
+		if v.gone.has(refOf(vm)) {
+			return
+		}
+		m = v.add(now, vm)
+	}
+	if m == v.self {
+		// Its settings know this VM better than the list does, but for its end.
+		state := vm.State
+		vm = m.vm
+		vm.State = state
+	}
+	if !m.listed || m.vm != vm {
+		v.changed()
+	}
+	m.listed = true
+	m.listedAt = asOf
+	m.vm = vm
+}
+
+// replaces reports whether vm, which ran at a time, is a successor of m.
+func (v *View) replaces(vm platform.VM, at time.Duration, m *member) bool {
+	return m != v.self && !v.gone.has(refOf(vm)) && at > m.lastProof()
+}
+
+// listLacks takes in that the list does not name a member. If it names another
+// incarnation under the same id, that one is a known predecessor or their order
+// is open, so nothing is concluded.
+func (v *View) listLacks(asOf time.Duration, m *member, idNamed bool) {
+	if m == v.self {
+		return
+	}
+	if !idNamed && m.gone(asOf, v.settings) {
+		v.remove(m)
+		return
+	}
+	v.doubtful[m.vm.ID] = m
+	if m.listed {
+		m.listed = false
+		v.changed()
+	}
+}
+
+// Mention tells that a group row names a VM. If that VM is not known to run, the
+// next list reads decide whether it is gone.
+func (v *View) Mention(now time.Duration, ref ownership.VMRef) {
+	if ref.IsZero() || v.gone.has(ref) {
+		return
+	}
+	if m := v.members[ref.ID]; m != nil && m.vm.Incarnation == ref.Incarnation {
+		return
+	}
+	if _, ok := v.mentions[ref]; !ok {
+		v.mentions[ref] = now
+	}
+}
+
+// settleMentions decides about the VMs that rows name. A row is written by or
+// about VMs that ran before it was read, so the reading of the row is the last
+// time at which they may have run for all that is known.
+func (v *View) settleMentions(asOf time.Duration, entries map[string]platform.VM) {
+	for ref, since := range v.mentions {
+		entry, named := entries[ref.ID]
+		if named && entry.Incarnation == ref.Incarnation {
+			delete(v.mentions, ref)
+			continue
+		}
+		proof := since
+		if !named {
+			proof += v.settings.ListGrace
+		}
+		outdated := named && v.gone.has(refOf(entry))
+		if asOf > proof && !outdated {
+			delete(v.mentions, ref)
+			v.bury(ref)
+		}
+	}
+}
+
+// Learn adds a VM that another source names, such as a peer or the settings of
+// this process. It counts as live once it has answered.
+func (v *View) Learn(now time.Duration, vm platform.VM) {
+	if v.members[vm.ID] != nil || v.gone.has(refOf(vm)) {
+		return
+	}
+	vm.Role = roleEntry
+	v.add(now, vm)
+}
+
+// PingAnswered takes in an answer, with the id and incarnation that the answer
+// itself names. If that is not the VM that was meant to be pinged, PingFailed is
+// to be called for the latter.
+func (v *View) PingAnswered(now time.Duration, id, incarnation string, stopping bool) {
+	m := v.members[id]
+	if m == nil || m == v.self {
+		return
+	}
+	if m.vm.Incarnation != incarnation {
+		m = v.answeredAnew(now, m, incarnation)
+		if m == nil {
+			return
+		}
+	}
+	if m.stopping != stopping {
+		m.stopping = stopping
+		v.changed()
+	}
+	m.answeredAt = now
+	v.hear(m, now)
+}
+
+// answeredAnew handles an answer of another incarnation under a known id. It
+// returns the new member, or nil if the answer may be that of a predecessor.
+func (v *View) answeredAnew(now time.Duration, old *member, incarnation string) *member {
+	vm := old.vm
+	vm.Incarnation = incarnation
+	vm.State = platform.VMLive
+	sentNoEarlier := now - v.settings.PingTimeout
+	if !v.replaces(vm, sentNoEarlier, old) {
+		return nil
+	}
+	v.remove(old)
+	return v.add(now, vm)
+}
+
+// PeerHeard takes in another VM's word that it heard from a VM some time ago. It
+// keeps a VM from being suspected by one whose own path to it is broken.
+func (v *View) PeerHeard(now time.Duration, ref ownership.VMRef, ago time.Duration) {
+	m := v.members[ref.ID]
+	if m == nil || m == v.self || m.vm.Incarnation != ref.Incarnation {
+		return
+	}
+	v.hear(m, now-max(0, ago))
+}
+
+// hear records that a member ran at a time.
+func (v *View) hear(m *member, at time.Duration) {
+	known := m.heardAt != never
+	m.heard(at)
+	if m.vm.Address != "" {
+		v.holders[m.vm.Address] = m.vm.ID
+	}
+	if !known || m.suspected && m.failures == 0 {
+		m.suspected = false
+		v.changed()
+	}
+}
+
+// PingFailed takes in that a VM did not answer a ping in time.
+func (v *View) PingFailed(now time.Duration, id string) {
+	m := v.members[id]
+	if m == nil || m == v.self {
+		return
+	}
+	m.failed(now, v.settings)
+	v.doubtful[id] = m
+	v.Tick(now)
+}
+
+// Live returns the VMs taken for running, this one among them, ordered by id.
+func (v *View) Live(now time.Duration) []platform.VM {
+	v.Tick(now)
+	var live []platform.VM
+	for _, m := range v.rosters.all(v) {
+		if v.isLive(m) {
+			live = append(live, m.vm)
+		}
+	}
+	return live
+}
+
+// isLive reports whether a member is taken for running. Of two VMs at one
+// address only the one heard there last is: the other was replaced.
+func (v *View) isLive(m *member) bool {
+	if m == v.self {
+		return true
+	}
+	holder := v.members[v.holders[m.vm.Address]]
+	displaced := holder != nil && holder.vm.Address == m.vm.Address && holder.heardAt > m.heardAt
+	return m.live() && !displaced
+}
+
+func (v *View) add(now time.Duration, vm platform.VM) *member {
+	m := &member{
+		vm:         vm,
+		hash:       xxhash.Sum64String(vm.ID),
+		listedAt:   never,
+		knownAt:    now,
+		heardAt:    never,
+		answeredAt: never,
+		nextPing:   now,
+	}
+	v.members[vm.ID] = m
+	v.doubtful[vm.ID] = m
+	delete(v.mentions, refOf(vm))
+	v.changed()
+	return m
+}
+
+// remove forgets a member that is gone.
+func (v *View) remove(m *member) {
+	delete(v.members, m.vm.ID)
+	delete(v.doubtful, m.vm.ID)
+	if v.holders[m.vm.Address] == m.vm.ID {
+		delete(v.holders, m.vm.Address)
+	}
+	v.bury(m.ref())
+}
+
+func (v *View) bury(ref ownership.VMRef) {
+	v.gone.add(ref)
+	v.changed()
+}
+
+// changed records that queries may answer differently now.
+func (v *View) changed() {
+	v.generation++
+	v.rosters.dirty = true
+}
+
+func refOf(vm platform.VM) ownership.VMRef {
+	return ownership.VMRef{ID: vm.ID, Incarnation: vm.Incarnation}
+}
