--- /dev/null
+++ b/internal/daemon/claims.go
@@ -0,0 +1,301 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"kumquatcleat/internal/fault"
+	"kumquatcleat/internal/ownership"
+	"kumquatcleat/internal/peer"
+	"kumquatcleat/internal/retry"
+)
+
+const (
+	claimTimeout  = 250 * time.Millisecond // of one message between VMs
+	settleTimeout = 2 * time.Second        // of telling how a claimed request ended
+)
+
+// Claims holds the books of the groups that this VM keeps or stands by for, and
+// makes claims at the keepers of others. It implements retry.Claimer. mu guards
+// books and the fields of each.
+type Claims struct {
+	self      ownership.VMRef
+	settings  retry.ClaimSettings
+	directory *Directory
+	mu        sync.Mutex
+	books     map[string]*groupBook
+}
+
+// groupBook is one group's book with what this VM knows of the pair that holds it.
+type groupBook struct {
+	book    *retry.ClaimBook
+	leads   bool
+	keeper  ownership.VMRef
+	standby ownership.VMRef
+	copied  ownership.VMRef // the standby that got a copy of the book
+}
+
+// NewClaims returns the duty.
+func NewClaims(self ownership.VMRef, settings retry.ClaimSettings, directory *Directory) *Claims {
+	return &Claims{self: self, settings: settings, directory: directory, books: map[string]*groupBook{}}
+}
+
+// Follow tells who keeps a group now, and gives a new standby a copy.
+func (c *Claims) Follow(ctx context.Context, group string, status ownership.Status) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known, ok := c.books[group]
+	if !ok {
+		if status.Keeper != c.self && status.Standby != c.self {
+			return
+		}
+		known = &groupBook{book: retry.NewClaimBook(c.settings, originOf(status, c.self), time.Now())}
+		c.books[group] = known
+	}
+	known.keeper, known.standby = status.Keeper, status.Standby
+	c.changeRole(group, known, status.Keeper == c.self)
+	if known.leads && !known.standby.IsZero() && known.copied != known.standby {
+		known.copied = known.standby
+		go c.copyTo(ctx, group, known.standby, known.book)
+	}
+}
+
+// originOf tells a new group's first book from one whose predecessor is lost.
+// Epoch 1 belongs to the VM that made the group's row.
+func originOf(status ownership.Status, self ownership.VMRef) retry.Origin {
+	if status.Token.Epoch == 1 && status.Keeper == self {
+		return retry.OriginNewGroup
+	}
+	return retry.OriginLost
+}
+
+func (c *Claims) changeRole(group string, known *groupBook, leads bool) {
+	if known.leads == leads {
+		return
+	}
+	known.leads = leads
+	if leads {
+		known.book.Lead()
+		slog.Info("claims: leads", "group", group, "blind_ms", known.book.Blind(time.Now()).Milliseconds())
+		return
+	}
+	known.book.Follow()
+	slog.Info("claims: follows", "group", group)
+}
+
+// copyTo gives a standby the whole book; until that is done the standby's book
+// holds new claims but can't judge old ones.
+func (c *Claims) copyTo(ctx context.Context, group string, to ownership.VMRef, book *retry.ClaimBook) {
+	err := c.sendCopy(ctx, group, to, book)
+	if err == nil {
+		return
+	}
+	slog.Warn("claims: copy not taken", "group", group, "vm", to.String(), "error", err.Error())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if known := c.books[group]; known != nil && known.copied == to {
+		known.copied = ownership.VMRef{} // Follow tries again
+	}
+}
+
+func (c *Claims) sendCopy(ctx context.Context, group string, to ownership.VMRef, book *retry.ClaimBook) error {
+	data, err := book.Snapshot(time.Now())
+	if err != nil {
+		return fmt.Errorf("claims: %w", err)
+	}
+	client, err := c.directory.client(to.ID)
+	if err != nil {
+		return err
+	}
+	_, err = client.CopyClaims(ctx, &peer.ClaimsCopy{From: encodeVM(c.self), To: encodeVM(to), Group: group, Book: data})
+	return err
+}
+
+// TakeCopy joins a keeper's copy into this VM's book.
+func (c *Claims) TakeCopy(in *peer.ClaimsCopy) error {
+	known, err := c.bookFor(in.GetGroup(), decodeVM(in.GetTo()))
+	if err != nil {
+		return err
+	}
+	if decodeVM(in.GetFrom()) != known.keeper {
+		return fmt.Errorf("claims: %s does not keep group %q", decodeVM(in.GetFrom()), in.GetGroup())
+	}
+	return known.book.Restore(in.GetBook(), time.Now())
+}
+
+// bookFor returns a copy of the group's state, so that it can be read unlocked.
+func (c *Claims) bookFor(group string, to ownership.VMRef) (groupBook, error) {
+	if to != c.self {
+		return groupBook{}, fmt.Errorf("claims: meant for VM %s", to)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known, ok := c.books[group]
+	if !ok {
+		return groupBook{}, fmt.Errorf("claims: group %q has no book here", group)
+	}
+	return *known, nil
+}
+
+// Answer answers a claim message of another VM, or of this one.
+func (c *Claims) Answer(ctx context.Context, in *peer.ClaimRequest) (*peer.ClaimAnswer, error) {
+	if in.GetReplica() {
+		return c.answerReplica(in)
+	}
+	c.mu.Lock()
+	known, ok := c.books[in.GetGroup()]
+	if !ok || !known.leads {
+		hint := ownership.VMRef{}
+		if ok {
+			hint = known.keeper
+		}
+		c.mu.Unlock()
+		return &peer.ClaimAnswer{KeeperHint: encodeVM(hint), Reason: "not the keeper"}, nil
+	}
+	state := *known
+	c.mu.Unlock()
+	return c.answerAsKeeper(ctx, in, state), nil
+}
+
+func (c *Claims) answerAsKeeper(ctx context.Context, in *peer.ClaimRequest, state groupBook) *peer.ClaimAnswer {
+	now := time.Now()
+	answer := &peer.ClaimAnswer{Keeper: true}
+	switch in.GetStep() {
+	case peer.ClaimRequest_FINISHED:
+		state.book.Finish(in.GetIdempotencyKey(), in.GetRequestId(), now)
+	case peer.ClaimRequest_NOT_RUN:
+		state.book.NotRun(in.GetIdempotencyKey(), in.GetRequestId(), now)
+	default:
+		begin := state.book.Begin(in.GetIdempotencyKey(), in.GetRequestId(), now)
+		answer.Verdict = encodeVerdict(begin.Verdict)
+		answer.FirstRequestId, answer.FirstFinished = begin.FirstRequestID, begin.FirstFinished
+		answer.Reason = begin.Reason
+		if begin.Verdict != retry.ClaimFirst {
+			return answer
+		}
+	}
+	err := c.replicate(ctx, in, state.standby)
+	if err != nil && in.GetStep() == peer.ClaimRequest_BEGIN {
+		answer.Verdict = peer.ClaimAnswer_UNAVAILABLE
+		answer.Reason = err.Error()
+	}
+	return answer
+}
+
+// replicate passes a step to the standby. Without a standby nothing is owed: a
+// VM that takes over without a copy refuses claims until the window has passed.
+func (c *Claims) replicate(ctx context.Context, in *peer.ClaimRequest, standby ownership.VMRef) error {
+	if standby.IsZero() {
+		return nil
+	}
+	client, err := c.directory.client(standby.ID)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	answer, err := client.Claim(ctx, &peer.ClaimRequest{
+		From: encodeVM(c.self), To: encodeVM(standby), Group: in.GetGroup(), Replica: true,
+		IdempotencyKey: in.GetIdempotencyKey(), RequestId: in.GetRequestId(), Step: in.GetStep(),
+	})
+	if err != nil {
+		return fmt.Errorf("claims: standby %s: %w", standby, err)
+	}
+	if answer.GetVerdict() != peer.ClaimAnswer_FIRST {
+		return fmt.Errorf("claims: standby %s refused: %s", standby, answer.GetReason())
+	}
+	return nil
+}
+
+func (c *Claims) answerReplica(in *peer.ClaimRequest) (*peer.ClaimAnswer, error) {
+	known, err := c.bookFor(in.GetGroup(), decodeVM(in.GetTo()))
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	taken := true
+	switch in.GetStep() {
+	case peer.ClaimRequest_FINISHED:
+		known.book.Finish(in.GetIdempotencyKey(), in.GetRequestId(), now)
+	case peer.ClaimRequest_NOT_RUN:
+		known.book.NotRun(in.GetIdempotencyKey(), in.GetRequestId(), now)
+	default:
+		taken = known.book.Replicate(in.GetIdempotencyKey(), in.GetRequestId(), now)
+	}
+	if !taken {
+		return &peer.ClaimAnswer{Verdict: peer.ClaimAnswer_UNAVAILABLE, Reason: "the standby's book takes no claim now"}, nil
+	}
+	return &peer.ClaimAnswer{Verdict: peer.ClaimAnswer_FIRST}, nil
+}
+
+// Claim implements retry.Claimer.
+func (c *Claims) Claim(ctx context.Context, group, idempotencyKey, requestID string) (retry.Claim, retry.Verdict, error) {
+	claim := &claim{claims: c, group: group, key: idempotencyKey, requestID: requestID}
+	answer, err := c.directory.askClaim(ctx, claim.request(peer.ClaimRequest_BEGIN))
+	verdict := retry.ClaimRefused
+	if err == nil {
+		verdict = decodeVerdict(answer.GetVerdict())
+		if answer.GetReason() != "" {
+			err = fault.New(fault.ClaimUnavailable, "%s", answer.GetReason())
+		}
+	}
+	if verdict == retry.ClaimRefused {
+		// The book may hold the claim although its answer was lost.
+		claim.NotRun(context.WithoutCancel(ctx))
+	}
+	return claim, verdict, err
+}
+
+// claim is one claim of this VM. It implements retry.Claim.
+type claim struct {
+	claims    *Claims
+	group     string
+	key       string
+	requestID string
+}
+
+func (c *claim) request(step peer.ClaimRequest_Step) *peer.ClaimRequest {
+	return &peer.ClaimRequest{
+		From: encodeVM(c.claims.self), Group: c.group,
+		IdempotencyKey: c.key, RequestId: c.requestID, Step: step,
+	}
+}
+
+// Finished implements retry.Claim.
+func (c *claim) Finished(ctx context.Context) { go c.settle(ctx, peer.ClaimRequest_FINISHED) }
+
+// NotRun implements retry.Claim.
+func (c *claim) NotRun(ctx context.Context) { go c.settle(ctx, peer.ClaimRequest_NOT_RUN) }
+
+func (c *claim) settle(ctx context.Context, step peer.ClaimRequest_Step) {
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	if _, err := c.claims.directory.askClaim(ctx, c.request(step)); err != nil {
+		slog.Warn("claims: end not told", "group", c.group, "request", c.requestID, "step", step.String(), "error", err.Error())
+	}
+}
+
+func encodeVerdict(v retry.Verdict) peer.ClaimAnswer_Verdict {
+	switch v {
+	case retry.ClaimFirst:
+		return peer.ClaimAnswer_FIRST
+	case retry.ClaimDuplicate:
+		return peer.ClaimAnswer_DUPLICATE
+	default:
+		return peer.ClaimAnswer_UNAVAILABLE
+	}
+}
+
+func decodeVerdict(v peer.ClaimAnswer_Verdict) retry.Verdict {
+	switch v {
+	case peer.ClaimAnswer_FIRST:
+		return retry.ClaimFirst
+	case peer.ClaimAnswer_DUPLICATE:
+		return retry.ClaimDuplicate
+	default:
+		return retry.ClaimRefused
+	}
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,272 @@
+// Package daemon puts the duties of one entry VM together: it provisions them
+// from settings, runs them, and stops them without cutting a request.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/zeromicro/go-zero/core/proc"
+
+	"kumquatcleat/internal/backend"
+	"kumquatcleat/internal/config"
+	"kumquatcleat/internal/limits"
+	"kumquatcleat/internal/logging"
+	"kumquatcleat/internal/membership"
+	"kumquatcleat/internal/ownership"
+	"kumquatcleat/internal/peer"
+	"kumquatcleat/internal/placement"
+	"kumquatcleat/internal/platform"
+	"kumquatcleat/internal/retry"
+	"kumquatcleat/internal/routing"
+	"kumquatcleat/internal/settings"
+)
+
+const (
+	// noticeTime is how long readiness answers 503 before the listener closes,
+	// so that the platform's balancer has seen it.
+	noticeTime = time.Second
+	// handOverTime bounds the handing over of roles in a planned stop.
+	handOverTime = 3 * time.Second
+	// readHeaderTimeout bounds a caller that opens a connection and says nothing.
+	readHeaderTimeout = 10 * time.Second
+	// libraryQuitTime is beyond any planned stop: go-zero would otherwise kill
+	// the process 5.5 s after a signal.
+	libraryQuitTime = 24 * time.Hour
+	// suspectsInterval is how often VMs exchange suspects: a request that crashes
+	// servers is stopped at two even when its caller changes the VM.
+	suspectsInterval = 200 * time.Millisecond
+)
+
+// Daemon is one entry VM's process.
+type Daemon struct {
+	settings   *settings.Settings
+	self       ownership.VMRef
+	registry   metrics.Registry
+	decisions  *logging.Decisions
+	platform   *platform.Client
+	store      *config.Store
+	clients    *peer.Clients
+	members    *Members
+	directory  *Directory
+	groups     *Groups
+	claims     *Claims
+	gates      *limits.Gates
+	quarantine *retry.MemoryQuarantine
+	canceler   *canceler
+	handler    *routing.Handler
+	callers    *http.Server
+	peers      *http.Server
+	stopping   atomic.Bool
+	cancel     context.CancelFunc // ends the duties
+}
+
+// New provisions a daemon. Nothing runs before Run.
+func New(s *settings.Settings) (*Daemon, error) {
+	proc.SetTimeToForceQuit(libraryQuitTime)
+	d := &Daemon{
+		settings: s,
+		self:     ownership.VMRef{ID: s.ID, Incarnation: newIncarnation(s.Incarnation)},
+		registry: metrics.NewRegistry(),
+		platform: platform.NewClient(s.Platform),
+		store:    config.NewStore(),
+	}
+	d.decisions = logging.NewDecisions(d.registry)
+	host, _, err := net.SplitHostPort(s.PeerListen)
+	if err != nil {
+		return nil, fmt.Errorf("daemon: peer_listen %q: %w", s.PeerListen, err)
+	}
+	d.clients = peer.NewClients(host)
+	d.provisionOwnership()
+	if err := d.provisionRequestPath(); err != nil {
+		return nil, err
+	}
+	return d, d.provisionServers()
+}
+
+func (d *Daemon) provisionOwnership() {
+	started := time.Now()
+	clock := func() time.Duration { return time.Since(started) }
+	self := membership.Self{
+		ID:            d.self.ID,
+		Incarnation:   d.self.Incarnation,
+		FailureDomain: d.settings.FailureDomain,
+		Address:       d.settings.PeerListen,
+	}
+	view := membership.NewView(self, membership.DefaultSettings)
+	d.members = NewMembers(self, view, d.platform, d.clients, d.store, clock)
+	d.directory = NewDirectory(d.self, d.members, d.clients)
+	d.claims = NewClaims(d.self, retry.DefaultClaimSettings(), d.directory)
+	env := ownership.Environment{
+		Table:     d.platform,
+		Peers:     d.directory,
+		Decisions: d.decisions,
+		Clock:     clock,
+	}
+	d.groups = NewGroups(d.self, d.settings.OwnershipTiming(), placement.DefaultSettings, env, d.members, d.store)
+	d.groups.claims = d.claims
+	d.directory.groups = d.groups
+	d.directory.claims = d.claims
+}
+
+func (d *Daemon) provisionRequestPath() error {
+	vms := func() int { return max(1, len(d.members.Roster().VMs)) }
+	d.gates = limits.New(limits.DefaultSettings(), vms, time.Now)
+	d.quarantine = retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now)
+	d.canceler = newCanceler(backend.NewControlClients())
+	return nil
+}
+
+func (d *Daemon) provisionServers() error {
+	mux := http.NewServeMux()
+	d.operatorRoutes(mux)
+	mux.Handle(peer.PeerPathPrefix, peer.NewPeerServer(&peerService{daemon: d}))
+	d.peers = &http.Server{Addr: d.settings.PeerListen, Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	d.callers = &http.Server{Addr: d.settings.Listen, ReadHeaderTimeout: readHeaderTimeout}
+	return nil
+}
+
+// serveCallers builds the request path, whose goroutines end with ctx.
+func (d *Daemon) serveCallers(ctx context.Context) error {
+	d.handler = routing.NewHandler(routing.Parts{
+		Services:   &effectiveServices{store: d.store, members: d.members},
+		Resolver:   routing.NewRouteTable(ctx, d.directory),
+		Gate:       d.gates,
+		Policy:     retry.NewBudgetPolicy(retry.DefaultBudgetSettings(), rand.Float64),
+		Claimer:    d.claims,
+		Quarantine: d.quarantine,
+		Transport:  routing.NewTransport(0),
+		Canceler:   d.canceler,
+		Decisions:  d.decisions,
+		Registry:   d.registry,
+	})
+	handler, err := newRestHandler("kumquatcleatd", d.handler)
+	if err != nil {
+		return fmt.Errorf("daemon: rest: %w", err)
+	}
+	d.callers.Handler = handler
+	return nil
+}
+
+// Run serves until ctx ends, then stops without cutting requests in flight for
+// as long as the settings' grace. It returns an error when a listener fails or
+// the grace was too short.
+func (d *Daemon) Run(ctx context.Context) error {
+	duties, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	defer cancel()
+	if err := d.serveCallers(duties); err != nil {
+		return err
+	}
+	failed := make(chan error, 2)
+	if err := listenAndServe(d.peers, failed); err != nil {
+		return err
+	}
+	if err := listenAndServe(d.callers, failed); err != nil {
+		return err
+	}
+	go d.decisions.Run(duties)
+	go d.members.Run(duties)
+	go d.groups.Run(duties)
+	go d.canceler.run(duties)
+	go d.exchangeSuspects(duties)
+	go pollConfigs(duties, d.platform, d.store)
+	slog.Info("daemon: started", "vm", d.self.String(), "failure_domain", d.settings.FailureDomain,
+		"listen", d.settings.Listen, "peer_listen", d.settings.PeerListen)
+	go d.announceReady(duties)
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+		return d.stop()
+	}
+}
+
+func listenAndServe(server *http.Server, failed chan<- error) error {
+	listener, err := net.Listen("tcp", server.Addr)
+	if err != nil {
+		return fmt.Errorf("daemon: listen: %w", err)
+	}
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			failed <- fmt.Errorf("daemon: serve %s: %w", server.Addr, err)
+		}
+	}()
+	return nil
+}
+
+func (d *Daemon) announceReady(ctx context.Context) {
+	for sleep(ctx, memberTick) {
+		if d.notReady() == "" {
+			slog.Info("daemon: ready", "vm", d.self.String())
+			return
+		}
+	}
+}
+
+// stop ends the process's work: readiness turns 503, callers are let go as
+// their requests end, roles are handed over.
+func (d *Daemon) stop() error {
+	d.stopping.Store(true)
+	d.handler.Stop()
+	slog.Info("daemon: stopping", "in_flight", d.handler.InFlight())
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.ShutdownGrace())
+	defer cancel()
+	_ = sleep(ctx, min(noticeTime, d.settings.ShutdownGrace()))
+	d.handOver(ctx)
+	err := d.callers.Shutdown(ctx)
+	if err != nil {
+		err = fmt.Errorf("daemon: %d requests were cut: the grace of %v was too short", d.handler.InFlight(), d.settings.ShutdownGrace())
+	}
+	_ = d.peers.Close()
+	slog.Info("daemon: stopped")
+	return err
+}
+
+func (d *Daemon) handOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTime)
+	defer cancel()
+	d.groups.Stop(ctx)
+}
+
+// Cut ends at once and returns how many requests in flight that cuts.
+func (d *Daemon) Cut() int64 {
+	if d.handler == nil {
+		return 0
+	}
+	return d.handler.InFlight()
+}
+
+// exchangeSuspects tells one peer after another which requests lost servers,
+// and learns theirs.
+func (d *Daemon) exchangeSuspects(ctx context.Context) {
+	for turn := 0; sleep(ctx, suspectsInterval); turn++ {
+		vms := d.members.Roster().VMs
+		if len(vms) < 2 {
+			continue
+		}
+		vm := vms[turn%len(vms)]
+		if vm.ID == d.self.ID {
+			continue
+		}
+		d.exchangeWith(ctx, vm)
+	}
+}
+
+func (d *Daemon) exchangeWith(ctx context.Context, vm platform.VM) {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	message := &peer.SuspectsMessage{From: encodeVM(d.self), Suspects: encodeSuspects(d.quarantine.Snapshot())}
+	answer, err := d.clients.For(vm.Address).Suspects(ctx, message)
+	if err == nil {
+		d.quarantine.Merge(decodeSuspects(answer.GetSuspects()))
+	}
+}
--- a/internal/daemon/groups.go
+++ b/internal/daemon/groups.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 
 	"kumquatcleat/internal/backend"
@@ -32,6 +33,7 @@
 	members   *Members
 	store     *config.Store
 	clients   *backend.ControlClients
+	claims    *Claims // set before Run
 
 	mu      sync.Mutex
 	running map[string]*groupRun
@@ -140,6 +142,9 @@
 		run.told = told
 		run.driver.Tell(ctx, ownership.MembersChanged{Candidates: keepers.Candidates, Gone: keepers.Gone})
 	}
+	if status, err := run.driver.Status(ctx); err == nil {
+		g.claims.Follow(ctx, run.id.String(), status)
+	}
 	now := g.env.Clock()
 	if run.planned != 0 && now-run.planned < planInterval {
 		return
@@ -158,7 +163,12 @@
 	if err != nil {
 		return
 	}
-	input := placementInput(service, run.id, status, run.rates.total(g.env.Clock()), roster.Leave)
+	routes, err := run.driver.Routes(ctx, g.self)
+	if err != nil {
+		return
+	}
+	input := placementInput(service, run.id, routes, run.rates.total(g.env.Clock()))
+	markServers(input.Servers, status, roster.Leave)
 	event := ownership.PlanChanged{
 		Servers: make(map[string]ownership.ServerPlan, len(input.Servers)),
 		Owners:  placement.Plan(input, g.placement),
@@ -172,33 +182,42 @@
 	run.driver.Tell(ctx, event)
 }
 
-func placementInput(service *config.Service, id config.GroupID, status ownership.Status,
-	rates map[uint32]float64, leaving map[string]bool) placement.Input {
+func placementInput(service *config.Service, id config.GroupID, routes ownership.Routes, rates map[uint32]float64) placement.Input {
 	input := placement.Input{Current: map[uint32]string{}}
 	for _, slot := range service.SlotsOf(id) {
 		input.Slots = append(input.Slots, placement.SlotLoad{Slot: slot, Load: rates[slot]})
 	}
-	lost := map[string]bool{}
-	for _, server := range status.Servers {
-		lost[server.ID] = server.Lost
-	}
 	for _, server := range service.ServersOf(id) {
 		input.Servers = append(input.Servers, placement.Server{
 			ID:       server.ID,
 			Capacity: float64(server.Slots),
 			Home:     server.FailureDomain == id.Domain,
-			Drain:    server.Drain || leaving[server.ID],
-			Lost:     lost[server.ID],
+			Drain:    server.Drain,
 		})
 	}
-	for _, slot := range status.Slots {
-		if slot.Owner != "" {
-			input.Current[slot.Slot] = slot.Owner
+	for _, route := range routes.Slots {
+		if !route.Server.IsZero() {
+			input.Current[route.Slot] = route.Server.ID
 		}
 	}
 	return input
 }
 
+// markServers marks the servers that the platform calls leaving and those that
+// the keeper gets no answer from.
+func markServers(servers []placement.Server, status ownership.Status, leaving map[string]bool) {
+	answers := map[string]bool{}
+	for _, s := range status.Servers {
+		answers[s.Server.ID] = s.Answers
+	}
+	for i := range servers {
+		s := &servers[i]
+		s.Drain = s.Drain || leaving[s.ID]
+		answering, known := answers[s.ID]
+		s.Lost = known && !answering
+	}
+}
+
 // Stop hands every role over and waits for that until ctx ends.
 func (g *Groups) Stop(ctx context.Context) {
 	runs := g.runs()
@@ -244,11 +263,11 @@
 	out := &peer.RoutesAnswer{
 		Keeper:       routes.Keeper,
 		KeeperHint:   encodeVM(routes.Hint),
-		Version:      routes.Version,
+		Version:      routesVersion(routes),
 		Token:        &peer.Token{Epoch: routes.Token.Epoch, Seq: routes.Token.Seq},
 		RouteLeaseMs: uint32(routes.Lease.Milliseconds()),
 	}
-	if !routes.Keeper || routes.Version == known {
+	if !routes.Keeper || out.Version == known {
 		return out
 	}
 	for _, r := range routes.Slots {
@@ -263,6 +282,16 @@
 	return out
 }
 
+// routesVersion returns a hash of the routes. A counter would not do: slots come
+// into use when a server accepts its grant, which no write to the row tells.
+func routesVersion(routes ownership.Routes) uint64 {
+	hash := xxhash.New()
+	for _, r := range routes.Slots {
+		_, _ = fmt.Fprintln(hash, r.Slot, r.Server.ID, r.Server.Incarnation, r.Token, r.Moving)
+	}
+	return hash.Sum64()
+}
+
 // Agree hands an agreement message to the group's driver.
 func (g *Groups) Agree(ctx context.Context, in *peer.Agreement) error {
 	if decodeVM(in.GetTo()) != g.self {
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -53,11 +55,41 @@
 	inbox    *ring.Ring[func(now time.Duration)]
 	roster   atomic.Pointer[Roster]
 	leaving  map[string]bool
+	starts   map[string]string // by VM id: the incarnation that answered a ping last
 	listed   bool
 	platform atomic.Bool // the last read of the list succeeded
 }
 
-func newIncarnation() string { return uuid.NewString()[:8] }
+// startSeparator parts the platform's incarnation of a VM from the mark of one
+// start of the daemon on it. The platform's list knows the first part only; a
+// daemon that was started again on the same VM has forgotten its promises and
+// must not be taken for its predecessor.
+const startSeparator = "."
+
+// startMarkLength keeps marks of one VM apart: 32 random bits.
+const startMarkLength = 8
+
+func newIncarnation(platformPart string) string {
+	return platformPart + startSeparator + uuid.NewString()[:startMarkLength]
+}
+
+// withStarts returns the list with the full incarnation of each VM whose start
+// is known. A VM that the list names under another platform incarnation keeps
+// the list's: it was replaced.
+func (m *Members) withStarts(vms []platform.VM) []platform.VM {
+	out := slices.Clone(vms)
+	for i := range out {
+		start, ok := m.starts[out[i].ID]
+		if !ok {
+			continue
+		}
+		platformPart, _, _ := strings.Cut(start, startSeparator)
+		if platformPart == "" || platformPart == out[i].Incarnation {
+			out[i].Incarnation = start
+		}
+	}
+	return out
+}
 
 // NewMembers returns the duty. Run starts it.
 func NewMembers(self membership.Self, view *membership.View, lister platform.VMLister,
@@ -71,6 +103,7 @@
 		clock:   clock,
 		inbox:   ring.New[func(time.Duration)](memberInboxItems),
 		leaving: map[string]bool{},
+		starts:  map[string]string{self.ID: self.Incarnation},
 	}
 	m.roster.Store(&Roster{ByID: map[string]platform.VM{}, Groups: map[string]GroupKeepers{}})
 	return m
@@ -129,7 +162,7 @@
 		m.listed = true
 		m.leaving = leavingServers(vms)
 		// The list may be as old as the time since the question, too.
-		m.view.ListRead(now, vms, age+now-sentAt)
+		m.view.ListRead(now, m.withStarts(vms), age+now-sentAt)
 	})
 }
 
@@ -153,6 +186,7 @@
 			m.view.PingFailed(now, vm.ID)
 			return
 		}
+		m.starts[answer.GetFrom().GetId()] = answer.GetFrom().GetIncarnation()
 		m.view.PingAnswered(now, answer.GetFrom().GetId(), answer.GetFrom().GetIncarnation(), answer.GetStopping())
 	})
 }
--- a/internal/daemon/peerservice.go
+++ b/internal/daemon/peerservice.go
@@ -54,6 +54,14 @@
 	return answer, wireError(err)
 }
 
+// CopyClaims implements peer.Peer.
+func (s *peerService) CopyClaims(_ context.Context, in *peer.ClaimsCopy) (*peer.ClaimsCopied, error) {
+	if err := s.daemon.claims.TakeCopy(in); err != nil {
+		return nil, wireError(err)
+	}
+	return &peer.ClaimsCopied{}, nil
+}
+
 // Suspects implements peer.Peer.
 func (s *peerService) Suspects(_ context.Context, in *peer.SuspectsMessage) (*peer.SuspectsMessage, error) {
 	s.daemon.quarantine.Merge(decodeSuspects(in.GetSuspects()))
--- a/internal/routing/handler.go
+++ b/internal/routing/handler.go
@@ -174,3 +174,6 @@
 	}
 	return fault.ServerRefused
 }
+
+// Usable reports whether a server may be chosen for requests without a key.
+func (h *Handler) Usable(server string) bool { return h.chooser.health.usable(server) }
