Tests of the send path: silent re-send, cut answers, truthful outcomes

Cause: the promises about answers need proofs that fail without the mechanism. Shown failing: with GetBody set and empty bodies sent as none, a server read 3 requests where callers sent 2 in all three cases of the silent re-send test; with the checks of an answer's end taken out, the cut answers passed as whole. Passing now, with the race detector.

--- /dev/null
+++ b/internal/routing/forward_test.go
@@ -0,0 +1,336 @@
+package routing
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"kumquatcleat/internal/backend"
+	"kumquatcleat/internal/config"
+	"kumquatcleat/internal/fault"
+	"kumquatcleat/internal/limits"
+	"kumquatcleat/internal/logging"
+	"kumquatcleat/internal/retry"
+)
+
+// openGate lets every request through.
+type openGate struct{}
+
+func (openGate) Acquire(context.Context, config.Server, config.Class) (limits.Permit, error) {
+	return openPermit{}, nil
+}
+func (openGate) InFlight(string) int { return 0 }
+
+type openPermit struct{}
+
+func (openPermit) Done(limits.Result, time.Duration) {}
+
+// fixedResolver resolves every slot to one server.
+type fixedResolver struct {
+	server config.Server
+	refuse atomic.Bool // Confirm says no
+	stale  atomic.Int64
+}
+
+func (f *fixedResolver) Resolve(_ context.Context, _ *config.Service, slot uint32) (Target, error) {
+	return Target{Server: f.server, Group: "shop/a/0", Slot: slot, Token: backend.Token{Epoch: 1, Seq: 2}, HasKey: true}, nil
+}
+func (f *fixedResolver) Stale(Target)        { f.stale.Add(1) }
+func (f *fixedResolver) Confirm(Target) bool { return !f.refuse.Load() }
+
+type oneService struct{ service *config.Service }
+
+func (o oneService) Service(name string) (*config.Service, bool) {
+	return o.service, name == o.service.Name
+}
+
+type noClaims struct{}
+
+func (noClaims) Claim(context.Context, string, string, string) (retry.Claim, retry.Verdict, error) {
+	return noClaim{}, retry.ClaimFirst, nil
+}
+
+type noClaim struct{}
+
+func (noClaim) Finished(context.Context) {}
+func (noClaim) NotRun(context.Context)   {}
+
+type noCancel struct{}
+
+func (noCancel) Cancel(string, string) {}
+
+// rig is a router in front of one server at an address.
+type rig struct {
+	*httptest.Server
+	resolver *fixedResolver
+}
+
+func newRig(t *testing.T, address string, policy retry.Policy) *rig {
+	t.Helper()
+	server := config.Server{ID: "s1", FailureDomain: "a", Address: address, Slots: 6, Checks: true}
+	service := &config.Service{
+		Name: "shop", SlotCount: 8, Domains: []string{"a"}, Servers: []config.Server{server},
+		Limits: config.Limits{MaxBodyBytes: 256 << 10},
+	}
+	resolver := &fixedResolver{server: server}
+	handler := NewHandler(Parts{
+		Services: oneService{service}, Resolver: resolver, Gate: openGate{}, Policy: policy,
+		Claimer: noClaims{}, Quarantine: retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now),
+		Transport: NewTransport(0), Canceler: noCancel{},
+		Decisions: logging.NewDecisions(metrics.NewRegistry()), Registry: metrics.NewRegistry(),
+	})
+	front := httptest.NewServer(handler)
+	t.Cleanup(front.Close)
+	return &rig{Server: front, resolver: resolver}
+}
+
+func (r *rig) do(t *testing.T, method, path, body string, header ...string) (*http.Response, string, error) {
+	t.Helper()
+	var reader io.Reader
+	if body != "" {
+		reader = strings.NewReader(body)
+	}
+	req, err := http.NewRequest(method, r.URL+path, reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set(HeaderKey, "k")
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return resp, string(data), err
+}
+
+// rawServer accepts connections and hands each request that arrives on one to
+// serve, which returns false to close the connection.
+func rawServer(t *testing.T, serve func(conn net.Conn, req *http.Request, number int64) bool) (string, *atomic.Int64) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	var requests atomic.Int64
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				for {
+					req, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+					if !serve(conn, req, requests.Add(1)) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String(), &requests
+}
+
+func answerOK(conn net.Conn, body string) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// A reused connection that the server closes after it read the request makes
+// net/http send the request again on its own, unless that is prevented.
+func TestSilentResendOnReusedConnection(t *testing.T) {
+	cases := []struct{ name, method, body string }{
+		{"POST with a body and a key", http.MethodPost, "swap"},
+		{"empty POST with a key", http.MethodPost, ""},
+		{"GET", http.MethodGet, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			address, requests := rawServer(t, func(conn net.Conn, _ *http.Request, number int64) bool {
+				if number == 1 {
+					answerOK(conn, "first")
+					return true
+				}
+				return false
+			})
+			r := newRig(t, address, retry.NoRetry{})
+			if _, _, err := r.do(t, c.method, "/shop/x", c.body); err != nil {
+				t.Fatal(err)
+			}
+			resp, body, err := r.do(t, c.method, "/shop/x", c.body, HeaderIdempotencyKey, "once")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := requests.Load(); got != 2 {
+				t.Fatalf("the server read %d requests, the callers sent 2", got)
+			}
+			if resp.Header.Get(HeaderOutcome) != string(fault.Unknown) {
+				t.Fatalf("outcome %q, want unknown: %s", resp.Header.Get(HeaderOutcome), body)
+			}
+		})
+	}
+}
+
+func TestRefusedConnectionIsNotRun(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	_ = listener.Close()
+	r := newRig(t, address, retry.NoRetry{})
+	resp, body, err := r.do(t, http.MethodPost, "/shop/x", "b")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.Header.Get(HeaderOutcome) != string(fault.NotRun) || !strings.Contains(body, string(fault.ConnectFailed)) {
+		t.Fatalf("outcome %q: %s", resp.Header.Get(HeaderOutcome), body)
+	}
+}
+
+func TestGuardThatEndsBeforeTheFirstByteIsNotRun(t *testing.T) {
+	address, requests := rawServer(t, func(conn net.Conn, _ *http.Request, _ int64) bool {
+		answerOK(conn, "ran")
+		return true
+	})
+	r := newRig(t, address, retry.NoRetry{})
+	r.resolver.refuse.Store(true)
+	resp, body, err := r.do(t, http.MethodPost, "/shop/x", "b")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if requests.Load() != 0 || resp.Header.Get(HeaderOutcome) != string(fault.NotRun) {
+		t.Fatalf("server read %d requests, outcome %q: %s", requests.Load(), resp.Header.Get(HeaderOutcome), body)
+	}
+	if r.resolver.stale.Load() == 0 {
+		t.Fatal("the refused target was not reported as stale")
+	}
+}
+
+func TestTimeoutAfterTheSendIsUnknown(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	address, _ := rawServer(t, func(net.Conn, *http.Request, int64) bool {
+		<-release
+		return false
+	})
+	r := newRig(t, address, retry.NoRetry{})
+	resp, body, err := r.do(t, http.MethodGet, "/shop/x", "", HeaderTimeout, "50")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.StatusCode != http.StatusGatewayTimeout || resp.Header.Get(HeaderOutcome) != string(fault.Unknown) {
+		t.Fatalf("status %d, outcome %q: %s", resp.StatusCode, resp.Header.Get(HeaderOutcome), body)
+	}
+}
+
+func TestUnknownAttemptOutweighsALaterNotRun(t *testing.T) {
+	address, _ := rawServer(t, func(conn net.Conn, _ *http.Request, number int64) bool {
+		if number == 1 {
+			return false // read, then lost: it may have run
+		}
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\nContent-Length: 0\r\n\r\n",
+			backend.HeaderNotStarted, backend.NotStartedShed)
+		return true
+	})
+	r := newRig(t, address, retry.Fixed{Attempts: 2})
+	resp, body, err := r.do(t, http.MethodGet, "/shop/x", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.Header.Get(HeaderOutcome) != string(fault.Unknown) {
+		t.Fatalf("outcome %q, want unknown: %s", resp.Header.Get(HeaderOutcome), body)
+	}
+}
+
+func TestCutAnswerNeverLooksComplete(t *testing.T) {
+	long := strings.Repeat("x", 2*wholeAnswerBytes)
+	cases := []struct{ name, head string }{
+		{"short, stated length", "Content-Length: 100\r\n\r\nabc"},
+		{"long, stated length", fmt.Sprintf("Content-Length: %d\r\n\r\n%s", 4*wholeAnswerBytes, long)},
+		{"chunked", "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"},
+		{"unmarked end", "\r\nabc"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			address, _ := rawServer(t, func(conn net.Conn, _ *http.Request, _ int64) bool {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+c.head)
+				return false
+			})
+			r := newRig(t, address, retry.NoRetry{})
+			resp, _, err := r.do(t, http.MethodGet, "/shop/x", "")
+			if err == nil && resp.Header.Get(HeaderOutcome) != string(fault.Unknown) {
+				t.Fatalf("status %d looked like a whole answer", resp.StatusCode)
+			}
+		})
+	}
+}
+
+func TestBodyOverTheLimit(t *testing.T) {
+	address, _ := rawServer(t, func(conn net.Conn, _ *http.Request, _ int64) bool {
+		answerOK(conn, "ran")
+		return true
+	})
+	r := newRig(t, address, retry.NoRetry{})
+	over := strings.Repeat("b", 300<<10)
+	resp, _, err := r.do(t, http.MethodPost, "/shop/x", over)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.StatusCode != http.StatusRequestEntityTooLarge || resp.Header.Get(HeaderOutcome) != string(fault.NotRun) {
+		t.Fatalf("stated length: status %d, outcome %q", resp.StatusCode, resp.Header.Get(HeaderOutcome))
+	}
+	req, _ := http.NewRequest(http.MethodPost, r.URL+"/shop/x", io.MultiReader(strings.NewReader(over)))
+	req.Header.Set(HeaderKey, "k")
+	chunked, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = chunked.Body.Close() }()
+	if chunked.StatusCode != http.StatusRequestEntityTooLarge || chunked.Header.Get(HeaderOutcome) != string(fault.Unknown) {
+		t.Fatalf("chunked: status %d, outcome %q", chunked.StatusCode, chunked.Header.Get(HeaderOutcome))
+	}
+}
+
+func TestInternalHeadersOfCallersAndServersDoNotPass(t *testing.T) {
+	var seen http.Header
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		seen = r.Header
+		w.Header().Set("Connection", "X-Hop")
+		w.Header().Set("X-Hop", "1")
+		w.Header().Set("X-End", "2")
+		w.Header().Set(HeaderOutcome, "not-run")
+	}))
+	t.Cleanup(server.Close)
+	r := newRig(t, strings.TrimPrefix(server.URL, "http://"), retry.NoRetry{})
+	resp, _, err := r.do(t, http.MethodGet, "/shop/x", "", backend.HeaderToken, "9.9", "X-Caller", "yes", "Te", "trailers")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if seen.Get(backend.HeaderToken) != "1.2" || seen.Get("X-Caller") != "yes" || seen.Get("Te") != "" {
+		t.Errorf("server saw %v", seen)
+	}
+	if resp.Header.Get("X-Hop") != "" || resp.Header.Get("X-End") != "2" || resp.Header.Get(HeaderOutcome) != "" {
+		t.Errorf("caller saw %v", resp.Header)
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -20,12 +20,13 @@
 // Process holds the settings that go-zero's conf loads; it can't carry
 // json.RawMessage. Every address is IP:port, never a name.
 type Process struct {
-	ID            string `json:"id"`             // of this VM, as in the platform's list
-	FailureDomain string `json:"failure_domain"` // that this VM stands in
-	Listen        string `json:"listen"`         // for callers
-	PeerListen    string `json:"peer_listen"`    // for other VMs and operators
-	Platform      string `json:"platform"`       // the platform's service
-	LogLevel      string `json:"log_level"`      // debug, info, warn or error
+	ID            string `json:"id"`                   // of this VM, as in the platform's list
+	Incarnation   string `json:"incarnation,optional"` // of this VM in the platform's list; empty: not told
+	FailureDomain string `json:"failure_domain"`       // that this VM stands in
+	Listen        string `json:"listen"`               // for callers
+	PeerListen    string `json:"peer_listen"`          // for other VMs and operators
+	Platform      string `json:"platform"`             // the platform's service
+	LogLevel      string `json:"log_level"`            // debug, info, warn or error
 
 	// ShutdownGraceMS bounds how long a planned stop waits for requests in flight.
 	ShutdownGraceMS int64 `json:"shutdown_grace_ms"`
