Ownership: state machine of one group, table and outage mode

Cause: the end-to-end path needs a keeper that reads the row, grants, renews, moves and takes over; internal/ownership held only its interface.

Change: Replica, pure: Step(now, event) returns actions. Row creation, grants counted from the receipt of the server's last answer, moves by consent and by lapse in two rows each, takeover that waits RowRight, standby, outage lease in three steps, hold-over, cession, recovery of moves that only servers know.

Found while writing: a grant computed from the clock of one start of a server may arrive at the next start, on a clock that began anew, where its expiry lies far in the future. backend.GrantRequest names the start now; a server refuses another one's. A renewal carries the clock of the answer before it, so that a lease may have only Lease/3 left when its keeper is lost: hold-over that waits for the takeover's silence (1 s) comes too late and every lease lapses for the whole outage (TestLostKeeperInAnOutageLeavesKeysServed failed so).

A server that gives slots up by consent keeps its lease while its work runs, and a consent move does not end by lapse while that server answers (TestDrainMovesByConsentAfterRunningWorkEnds failed before).

Ruled out: one row write for each move. It would name an owner whose predecessor may still hold a lease, and hold-over and takeover could not trust the row.

Proof so far: unit tests on a small world of fakes; the explorer follows.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -49,6 +49,10 @@
 	Token Token       `json:"token"`
 	Renew bool        `json:"renew,omitempty"`
 	Slots []SlotToken `json:"slots,omitempty"`
+	// Incarnation is the start of the server whose clock ExpiresAt is a reading
+	// of. A server refuses a grant for another start: read on a clock that began
+	// anew, an old expiry may lie far in the future.
+	Incarnation string `json:"incarnation"`
 	// ExpiresAt is a reading of the server's own clock, in milliseconds.
 	ExpiresAt int64 `json:"expires_at_ms"`
 }
--- /dev/null
+++ b/internal/ownership/cede.go
@@ -0,0 +1,73 @@
+package ownership
+
+// A planned stop. The keeper first stops deciding and granting, for good, and
+// only then tells the standby. So a cession that is late or doubled is still
+// true, and the standby need not wait out the keeper's right.
+
+// cedeTimeout bounds the wait for the standby; after it the standby takes over
+// as after a loss.
+const cedeTimeout = 3 // in units of KeeperSilence
+
+// takeStop begins the end of this replica.
+func (r *Replica) takeStop() {
+	if r.stopping {
+		return
+	}
+	r.stopping = true
+	r.stopBy = r.now + cedeTimeout*r.timing.KeeperSilence
+}
+
+// advanceStop hands the role of keeper over, or ends.
+func (r *Replica) advanceStop() {
+	if !r.stopping {
+		return
+	}
+	k := r.keeper
+	if k == nil || r.now >= r.stopBy {
+		r.stop()
+		return
+	}
+	if k.decided.Standby.IsZero() {
+		r.releaseRow()
+		return
+	}
+	if r.now >= k.nextCede {
+		k.nextCede = r.now + r.timing.Retry
+		r.sendToStandby(PeerMessage{Kind: PeerCede, Number: k.decided.Seq, Row: k.decided})
+	}
+}
+
+// releaseRow writes a row without a keeper, for want of a standby.
+func (r *Replica) releaseRow() {
+	k := r.keeper
+	if r.table.write != nil {
+		return
+	}
+	row := k.decided.Clone()
+	row.Keeper = VMRef{}
+	row.WriteID = r.newWriteID()
+	r.beginWrite(row, writeRelease)
+}
+
+// takeCeded ends this replica: the standby has the group.
+func (r *Replica) takeCeded() {
+	if r.stopping {
+		r.stop()
+	}
+}
+
+func (r *Replica) stop() {
+	r.stopped = true
+	r.keeper = nil
+	r.standby = nil
+	r.do(Stopped{})
+}
+
+// takeCede notes that the keeper has stopped for good.
+func (r *Replica) takeCede(m PeerMessage) {
+	if m.Row != nil {
+		r.keepNewest(m.Row)
+	}
+	r.standby.ceded = true
+	r.answerKeeper(PeerCeded, m.Number)
+}
--- a/internal/ownership/events.go
+++ b/internal/ownership/events.go
@@ -118,6 +118,7 @@
 type ServerPlan struct {
 	Drain  bool
 	Checks bool // refuses requests without a valid grant
+	Gone   bool // the platform's list says that its VM no longer exists
 }
 
 // ServerLost tells that a server is taken for lost, so that its slots move by lapse.
@@ -213,25 +214,3 @@
 	Token  backend.Token
 	Moving bool // nobody may run requests of the slot now
 }
-
-// Timing holds the durations of the ownership protocol.
-type Timing struct {
-	Lease        time.Duration // a server's lease
-	RowRight     time.Duration // how long a read of the row gives the keeper its right (L)
-	RowRead      time.Duration // interval of the keeper's reads
-	Promise      time.Duration // a standby's short promise
-	OutageLease  time.Duration // a confirmed outage lease
-	RouteLease   time.Duration // right of a VM to send to servers that do not check
-	DriftPerMill int64         // clock drift allowed for, in thousandths
-}
-
-// DefaultTiming serves a lost server's keys again within 3 s.
-var DefaultTiming = Timing{
-	Lease:        1500 * time.Millisecond,
-	RowRight:     1200 * time.Millisecond,
-	RowRead:      400 * time.Millisecond,
-	Promise:      400 * time.Millisecond,
-	OutageLease:  3 * time.Minute,
-	RouteLease:   500 * time.Millisecond,
-	DriftPerMill: 10,
-}
--- /dev/null
+++ b/internal/ownership/holdover.go
@@ -0,0 +1,112 @@
+package ownership
+
+import "kumquatcleat/internal/backend"
+
+// Hold-over. While a confirmed outage lease lasts and the keeper is silent, or
+// after the keeper ceded, the standby renews the grants as they are. It decides
+// nothing: it renews only for a server that just said what it holds, under a
+// valid lease, and only if the newest row that the standby knows gives that server
+// every one of those slots under the same tokens, none of them under a move. The
+// renewal carries the highest token that the server told, so that whatever the
+// keeper did since makes the server refuse it.
+//
+// An owner that a row merely names is not granted anything: the standby's row may
+// be old, the keeper may have moved the slot by lapse since, and that server,
+// back from a freeze, would take the grant.
+
+// holdOverRecord is what the standby notes of one server.
+type holdOverRecord struct {
+	nextAsk Instant
+}
+
+// holdsOver reports whether this standby may renew grants now.
+func (r *Replica) holdsOver() bool {
+	s := r.standby
+	if s == nil || r.stopping {
+		return false
+	}
+	if s.ceded {
+		return true
+	}
+	p := &s.promise
+	confirmed := p.confirmed != 0 && r.now < p.confirmedAt+r.timing.OutageLease
+	return confirmed && r.now >= s.heardAt+r.timing.HoldOverSilence
+}
+
+// advanceHoldOver asks the servers what they hold.
+func (r *Replica) advanceHoldOver() {
+	if !r.holdsOver() {
+		return
+	}
+	row := r.standby.newestRow(r.table.row)
+	for _, id := range serverIDs(row) {
+		record := r.standby.holdOver[id]
+		if record == nil {
+			record = &holdOverRecord{}
+			r.standby.holdOver[id] = record
+		}
+		if r.now >= record.nextAsk {
+			record.nextAsk = r.now + r.renewInterval()
+			r.do(AskState{Server: id})
+		}
+	}
+}
+
+// takeHoldOverAnswer renews what a server said that it holds.
+func (r *Replica) takeHoldOverAnswer(ev ServerAnswered) {
+	if ev.Call != CallState || !r.holdsOver() {
+		return
+	}
+	row := r.standby.newestRow(r.table.row)
+	owner := ServerRef{ID: ev.Server, Incarnation: ev.State.Incarnation}
+	request := backend.GrantRequest{
+		Group:       r.group,
+		Token:       ev.State.Highest,
+		Incarnation: ev.State.Incarnation,
+		ExpiresAt:   ev.State.Clock + r.timing.Lease.Milliseconds(),
+		Renew:       true,
+	}
+	if r.flaws.holdOverFromRow {
+		request.Token = row.Token()
+		request.Renew = false
+		request.Slots = namedSlots(row, owner)
+	} else if len(ev.State.Slots) == 0 || !rowGives(row, owner, ev.State) {
+		return
+	}
+	r.do(SendGrant{Server: ev.Server, Request: request})
+}
+
+// rowGives reports whether row gives owner every slot that it says it holds.
+func rowGives(row *GroupRow, owner ServerRef, state backend.ServerState) bool {
+	if row.Token().Less(state.Highest) {
+		return false
+	}
+	moving := movingSlots(row)
+	for _, held := range state.Slots {
+		i, found := findSlot(row, held.Slot)
+		if !found || moving[held.Slot] || row.Slots[i].Owner != owner || row.Slots[i].Token != held.Token {
+			return false
+		}
+	}
+	return true
+}
+
+// namedSlots returns the slots whose owner the row names.
+func namedSlots(row *GroupRow, owner ServerRef) []backend.SlotToken {
+	var set []backend.SlotToken
+	moving := movingSlots(row)
+	for _, so := range row.Slots {
+		if so.Owner == owner && !moving[so.Slot] {
+			set = append(set, backend.SlotToken{Slot: so.Slot, Token: so.Token})
+		}
+	}
+	return set
+}
+
+// holdOverRoutes returns the routes of the newest row that the standby knows.
+// The keeper waits for these route leases as for the renewals: they are shorter.
+func (r *Replica) holdOverRoutes() Routes {
+	routes := r.routesOf(r.standby.newestRow(r.table.row))
+	routes.Version += 1<<(routeVersionBits-1) + routes.Token.Seq
+	return routes
+}
--- /dev/null
+++ b/internal/ownership/moves.go
@@ -0,0 +1,330 @@
+package ownership
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"kumquatcleat/internal/backend"
+)
+
+// A move goes through two rows. The first names it: from then on neither server
+// is granted the slot. The second names the new owner and is written only when
+// the old owner's right has ended: by consent, when it acknowledged a revoke of
+// that move and nothing of the slot runs; by lapse, when no lease of it can be
+// alive. So a slot that a row shows with an owner and without a move has no
+// other holder, whoever reads that row.
+//
+// Each of these rows raises the token: a late grant of the earlier set is then
+// refused, and cannot undo a revoke.
+
+// draft is a next row in the making. It copies the base only once something changes.
+type draft struct {
+	base   *GroupRow
+	row    *GroupRow // nil: nothing changed
+	raised bool      // the token was raised
+}
+
+// current returns the draft as it stands, to be read only.
+func (d *draft) current() *GroupRow {
+	if d.row != nil {
+		return d.row
+	}
+	return d.base
+}
+
+// edit returns the draft to be changed.
+func (d *draft) edit() *GroupRow {
+	if d.row == nil {
+		d.row = d.base.Clone()
+	}
+	return d.row
+}
+
+// raise returns the draft's token, raised once over the base's.
+func (d *draft) raise() backend.Token {
+	row := d.edit()
+	if !d.raised {
+		row.Seq++
+		d.raised = true
+	}
+	return row.Token()
+}
+
+// planNextRow builds the next row if moves can end, or new ones are wanted.
+func (r *Replica) planNextRow() {
+	k := r.keeper
+	if k.next != nil {
+		return
+	}
+	for _, s := range k.servers {
+		s.promised = 0
+	}
+	d := &draft{base: k.decided}
+	r.endMoves(d)
+	if r.planDue() {
+		k.planDirty = false
+		r.beginMoves(d)
+	}
+	r.changeStandby(d)
+	if d.row == nil {
+		return
+	}
+	d.row.WriteID = r.newWriteID()
+	k.next = d.row
+}
+
+// planDue reports whether something that the moves depend on may have changed:
+// an event, or a server that went silent.
+func (r *Replica) planDue() bool {
+	k := r.keeper
+	if k.planDirty || k.unowned {
+		return true
+	}
+	for _, s := range k.servers {
+		if len(s.set) > 0 && !r.answers(s) {
+			return true
+		}
+	}
+	return false
+}
+
+// endMoves gives the slots of ended moves to their new owners.
+func (r *Replica) endMoves(d *draft) {
+	var kept []Move
+	for _, m := range d.base.Moves {
+		if !r.endMove(d, m) {
+			kept = append(kept, m)
+		}
+	}
+	if d.row != nil {
+		d.row.Moves = kept
+	}
+}
+
+// endMove gives the slot of a move to its new owner, if that can be.
+func (r *Replica) endMove(d *draft, m Move) bool {
+	if !r.moveEnded(m) {
+		return false
+	}
+	to, ok := r.moveTarget(m)
+	if !ok {
+		return false
+	}
+	token := d.raise()
+	d.assign(m.Slot, to, token)
+	r.logSlot("move ended", m.Slot, to.ID, token)
+	return true
+}
+
+// assign sets the owner of a slot.
+func (d *draft) assign(slot uint32, to ServerRef, token backend.Token) {
+	row := d.edit()
+	i, found := findSlot(row, slot)
+	if !found {
+		return
+	}
+	row.Slots[i].Owner = to
+	row.Slots[i].Token = token
+}
+
+// moveTarget returns the server that gets the slot of a move. It is another one
+// than planned if that was lost or started anew meanwhile.
+func (r *Replica) moveTarget(m Move) (ServerRef, bool) {
+	if r.canOwn(m.To) {
+		return m.To, true
+	}
+	return r.chooseOwner(m.Slot)
+}
+
+// moveEnded reports whether the old owner's right to the slot has ended.
+func (r *Replica) moveEnded(m Move) bool {
+	if m.Kind == MoveByConsent && r.checks(m.From.ID) {
+		if r.revokeEnded(m) {
+			return true
+		}
+		if r.answersAs(m.From) {
+			return false // its running work may take longer than a lease
+		}
+	}
+	return r.lapsed(m.From.ID) && r.now >= r.renewalsEnd(m)
+}
+
+// revokeEnded reports whether the old owner acknowledged a revoke of this move.
+// A revoke covers the moves of the row that its token names, and a move keeps
+// its token while it lasts; so the acknowledgement of an earlier move of the
+// slot never counts for a later one.
+func (r *Replica) revokeEnded(m Move) bool {
+	s := r.keeper.servers[m.From.ID]
+	if s == nil || !s.heard || s.incarnation != m.From.Incarnation {
+		return false
+	}
+	return s.revoked != backend.Token{} && !s.revoked.Less(m.Token)
+}
+
+// beginMoves adds the moves that are wanted, and gives slots that nobody has
+// ever held to their first owner.
+func (r *Replica) beginMoves(d *draft) {
+	moving := movingSlots(d.current())
+	for _, so := range d.base.Slots {
+		if moving[so.Slot] || movedIn(d, so.Slot) {
+			continue
+		}
+		to, kind, wanted := r.wantedMove(so)
+		if !wanted {
+			continue
+		}
+		token := d.raise()
+		if so.Owner.IsZero() {
+			d.assign(so.Slot, to, token)
+			r.logSlot("first owner", so.Slot, to.ID, token)
+			continue
+		}
+		row := d.edit()
+		row.Moves = append(row.Moves, Move{Slot: so.Slot, From: so.Owner, To: to, Kind: kind, Token: token})
+		r.logSlot(fmt.Sprintf("move by %s to %s", kind, to.ID), so.Slot, so.Owner.ID, token)
+	}
+}
+
+// movedIn reports whether the draft has just ended a move of the slot.
+func movedIn(d *draft, slot uint32) bool {
+	if d.row == nil || len(d.base.Moves) == 0 {
+		return false
+	}
+	i, found := findSlot(d.row, slot)
+	return found && d.row.Slots[i] != d.base.Slots[i]
+}
+
+// wantedMove returns where a slot should go, if it should go anywhere.
+func (r *Replica) wantedMove(so SlotOwner) (to ServerRef, kind MoveKind, wanted bool) {
+	if so.Owner.IsZero() {
+		to, wanted = r.chooseOwner(so.Slot)
+		return to, MoveByLapse, wanted
+	}
+	if r.answersAs(so.Owner) {
+		to, wanted = r.betterOwner(so)
+		return to, MoveByConsent, wanted
+	}
+	if !r.takenForLost(so.Owner) {
+		return ServerRef{}, MoveByLapse, false
+	}
+	to, wanted = r.chooseOwner(so.Slot)
+	return to, MoveByLapse, wanted
+}
+
+// betterOwner returns the server that a slot of a healthy owner should move to.
+func (r *Replica) betterOwner(so SlotOwner) (ServerRef, bool) {
+	if want, ok := r.plannedOwner(so.Slot); ok {
+		return want, want != so.Owner
+	}
+	plan, named := r.plan.Servers[so.Owner.ID]
+	if named && !plan.Drain {
+		return ServerRef{}, false
+	}
+	if len(r.plan.Servers) == 0 {
+		return ServerRef{}, false // no plan is known yet
+	}
+	return r.chooseOwner(so.Slot)
+}
+
+// takenForLost reports whether the owner of a slot has lost its lease, was
+// reported lost, or started anew.
+func (r *Replica) takenForLost(owner ServerRef) bool {
+	s := r.keeper.servers[owner.ID]
+	if s == nil {
+		return r.lapsed(owner.ID)
+	}
+	if s.lost || s.heard && s.incarnation != owner.Incarnation {
+		return true
+	}
+	return r.now >= max(s.leaseEnd, r.keeper.oldLeases)
+}
+
+// plannedOwner returns the owner that the plan names, if it can own.
+func (r *Replica) plannedOwner(slot uint32) (ServerRef, bool) {
+	id, ok := r.plan.Owners[slot]
+	if !ok {
+		return ServerRef{}, false
+	}
+	return r.usable(id)
+}
+
+// chooseOwner returns the planned owner of a slot, or else the usable server
+// that is to hold the fewest slots.
+func (r *Replica) chooseOwner(slot uint32) (ServerRef, bool) {
+	if to, ok := r.plannedOwner(slot); ok {
+		return to, true
+	}
+	if _, planned := r.plan.Owners[slot]; planned && r.now < r.keeper.actFrom+r.timing.Lease {
+		return ServerRef{}, false // the planned owner may not have been heard yet
+	}
+	best, found := "", false
+	for _, id := range r.keeper.serverIDs {
+		if _, ok := r.usable(id); !ok {
+			continue
+		}
+		if !found || r.keeper.load(id) < r.keeper.load(best) {
+			best, found = id, true
+		}
+	}
+	if !found {
+		return ServerRef{}, false
+	}
+	r.keeper.servers[best].promised++
+	return r.keeper.servers[best].ref(best), true
+}
+
+// load counts the slots that a server holds or is about to get.
+func (k *keeperState) load(id string) int { return len(k.servers[id].set) + k.servers[id].promised }
+
+// usable returns a server that may own slots now.
+func (r *Replica) usable(id string) (ServerRef, bool) {
+	plan, ok := r.plan.Servers[id]
+	s := r.keeper.servers[id]
+	if !ok || plan.Drain || !r.answers(s) {
+		return ServerRef{}, false
+	}
+	return s.ref(id), true
+}
+
+// canOwn reports whether a start of a server may own slots now.
+func (r *Replica) canOwn(ref ServerRef) bool {
+	now, ok := r.usable(ref.ID)
+	return ok && now == ref
+}
+
+// sendRevokes tells the old owners of moves by consent.
+func (r *Replica) sendRevokes() {
+	k := r.keeper
+	slots := r.consentSlots()
+	for _, id := range k.serverIDs {
+		s := k.servers[id]
+		if len(slots[id]) == 0 || r.now < s.nextRevoke {
+			continue
+		}
+		s.nextRevoke = r.now + r.timing.Retry
+		r.do(SendRevoke{Server: id, Request: backend.RevokeRequest{Group: r.group, Token: k.token(), Slots: slots[id]}})
+	}
+}
+
+// consentSlots returns the slots under moves by consent, by old owner.
+func (r *Replica) consentSlots() map[string][]uint32 {
+	slots := map[string][]uint32{}
+	for _, m := range r.keeper.decided.Moves {
+		if m.Kind == MoveByConsent && !r.revokeEnded(m) {
+			slots[m.From.ID] = append(slots[m.From.ID], m.Slot)
+		}
+	}
+	return slots
+}
+
+// findSlot returns the index of a slot in the row, whose slots are sorted.
+func findSlot(row *GroupRow, slot uint32) (int, bool) {
+	return slices.BinarySearchFunc(row.Slots, slot, func(so SlotOwner, want uint32) int {
+		return cmp.Compare(so.Slot, want)
+	})
+}
+
+func (r *Replica) logSlot(what string, slot uint32, server string, token backend.Token) {
+	r.do(LogDecision{What: what, Slot: int64(slot), Server: server, Token: token})
+}
--- /dev/null
+++ b/internal/ownership/outage.go
@@ -0,0 +1,260 @@
+package ownership
+
+import "kumquatcleat/internal/backend"
+
+// Outage mode, the keeper's side. While the table does not answer, the right to
+// decide comes from the standby, in three steps:
+//
+//	ask(n)     -> promise(n)    the standby takes over for a short time not
+//	confirm(n) -> confirmed(n)  taken only while that promise lives: the standby
+//	                            does not take over for the outage lease, and may
+//	                            hold over if the keeper falls silent
+//
+// The right is counted from the send of the confirm and begins with its
+// acknowledgement. From the send of the confirm on, hold-over may be out,
+// acknowledged or not: a standby that holds over renews leases that this keeper
+// does not see. So until hold-over has surely ended, a move by lapse waits for
+// the standby to have the move, and for one lease more, since it may have renewed
+// just before. Hold-over ends when the standby acknowledges a return, or by time:
+// the standby takes the confirm at the latest when its promise runs out, and that
+// is at most Promise after the promise was received here.
+//
+// Numbers order everything: an answer counts only for the exchange under way, and
+// a return cancels only what has a lower number.
+//
+// While a write that changes the standby is open, either VM may be the standby,
+// so that neither can promise alone. The keeper then asks nobody: its right ends
+// with the table's. That is stricter than asking both.
+type outageLease struct {
+	number    uint64  // highest number used
+	phase     askStep // of the exchange under way
+	current   uint64  // its number
+	stepSince Instant // when its ask, or its first confirm, was sent
+	nextSend  Instant
+
+	right Instant // the standby gives the right to decide before this
+
+	confirmed    uint64  // highest number of a confirm sent
+	holdOverOut  bool    // a standby may hold over
+	holdOverEnd  Instant // it has surely ended by then
+	oldRenewals  Instant // leases renewed in a hold-over that has ended, end by then
+	returned     uint64  // number of the last return
+	moveAcks     map[backend.Token]Instant
+	ackedSeq     uint64 // newest row that the standby has
+	nextMoveSend Instant
+}
+
+// askStep is a step of the exchange for an outage lease.
+type askStep int
+
+const (
+	askIdle askStep = iota
+	askSent
+	confirmSent
+)
+
+// advanceOutage does what is due for outage mode.
+func (r *Replica) advanceOutage() {
+	o := &r.keeper.outage
+	r.endHoldOverByTime()
+	if r.tableFresh() {
+		r.returnOutageLease()
+		return
+	}
+	if r.canAsk() {
+		r.advanceExchange(o)
+	}
+	if o.holdOverOut {
+		r.showNewestRow()
+	}
+}
+
+// tableFresh reports whether the table's right has more than half its time left.
+func (r *Replica) tableFresh() bool {
+	return r.now < r.keeper.tableRight-r.timing.RowRight/2
+}
+
+// canAsk reports whether the standby is known for sure.
+func (r *Replica) canAsk() bool {
+	k := r.keeper
+	if k.decided.Standby.IsZero() || k.recovering {
+		return false
+	}
+	w := r.table.write
+	return w == nil || w.row.Standby == k.decided.Standby
+}
+
+// advanceExchange asks when the lease runs thin, and repeats the confirm while
+// the promise lives.
+func (r *Replica) advanceExchange(o *outageLease) {
+	switch {
+	case o.phase == confirmSent && r.now < o.stepSince+r.timing.Promise:
+		if r.now >= o.nextSend {
+			r.sendConfirm()
+		}
+	case r.now >= o.nextSend && r.now >= o.right-r.timing.OutageLease*2/3:
+		o.number++
+		o.phase = askSent
+		o.current = o.number
+		o.nextSend = r.now + r.timing.Retry
+		r.sendToStandby(PeerMessage{Kind: PeerAsk, Number: o.current})
+	}
+}
+
+// takeStandbyMessage notes a message of the standby.
+func (r *Replica) takeStandbyMessage(m PeerMessage) {
+	switch m.Kind {
+	case PeerPromise:
+		r.takePromise(m.Number)
+	case PeerConfirmed:
+		r.takeConfirmed(m.Number)
+	case PeerReturned:
+		r.takeReturned(m.Number)
+	case PeerMoved:
+		r.takeMoved(m.Number)
+	case PeerCeded:
+		r.takeCeded()
+	}
+}
+
+// takePromise confirms the promise of the ask under way.
+func (r *Replica) takePromise(n uint64) {
+	o := &r.keeper.outage
+	if o.phase != askSent || o.current != n || !r.canAsk() {
+		return
+	}
+	o.phase = confirmSent
+	o.stepSince = r.now
+	o.confirmed = n
+	o.holdOverOut = true
+	o.holdOverEnd = max(o.holdOverEnd, r.now+r.stretch(r.timing.Promise+r.timing.OutageLease))
+	r.sendConfirm()
+}
+
+func (r *Replica) sendConfirm() {
+	o := &r.keeper.outage
+	o.nextSend = r.now + r.timing.Retry
+	r.sendToStandby(PeerMessage{Kind: PeerConfirm, Number: o.current})
+}
+
+// takeConfirmed counts the right from the first send of the confirm.
+func (r *Replica) takeConfirmed(n uint64) {
+	o := &r.keeper.outage
+	if o.phase != confirmSent || o.current != n {
+		return
+	}
+	o.phase = askIdle
+	entered := r.now >= o.right
+	o.right = max(o.right, o.stepSince+r.timing.OutageLease)
+	if entered {
+		r.log("outage mode")
+	}
+}
+
+// returnOutageLease gives the lease back once the table has every row. The right
+// from the standby ends with the first send.
+func (r *Replica) returnOutageLease() {
+	k := r.keeper
+	o := &k.outage
+	o.phase = askIdle
+	if o.holdOverOut && r.table.write == nil && r.table.row.WriteID == k.decided.WriteID && o.returned < o.confirmed {
+		o.number++
+		o.returned = o.number
+		o.right = 0
+		k.standby.nextBeat = r.now + r.timing.Heartbeat
+		r.sendToStandby(PeerMessage{Kind: PeerReturn, Number: o.returned})
+		r.log("table mode")
+	}
+}
+
+// takeReturned notes that hold-over has ended, unless a younger confirm is out.
+func (r *Replica) takeReturned(n uint64) {
+	o := &r.keeper.outage
+	if n == o.returned && o.confirmed < n && o.holdOverOut {
+		r.endHoldOver()
+	}
+}
+
+// endHoldOver notes that the standby renews nothing any more. It may have done
+// so until now.
+func (r *Replica) endHoldOver() {
+	o := &r.keeper.outage
+	o.holdOverOut = false
+	o.oldRenewals = r.now + r.stretch(r.timing.Lease)
+	o.moveAcks = nil
+	r.keeper.planDirty = true
+}
+
+// endHoldOverByTime ends a hold-over that has run out, or whose VM is gone.
+func (r *Replica) endHoldOverByTime() {
+	o := &r.keeper.outage
+	if o.holdOverOut && (r.now >= o.holdOverEnd || r.isGone(r.keeper.decided.Standby)) {
+		r.endHoldOver()
+	}
+}
+
+// showNewestRow repeats the newest row to the standby until it has it. In outage
+// mode that makes the row sure.
+func (r *Replica) showNewestRow() {
+	k := r.keeper
+	o := &k.outage
+	newest := k.newest()
+	if o.ackedSeq >= newest.Seq || newest.Standby != k.decided.Standby || r.now < o.nextMoveSend {
+		return
+	}
+	o.nextMoveSend = r.now + r.timing.Retry
+	r.sendToStandby(PeerMessage{Kind: PeerMove, Number: newest.Seq, Row: newest})
+}
+
+// newest returns the row in the making, or else the newest sure row.
+func (k *keeperState) newest() *GroupRow {
+	if k.next != nil {
+		return k.next
+	}
+	return k.decided
+}
+
+// takeMoved notes that the standby has a row. Only what was sent in the outage
+// under way counts, and an acknowledgement belongs to the moves of that row.
+func (r *Replica) takeMoved(seq uint64) {
+	k := r.keeper
+	o := &k.outage
+	newest := k.newest()
+	if !o.holdOverOut || seq != newest.Seq || seq <= o.ackedSeq {
+		return
+	}
+	o.ackedSeq = seq
+	o.noteMoves(newest, r.now)
+	if k.next != nil && r.now < o.right {
+		k.setDecided(k.next)
+	}
+}
+
+// noteMoves keeps the time at which the standby first had each move of row.
+func (o *outageLease) noteMoves(row *GroupRow, now Instant) {
+	acks := make(map[backend.Token]Instant, len(row.Moves))
+	for _, m := range row.Moves {
+		acks[m.Token] = now
+		if at, ok := o.moveAcks[m.Token]; ok {
+			acks[m.Token] = at
+		}
+	}
+	o.moveAcks = acks
+}
+
+// renewalsEnd returns when the leases that a standby may have renewed for the
+// slot of a move have surely ended.
+func (r *Replica) renewalsEnd(m Move) Instant {
+	o := &r.keeper.outage
+	if !o.holdOverOut || r.flaws.lapseWithoutStandby {
+		return o.oldRenewals
+	}
+	lease := r.stretch(r.timing.Lease)
+	if at, ok := o.moveAcks[m.Token]; ok {
+		return max(o.oldRenewals, at+lease)
+	}
+	return o.holdOverEnd + lease
+}
+
+// outageLeaseOut reports whether the standby may hold over.
+func (r *Replica) outageLeaseOut() bool { return r.keeper.outage.holdOverOut }
--- /dev/null
+++ b/internal/ownership/replica.go
@@ -0,0 +1,144 @@
+package ownership
+
+import (
+	"slices"
+)
+
+// Replica is the state machine of one group on one VM. It does no I/O, starts no
+// goroutine and reads no clock: Step is told what happened and when, and returns
+// what is to be done. A Replica belongs to one goroutine.
+type Replica struct {
+	self       VMRef
+	group      string
+	slots      []uint32 // sorted
+	timing     Timing
+	newWriteID func() string
+
+	now     Instant  // time of the running step
+	actions []Action // gathered by the running step
+
+	candidates []VMRef
+	gone       []VMRef
+	plan       PlanChanged
+	stopping   bool
+	stopBy     Instant // when a replica that stops waits no longer
+	stopped    bool
+	forcedBy   string // operator who ordered a takeover; empty: nobody
+
+	// orphanedSince is when the row's keeper and standby were last not both gone.
+	orphanedSince Instant
+
+	table   tableView
+	keeper  *keeperState  // nil: this VM is not the keeper
+	standby *standbyState // nil: this VM is not the standby
+
+	flaws flaws
+}
+
+// flaws are deliberate faults that tests set to show that the explorer finds
+// them. All are false outside tests.
+type flaws struct {
+	leaseFromSend        bool // counts a lease from the send of the grant
+	takeoverWithoutWait  bool // acts at once after a takeover
+	lapseWithoutStandby  bool // moves by lapse in outage mode unacknowledged
+	lateReturnCancels    bool // a late return cancels a younger promise
+	doubledAskLengthens  bool // a doubled ask renews a promise
+	holdOverFromRow      bool // hold-over grants what the row names
+	forgetUnansweredOpen bool // an unanswered write is dropped
+}
+
+// NewReplica returns a Replica that holds no role. slots are the slots of the
+// group. newWriteID returns an identifier that no other write ever has.
+func NewReplica(self VMRef, group string, slots []uint32, timing Timing, newWriteID func() string) *Replica {
+	sorted := slices.Clone(slots)
+	slices.Sort(sorted)
+	return &Replica{
+		self:       self,
+		group:      group,
+		slots:      sorted,
+		timing:     timing.withDefaults(),
+		newWriteID: newWriteID,
+	}
+}
+
+// Step takes an event at a time and returns what is to be done. Times never
+// decrease; an earlier one counts as the latest seen.
+func (r *Replica) Step(now Instant, ev Event) []Action {
+	r.now = max(r.now, now)
+	r.actions = nil
+	if r.stopped {
+		return nil
+	}
+	r.take(ev)
+	r.advance()
+	return r.actions
+}
+
+// take notes what the event tells.
+func (r *Replica) take(ev Event) {
+	switch ev := ev.(type) {
+	case Tick:
+	case RowRead:
+		r.takeRowRead(ev)
+	case RowWritten:
+		r.takeRowWritten(ev)
+	case ServerAnswered:
+		r.takeServerAnswer(ev)
+	case PeerReceived:
+		r.takePeerMessage(ev)
+	case MembersChanged:
+		r.candidates = slices.Clone(ev.Candidates)
+		r.gone = slices.Clone(ev.Gone)
+	case PlanChanged:
+		r.takePlan(ev)
+	case ServerLost:
+		r.takeServerLost(ev.Server)
+	case StopRequested:
+		r.takeStop()
+	case TakeoverForced:
+		r.forcedBy = ev.By
+	}
+}
+
+// advance does what is due now.
+func (r *Replica) advance() {
+	r.readRowWhenDue()
+	r.advanceStandby()
+	r.advanceKeeper()
+	r.advanceStop()
+	r.advanceWrite()
+}
+
+func (r *Replica) do(a Action) { r.actions = append(r.actions, a) }
+
+func (r *Replica) log(what string) {
+	r.do(LogDecision{What: what, Slot: -1, Token: r.currentToken()})
+}
+
+// stretch lengthens a duration that this VM waits for another machine's clock.
+func (r *Replica) stretch(d Instant) Instant {
+	return d + d*Instant(r.timing.DriftPerMill)/1000
+}
+
+// isGone reports whether a VM surely runs no more: the platform's list says so,
+// or it is an earlier start of this VM, which ended before this start began.
+func (r *Replica) isGone(vm VMRef) bool {
+	if vm.ID == r.self.ID && vm != r.self {
+		return true
+	}
+	return slices.Contains(r.gone, vm)
+}
+
+// nextCandidate returns the first candidate behind skip that can be the standby
+// of this VM, or the zero VMRef.
+func (r *Replica) nextCandidate(skip VMRef) VMRef {
+	n := len(r.candidates)
+	start := slices.Index(r.candidates, skip) + 1
+	for i := range n {
+		c := r.candidates[(start+i)%n]
+		if c != r.self && c != skip && !r.isGone(c) {
+			return c
+		}
+	}
+	return VMRef{}
+}
--- /dev/null
+++ b/internal/ownership/right.go
@@ -0,0 +1,144 @@
+package ownership
+
+import "kumquatcleat/internal/backend"
+
+// keeperState is what a keeper knows. It exists from the moment the row names
+// this VM until the row names another.
+//
+// The rows of one keeper form a chain: decided is the newest row that is sure to
+// outlive this VM, because the table has it or, in outage mode, because the
+// standby acknowledged it; next is the row built on it that waits for that.
+// Grants follow decided alone.
+type keeperState struct {
+	epoch   uint64
+	decided *GroupRow
+	next    *GroupRow // nil: no change is wanted
+
+	// actFrom is when the predecessor's right has surely ended. Before it nothing
+	// is decided or granted.
+	actFrom Instant
+	// oldLeases is when every lease that a predecessor granted has surely ended.
+	oldLeases Instant
+	// recovering says that servers still have to be asked for moves that their
+	// predecessors made and the row does not show.
+	recovering bool
+
+	tableRight Instant // the row gives the right to decide before this
+	outage     outageLease
+	standby    standbyWatch
+
+	servers   map[string]*serverRecord
+	serverIDs []string // keys of servers, sorted
+	planDirty bool     // the wanted moves have to be worked out again
+	unowned   bool     // a slot of decided waits for its first owner
+	// sets are the slots of each server in decided, without those under a move.
+	sets map[ServerRef][]backend.SlotToken
+
+	routeLeases  Instant // every route lease handed out has ended by then
+	routeChanges uint64  // counts changes of the routes
+	nextCede     Instant
+}
+
+// newKeeperState returns the state of a keeper that starts from row.
+func newKeeperState(row *GroupRow) *keeperState {
+	k := &keeperState{
+		epoch:      row.Epoch,
+		decided:    row,
+		recovering: row.Recovering,
+		servers:    map[string]*serverRecord{},
+		planDirty:  true,
+	}
+	k.indexSlots()
+	return k
+}
+
+// tabled notes that the table has row.
+func (k *keeperState) tabled(row *GroupRow) {
+	if k.next != nil && k.next.WriteID == row.WriteID {
+		k.setDecided(k.next)
+	}
+}
+
+// setDecided makes row the newest sure one.
+func (k *keeperState) setDecided(row *GroupRow) {
+	k.decided = row
+	k.next = nil
+	k.recovering = row.Recovering
+	k.planDirty = true
+	k.routeChanges++
+	k.indexSlots()
+}
+
+// token returns the token of the newest sure row.
+func (k *keeperState) token() backend.Token { return k.decided.Token() }
+
+// extendTableRight counts the right from a read, or an applied write, that
+// showed this VM as the keeper. The right runs from the send: the table answered
+// at some later time, and a takeover after that waits RowRight from its own
+// answer, later still. So the right has ended when the successor acts.
+func (r *Replica) extendTableRight(sentAt Instant) {
+	k := r.keeper
+	if k == nil || r.table.row == nil || r.table.row.Keeper != r.self {
+		return
+	}
+	k.tableRight = max(k.tableRight, sentAt+r.timing.RowRight)
+}
+
+// rightUntil returns when this keeper's right to decide ends.
+func (r *Replica) rightUntil() Instant {
+	if r.keeper == nil {
+		return 0
+	}
+	return max(r.keeper.tableRight, r.keeper.outage.right)
+}
+
+// mayDecide reports whether this VM may decide and grant at this moment.
+func (r *Replica) mayDecide() bool {
+	k := r.keeper
+	if k == nil || r.stopping {
+		return false
+	}
+	return r.now >= k.actFrom && r.now < r.rightUntil()
+}
+
+// currentToken returns the token of the newest row known.
+func (r *Replica) currentToken() backend.Token {
+	if r.keeper != nil {
+		return r.keeper.token()
+	}
+	if r.table.row != nil {
+		return r.table.row.Token()
+	}
+	return backend.Token{}
+}
+
+// dropKeeper ends the role of keeper.
+func (r *Replica) dropKeeper() {
+	if r.keeper == nil {
+		return
+	}
+	r.keeper = nil
+	r.log("no longer the keeper")
+}
+
+// advanceKeeper does the keeper's work that is due.
+func (r *Replica) advanceKeeper() {
+	if r.keeper == nil || r.stopping {
+		return
+	}
+	r.watchStandby()
+	r.advanceOutage()
+	r.askServers()
+	if !r.mayDecide() {
+		return
+	}
+	if r.keeper.recovering {
+		r.recover()
+	}
+	if r.keeper.recovering {
+		return
+	}
+	r.planNextRow()
+	r.sendGrants()
+	r.sendRevokes()
+}
--- /dev/null
+++ b/internal/ownership/routes.go
@@ -0,0 +1,172 @@
+package ownership
+
+import (
+	"time"
+
+	"kumquatcleat/internal/backend"
+)
+
+// Role is what a replica is to its group.
+type Role int
+
+const (
+	// RoleNone neither keeps the group nor stands by.
+	RoleNone Role = iota
+	// RoleStandby watches the keeper.
+	RoleStandby
+	// RoleHoldOver is a standby that renews grants while its keeper is silent.
+	RoleHoldOver
+	// RoleWaiting is named as the keeper and waits for its right.
+	RoleWaiting
+	// RoleKeeper decides.
+	RoleKeeper
+	// RoleCeding hands the group over and decides nothing any more.
+	RoleCeding
+	// RoleStopped has ended.
+	RoleStopped
+)
+
+var roleNames = [...]string{"none", "standby", "hold-over", "waiting", "keeper", "ceding", "stopped"}
+
+// String returns the role in words.
+func (r Role) String() string { return roleNames[r] }
+
+// Role returns the role at the time of the last Step.
+func (r *Replica) Role() Role {
+	switch {
+	case r.stopped:
+		return RoleStopped
+	case r.stopping && r.keeper != nil:
+		return RoleCeding
+	case r.mayDecide() && !r.keeper.recovering:
+		return RoleKeeper
+	case r.keeper != nil:
+		return RoleWaiting
+	case r.standby != nil && r.holdsOver():
+		return RoleHoldOver
+	case r.standby != nil:
+		return RoleStandby
+	default:
+		return RoleNone
+	}
+}
+
+// Routes returns the owner of each slot for the VM that asks. For servers that
+// do not check, the VM may send under them for the returned lease; the replica
+// counts that lease before it moves their slots.
+func (r *Replica) Routes(now Instant, leaseTo VMRef) Routes {
+	r.now = max(r.now, now)
+	switch r.Role() {
+	case RoleKeeper:
+		return r.keeperRoutes()
+	case RoleHoldOver:
+		return r.holdOverRoutes()
+	default:
+		return Routes{Group: r.group, Hint: r.keeperHint()}
+	}
+}
+
+// keeperHint returns the VM that the row names, unless it is this one.
+func (r *Replica) keeperHint() VMRef {
+	row := r.table.row
+	if row == nil || row.Keeper == r.self {
+		return VMRef{}
+	}
+	return row.Keeper
+}
+
+// keeperRoutes returns the routes of the newest sure row.
+func (r *Replica) keeperRoutes() Routes {
+	k := r.keeper
+	k.routeLeases = max(k.routeLeases, r.now+r.stretch(r.timing.RouteLease))
+	routes := r.routesOf(k.decided)
+	routes.Version += k.routeChanges
+	for i := range routes.Slots {
+		route := &routes.Slots[i]
+		route.Moving = route.Moving || r.checks(route.Server.ID) && !k.accepts(*route)
+	}
+	return routes
+}
+
+// accepts reports whether the owner of a slot accepted a grant of it.
+func (k *keeperState) accepts(route Route) bool {
+	s := k.servers[route.Server.ID]
+	return s != nil && s.accepted != backend.Token{} && !s.accepted.Less(route.Token)
+}
+
+// routeVersionBits leaves room for the changes that one keeper makes to its
+// routes; a smaller room would let versions of two keepers meet.
+const routeVersionBits = 32
+
+// routesOf returns the routes that a row gives.
+func (r *Replica) routesOf(row *GroupRow) Routes {
+	moving := movingSlots(row)
+	routes := Routes{
+		Group:   r.group,
+		Keeper:  true,
+		Version: row.Epoch << routeVersionBits,
+		Token:   row.Token(),
+		Slots:   make([]Route, 0, len(row.Slots)),
+		Lease:   r.timing.RouteLease,
+	}
+	for _, so := range row.Slots {
+		route := Route{Slot: so.Slot, Server: so.Owner, Token: so.Token}
+		route.Moving = so.Owner.IsZero() || moving[so.Slot]
+		routes.Slots = append(routes.Slots, route)
+	}
+	return routes
+}
+
+// ServerStatus is what a keeper knows of a server.
+type ServerStatus struct {
+	Server    ServerRef
+	Slots     int
+	Answers   bool
+	LeaseLeft time.Duration // how long a lease may still be alive
+}
+
+// Status is what a replica tells operators.
+type Status struct {
+	Group     string
+	Role      Role
+	Keeper    VMRef
+	Standby   VMRef
+	Token     backend.Token
+	Outage    bool          // the right to decide comes from the standby
+	RightLeft time.Duration // how long this replica may still decide
+	Servers   []ServerStatus
+	Moves     []Move
+}
+
+// Status returns what the replica knows at a time.
+func (r *Replica) Status(now Instant) Status {
+	r.now = max(r.now, now)
+	st := Status{Group: r.group, Role: r.Role(), Token: r.currentToken()}
+	row := r.table.row
+	if r.keeper != nil {
+		row = r.keeper.decided
+		st.RightLeft = max(0, r.rightUntil()-r.now)
+		st.Outage = r.now >= r.keeper.tableRight && st.RightLeft > 0
+		st.Servers = r.serverStatus()
+	}
+	if row != nil {
+		st.Keeper = row.Keeper
+		st.Standby = row.Standby
+		st.Moves = row.Moves
+	}
+	return st
+}
+
+func (r *Replica) serverStatus() []ServerStatus {
+	var list []ServerStatus
+	for _, id := range r.keeper.serverIDs {
+		s := r.keeper.servers[id]
+		list = append(list, ServerStatus{
+			Server:    s.ref(id),
+			Slots:     len(s.set),
+			Answers:   r.answers(s),
+			LeaseLeft: max(0, s.leaseEnd-r.now),
+		})
+	}
+	return list
+}
--- a/internal/ownership/row.go
+++ b/internal/ownership/row.go
@@ -8,6 +8,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 
 	"kumquatcleat/internal/backend"
 )
@@ -73,6 +74,10 @@
 	Standby VMRef       `json:"standby"`
 	Slots   []SlotOwner `json:"slots"`
 	Moves   []Move      `json:"moves,omitempty"`
+	// Recovering says that the last takeover was by a VM that did not know every
+	// decision of its predecessor: nothing may be granted before the servers
+	// were asked what they hold.
+	Recovering bool `json:"recovering,omitempty"`
 }
 
 // Token returns the token of the row's newest decision.
@@ -89,6 +94,21 @@
 	return &c
 }
 
+// serverIDs returns the servers that the row names, sorted.
+func serverIDs(r *GroupRow) []string {
+	var ids []string
+	for _, so := range r.Slots {
+		if !so.Owner.IsZero() {
+			ids = append(ids, so.Owner.ID)
+		}
+	}
+	for _, m := range r.Moves {
+		ids = append(ids, m.From.ID, m.To.ID)
+	}
+	slices.Sort(ids)
+	return slices.Compact(ids)
+}
+
 // EncodeRow returns the row as it is stored.
 func EncodeRow(r *GroupRow) ([]byte, error) { return json.Marshal(r) }
 
--- /dev/null
+++ b/internal/ownership/takeover.go
@@ -0,0 +1,198 @@
+package ownership
+
+import (
+	"slices"
+
+	"kumquatcleat/internal/backend"
+)
+
+// A takeover is a compare-and-set on the row that raises the epoch. Its answer,
+// or a read that shows it, was received after the table applied it; a read that
+// still showed the old keeper was sent before. So the old keeper's right has
+// ended RowRight, stretched by the drift, after that receipt, however the new
+// keeper learnt of its takeover. Until then it only asks the servers.
+
+// advanceTakeover creates the row, or takes the group over, if this VM may.
+func (r *Replica) advanceTakeover() {
+	t := &r.table
+	if !t.known || t.write != nil || r.keeper != nil || r.stopping {
+		return
+	}
+	if t.row == nil {
+		r.createRow()
+		return
+	}
+	if !r.tableAnswers() || !r.mayTakeOver() {
+		return
+	}
+	r.beginWrite(r.takeoverRow(), writeTakeover)
+	r.log("takeover begun")
+}
+
+// tableAnswers reports whether a read was answered lately. A takeover begun
+// while the table is down would stay open, and a VM with an open takeover can't
+// promise its keeper anything.
+func (r *Replica) tableAnswers() bool {
+	return r.now < r.table.answeredAt+2*r.timing.RowRead
+}
+
+// createRow makes the first row. It names no owners: those follow in the next
+// row, once the servers told their incarnations.
+func (r *Replica) createRow() {
+	if len(r.plan.Servers) == 0 || r.now < r.table.missingSince+r.turn() {
+		return
+	}
+	row := &GroupRow{
+		Schema:  RowSchema,
+		Group:   r.group,
+		Epoch:   1,
+		Seq:     1,
+		WriteID: r.newWriteID(),
+		Keeper:  r.self,
+		Standby: r.nextCandidate(VMRef{}),
+	}
+	for _, slot := range r.slots {
+		row.Slots = append(row.Slots, SlotOwner{Slot: slot, Token: row.Token()})
+	}
+	r.beginWrite(row, writeCreate)
+}
+
+// turn returns how long this VM leaves the candidates before it the first go.
+func (r *Replica) turn() Instant {
+	before := 0
+	for _, c := range r.candidates {
+		if c == r.self {
+			return Instant(before) * r.timing.KeeperSilence
+		}
+		if !r.isGone(c) {
+			before++
+		}
+	}
+	return Instant(before+1) * r.timing.KeeperSilence
+}
+
+// mayTakeOver reports whether the keeper that the row names may be replaced by
+// this VM.
+func (r *Replica) mayTakeOver() bool {
+	row := r.table.row
+	if r.forcedBy != "" {
+		return true
+	}
+	if row.Standby == r.self {
+		return r.standbyMayTakeOver()
+	}
+	keeperGone := row.Keeper.IsZero() || r.isGone(row.Keeper)
+	standbyGone := row.Standby.IsZero() || r.isGone(row.Standby)
+	if !keeperGone || !standbyGone {
+		r.orphanedSince = r.now
+		return false
+	}
+	return r.now >= r.orphanedSince+r.turn()
+}
+
+// takeoverRow returns the row that names this VM as the keeper.
+func (r *Replica) takeoverRow() *GroupRow {
+	base := r.table.row
+	old := base.Keeper
+	asStandby := base.Standby == r.self
+	if asStandby {
+		base = r.standby.newestRow(base)
+	}
+	row := base.Clone()
+	row.Epoch = r.table.row.Epoch + 1
+	row.WriteID = r.newWriteID()
+	row.Keeper = r.self
+	row.Standby = r.nextCandidate(old)
+	if !asStandby {
+		row.Recovering = true
+	}
+	return row
+}
+
+// becomeKeeper starts the role of keeper from a row that names this VM. settled
+// is the write that made it so, or nil if only a read told.
+func (r *Replica) becomeKeeper(row *GroupRow, settled *openWrite) {
+	wait := r.stretch(r.timing.RowRight)
+	first := settled != nil && settled.purpose == writeCreate
+	ceded := settled != nil && r.standby != nil && r.standby.ceded
+	if first || ceded || r.flaws.takeoverWithoutWait {
+		wait = 0
+	}
+	k := newKeeperState(row)
+	k.actFrom = r.now + wait
+	k.oldLeases = k.actFrom + r.stretch(r.timing.Lease)
+	if first {
+		k.oldLeases = r.now
+	}
+	k.standby.heardAt = r.now
+	r.keeper = k
+	r.standby = nil
+	r.forcedBy = ""
+	r.log("became the keeper")
+}
+
+// recover asks every server what it holds, under the new epoch's token, which
+// makes it refuse whatever the predecessor still has on the way. A slot that a
+// server holds under a higher token than the row's was moved in outage mode: the
+// server's accepted grant is the record of that move. A server that does not
+// answer is waited for until its leases have ended.
+func (r *Replica) recover() {
+	k := r.keeper
+	if len(r.plan.Servers) == 0 {
+		return // which servers there are is not known yet
+	}
+	done := true
+	for _, id := range r.knownServers() {
+		s := k.servers[id]
+		if s.fenced || r.lapsed(id) {
+			continue
+		}
+		done = false
+		r.sendFence(id, s)
+	}
+	if done && k.next == nil {
+		r.endRecovery()
+	}
+}
+
+// sendFence raises the highest token of a server and asks what it holds.
+func (r *Replica) sendFence(id string, s *serverRecord) {
+	if r.now < s.nextRevoke {
+		return
+	}
+	s.nextRevoke = r.now + r.timing.Retry
+	r.do(SendRevoke{Server: id, Request: backend.RevokeRequest{Group: r.group, Token: r.keeper.token()}})
+}
+
+// takeFenceAnswer notes what a server held when it took the fence.
+func (r *Replica) takeFenceAnswer(s *serverRecord, ev ServerAnswered) {
+	s.fenced = true
+	s.held = slices.Clone(ev.State.Slots)
+}
+
+// endRecovery builds the row with the moves that the servers told.
+func (r *Replica) endRecovery() {
+	k := r.keeper
+	d := &draft{base: k.decided}
+	d.edit().Recovering = false
+	for _, id := range k.serverIDs {
+		s := k.servers[id]
+		for _, held := range s.held {
+			r.recoverSlot(d, s.ref(id), held)
+		}
+	}
+	d.row.WriteID = r.newWriteID()
+	k.next = d.row
+}
+
+// recoverSlot takes over a move that only its new owner tells of.
+func (r *Replica) recoverSlot(d *draft, owner ServerRef, held backend.SlotToken) {
+	i, found := findSlot(d.row, held.Slot)
+	if !found || !d.row.Slots[i].Token.Less(held.Token) {
+		return
+	}
+	d.raise()
+	d.assign(held.Slot, owner, held.Token)
+	d.row.Moves = slices.DeleteFunc(d.row.Moves, func(m Move) bool { return m.Slot == held.Slot })
+	r.logSlot("move learnt from its new owner", held.Slot, owner.ID, held.Token)
+}
