--- /dev/null
+++ b/internal/bench/scenario.go
@@ -0,0 +1,226 @@
+// Package bench puts load on entry VMs, records what every caller saw, works
+// out the figures, and checks the recorded histories against what must always
+// hold. It is a test tool for one machine and loopback addresses.
+package bench
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// ScenarioSchema is the schema of scenarios that this release reads.
+const ScenarioSchema = 1
+
+// Bounds of a scenario, so that a slip of the pen can't flood the machine.
+const (
+	maxRate       = 20000            // calls a second
+	maxDuration   = 10 * time.Minute // of the load
+	maxCalls      = 2_000_000        // held in memory until the run ends
+	maxInFlight   = 20000            // calls at once
+	maxBodyBytes  = 1 << 20
+	maxKeys       = 1_000_000
+	defaultFlight = 4096
+)
+
+// Scenario describes one run of load and faults.
+type Scenario struct {
+	Schema      int       `json:"schema"`
+	Name        string    `json:"name"`
+	Seed        uint64    `json:"seed"`          // of every draw; the flag --seed replaces it
+	DurationMS  int64     `json:"duration_ms"`   // length of the load
+	RatePerS    float64   `json:"rate_per_s"`    // arrivals of all services together
+	TimeoutMS   int64     `json:"timeout_ms"`    // patience of callers; 0: 3000
+	MaxInFlight int       `json:"max_in_flight"` // calls at once; 0: 4096
+	Services    []Traffic `json:"services"`
+	Faults      []Fault   `json:"faults,omitempty"`
+}
+
+// Traffic is the load of one service.
+type Traffic struct {
+	Service     string  `json:"service"`
+	Weight      float64 `json:"weight"`        // share of arrivals, against the other services
+	Keys        uint64  `json:"keys"`          // number of distinct keys
+	ZipfS       float64 `json:"zipf_s"`        // skew of keys, above 1; 0: uniform
+	HotChangeMS int64   `json:"hot_change_ms"` // how often other keys become the hot ones; 0: never
+	Probes      Probes  `json:"probes"`
+	Kinds       []Kind  `json:"kinds"`
+}
+
+// Probes are calls of a few keys at a steady interval, which find out how long
+// a key goes without an answer more finely than calls at random do.
+type Probes struct {
+	Keys    int   `json:"keys"`
+	EveryMS int64 `json:"every_ms"`
+}
+
+// Kind is one kind of call of a service.
+type Kind struct {
+	Name          string  `json:"name"`
+	Share         float64 `json:"share"` // of the service's calls, against the other kinds
+	Method        string  `json:"method"`
+	Path          string  `json:"path"`           // within the service; {key} stands for the key
+	Class         string  `json:"class"`          // label in the report; the record's rules decide
+	NonIdempotent bool    `json:"non_idempotent"` // must run at most once
+	Keyless       bool    `json:"keyless"`        // names no key
+	BodyBytes     int     `json:"body_bytes"`
+	PadBytes      int     `json:"pad_bytes"`       // filler in the answer
+	WorkMS        float64 `json:"work_ms"`         // time that a run holds a slot
+	IdempotencyID bool    `json:"idempotency_key"` // sends an Idempotency-Key
+	ResendShare   float64 `json:"resend_share"`    // calls sent again through another VM whatever happens
+	ResendAfterMS int64   `json:"resend_after_ms"` // after the first send
+	ResendUnknown bool    `json:"resend_unknown"`  // sent again through another VM after an unknown outcome
+	CrashShare    float64 `json:"crash_share"`     // calls that carry the header that crashes servers
+}
+
+// Fault is one change at a time of the run. It sets the switches of a stand-in,
+// or does something to a process of the cluster.
+type Fault struct {
+	AtMS     int64           `json:"at_ms"`
+	Standin  string          `json:"standin,omitempty"`  // "platform" or a server's id
+	Switches json.RawMessage `json:"switches,omitempty"` // all switches of the stand-in
+	Process  string          `json:"process,omitempty"`  // name in the cluster's directory
+	Do       ProcessAction   `json:"do,omitempty"`
+}
+
+// ProcessAction is something done to a process of the cluster.
+type ProcessAction string
+
+// The actions on processes.
+const (
+	ActStop     ProcessAction = "stop"     // SIGSTOP
+	ActContinue ProcessAction = "continue" // SIGCONT
+	ActKill     ProcessAction = "kill"     // SIGKILL
+	ActEnd      ProcessAction = "end"      // SIGTERM
+	ActStart    ProcessAction = "start"    // starts a process that has ended again
+)
+
+// ParseScenario reads and checks a scenario. Unknown fields are errors.
+func ParseScenario(data []byte) (*Scenario, error) {
+	var s Scenario
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&s); err != nil {
+		return nil, fmt.Errorf("scenario: %w", err)
+	}
+	if s.TimeoutMS == 0 {
+		s.TimeoutMS = 3000
+	}
+	if s.MaxInFlight == 0 {
+		s.MaxInFlight = defaultFlight
+	}
+	if err := s.check(); err != nil {
+		return nil, fmt.Errorf("scenario %q: %w", s.Name, err)
+	}
+	return &s, nil
+}
+
+// Duration returns the length of the load.
+func (s *Scenario) Duration() time.Duration { return time.Duration(s.DurationMS) * time.Millisecond }
+
+// Timeout returns the callers' patience.
+func (s *Scenario) Timeout() time.Duration { return time.Duration(s.TimeoutMS) * time.Millisecond }
+
+func (s *Scenario) check() error {
+	switch {
+	case s.Schema != ScenarioSchema:
+		return fmt.Errorf("schema %d: this release reads %d", s.Schema, ScenarioSchema)
+	case s.Name == "":
+		return fmt.Errorf("name is missing")
+	case s.DurationMS <= 0 || s.Duration() > maxDuration:
+		return fmt.Errorf("duration_ms %d: want 1 to %d", s.DurationMS, maxDuration.Milliseconds())
+	case !(s.RatePerS > 0 && s.RatePerS <= maxRate):
+		return fmt.Errorf("rate_per_s %v: want above 0, up to %d", s.RatePerS, maxRate)
+	case s.RatePerS*s.Duration().Seconds() > maxCalls:
+		return fmt.Errorf("rate_per_s x duration: more than %d calls", maxCalls)
+	case s.TimeoutMS < 0 || s.Timeout() > maxDuration:
+		return fmt.Errorf("timeout_ms %d: want 0 to %d", s.TimeoutMS, maxDuration.Milliseconds())
+	case s.MaxInFlight < 1 || s.MaxInFlight > maxInFlight:
+		return fmt.Errorf("max_in_flight %d: want 1 to %d", s.MaxInFlight, maxInFlight)
+	case len(s.Services) == 0:
+		return fmt.Errorf("services is empty")
+	}
+	for i := range s.Services {
+		if err := s.Services[i].check(); err != nil {
+			return fmt.Errorf("services[%d]: %w", i, err)
+		}
+	}
+	for i := range s.Faults {
+		if err := s.Faults[i].check(); err != nil {
+			return fmt.Errorf("faults[%d]: %w", i, err)
+		}
+	}
+	return nil
+}
+
+func (t *Traffic) check() error {
+	switch {
+	case t.Service == "":
+		return fmt.Errorf("service is missing")
+	case !(t.Weight > 0):
+		return fmt.Errorf("weight %v: want above 0", t.Weight)
+	case t.Keys < 1 || t.Keys > maxKeys:
+		return fmt.Errorf("keys %d: want 1 to %d", t.Keys, maxKeys)
+	case t.ZipfS != 0 && !(t.ZipfS > 1 && t.ZipfS < 10):
+		return fmt.Errorf("zipf_s %v: want 0 (uniform), or above 1 and below 10", t.ZipfS)
+	case t.HotChangeMS < 0:
+		return fmt.Errorf("hot_change_ms %d: want 0 (never) or more", t.HotChangeMS)
+	case t.Probes.Keys < 0 || uint64(t.Probes.Keys) > t.Keys:
+		return fmt.Errorf("probes.keys %d: want 0 to keys", t.Probes.Keys)
+	case t.Probes.Keys > 0 && t.Probes.EveryMS < 10:
+		return fmt.Errorf("probes.every_ms %d: want 10 or more", t.Probes.EveryMS)
+	case len(t.Kinds) == 0:
+		return fmt.Errorf("kinds is empty")
+	}
+	for i := range t.Kinds {
+		if err := t.Kinds[i].check(); err != nil {
+			return fmt.Errorf("kinds[%d]: %w", i, err)
+		}
+	}
+	return nil
+}
+
+func (k *Kind) check() error {
+	switch {
+	case k.Name == "":
+		return fmt.Errorf("name is missing")
+	case !(k.Share > 0):
+		return fmt.Errorf("share %v: want above 0", k.Share)
+	case k.Method == "":
+		return fmt.Errorf("method is missing")
+	case k.Path == "" || k.Path[0] != '/':
+		return fmt.Errorf("path %q: want a path that starts with /", k.Path)
+	case k.BodyBytes < 0 || k.BodyBytes > maxBodyBytes:
+		return fmt.Errorf("body_bytes %d: want 0 to %d", k.BodyBytes, maxBodyBytes)
+	case k.PadBytes < 0 || k.PadBytes > maxBodyBytes:
+		return fmt.Errorf("pad_bytes %d: want 0 to %d", k.PadBytes, maxBodyBytes)
+	case !(k.WorkMS >= 0 && k.WorkMS <= 60000):
+		return fmt.Errorf("work_ms %v: want 0 to 60000", k.WorkMS)
+	case !(k.ResendShare >= 0 && k.ResendShare <= 1):
+		return fmt.Errorf("resend_share %v: want 0 to 1", k.ResendShare)
+	case !(k.CrashShare >= 0 && k.CrashShare <= 1):
+		return fmt.Errorf("crash_share %v: want 0 to 1", k.CrashShare)
+	case k.ResendAfterMS < 0:
+		return fmt.Errorf("resend_after_ms %d: want 0 or more", k.ResendAfterMS)
+	}
+	return nil
+}
+
+func (f *Fault) check() error {
+	switch {
+	case f.AtMS < 0:
+		return fmt.Errorf("at_ms %d: want 0 or more", f.AtMS)
+	case (f.Standin == "") == (f.Process == ""):
+		return fmt.Errorf("want one of standin and process")
+	case f.Standin != "" && len(f.Switches) == 0:
+		return fmt.Errorf("switches is missing")
+	case f.Process == "":
+		return nil
+	}
+	switch f.Do {
+	case ActStop, ActContinue, ActKill, ActEnd, ActStart:
+		return nil
+	}
+	return fmt.Errorf("do %q: want stop, continue, kill, end or start", f.Do)
+}
--- a/internal/standin/records.go
+++ b/internal/standin/records.go
@@ -36,9 +36,10 @@
 	RunDeadline RunOutcome = "deadline" // stopped at its deadline
 	RunLapsed   RunOutcome = "lapsed"   // stopped when the lease of its slot lapsed
 	RunCrashed  RunOutcome = "crashed"  // ended with the server
+	RunRefused  RunOutcome = "refused"  // never started; Reason says why
 )
 
-// RunRecord is one run of a request at a server. Times are CLOCK_MONOTONIC ns.
+// RunRecord is one run, or one refusal, of a request at a server. Times are CLOCK_MONOTONIC ns.
 type RunRecord struct {
 	Server         string     `json:"server"`
 	Incarnation    string     `json:"incarnation"`
@@ -56,6 +57,7 @@
 	StartNS        int64      `json:"start_ns"`
 	EndNS          int64      `json:"end_ns,omitempty"`
 	Outcome        RunOutcome `json:"outcome"`
+	Reason         string     `json:"reason,omitempty"` // of a refusal
 }
 
 // recordOf reads the record's fields from a request's headers.
@@ -134,6 +136,15 @@
 	return append(records, l.records[:l.next]...)
 }
 
+// refuse keeps the record of a request that was told that it did not start.
+func (l *runLog) refuse(record RunRecord, reason string, now int64) {
+	record.StartNS = now
+	record.EndNS = now
+	record.Outcome = RunRefused
+	record.Reason = reason
+	l.end(&record)
+}
+
 // Runs returns the records kept: ended runs in order of their end, then the
 // runs under way.
 func (s *Server) Runs() []RunRecord {
--- a/internal/standin/run.go
+++ b/internal/standin/run.go
@@ -71,6 +71,7 @@
 		return answer{lost: true}
 	}
 	if refusal != "" {
+		s.runs.refuse(record, refusal, MonotonicNow())
 		return answer{notStarted: refusal}
 	}
 	if s.switches.get().crashes(r) {
