--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -18,6 +18,9 @@
 	BadRequest Kind = "bad_request"
 	// BodyTooLarge is a request body over the limit of its service.
 	BodyTooLarge Kind = "body_too_large"
+	// BodyCut is a body of unstated length that passed the limit, or broke off,
+	// after its first part was sent to a server.
+	BodyCut Kind = "body_cut"
 	// UnknownService is a path that names no configured service.
 	UnknownService Kind = "unknown_service"
 	// KeyRequired is a request without a key for a service divided by key.
@@ -40,6 +43,9 @@
 	ConnectionLost Kind = "connection_lost"
 	// ServerTimeout is a deadline that passed after the request was sent.
 	ServerTimeout Kind = "server_timeout"
+	// AnswerCut is an answer that broke off after its first bytes went to the
+	// caller, whose connection is closed instead of an answer.
+	AnswerCut Kind = "answer_cut"
 	// Quarantined is a request whose fingerprint crashed its servers before.
 	Quarantined Kind = "quarantined"
 	// ClaimUnavailable is a once-only claim that could not be made.
@@ -84,6 +90,7 @@
 var answers = map[Kind]Answer{
 	BadRequest:          {http.StatusBadRequest, NotRun, 0},
 	BodyTooLarge:        {http.StatusRequestEntityTooLarge, NotRun, 0},
+	BodyCut:             {http.StatusRequestEntityTooLarge, Unknown, 0},
 	UnknownService:      {http.StatusNotFound, NotRun, 0},
 	KeyRequired:         {http.StatusBadRequest, NotRun, 0},
 	NoOwner:             {http.StatusServiceUnavailable, NotRun, time.Second},
@@ -95,6 +102,7 @@
 	NotOwner:            {http.StatusServiceUnavailable, NotRun, time.Second},
 	ConnectionLost:      {http.StatusBadGateway, Unknown, 0},
 	ServerTimeout:       {http.StatusGatewayTimeout, Unknown, 0},
+	AnswerCut:           {http.StatusBadGateway, Unknown, 0},
 	Quarantined:         {http.StatusUnprocessableEntity, NotRun, time.Minute},
 	ClaimUnavailable:    {http.StatusServiceUnavailable, NotRun, time.Second},
 	DuplicateRequest:    {http.StatusConflict, Unknown, 0},
