--- /dev/null
+++ b/internal/bench/caller.go
@@ -0,0 +1,182 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"syscall"
+	"time"
+
+	"kumquatcleat/internal/backend"
+	"kumquatcleat/internal/fault"
+	"kumquatcleat/internal/routing"
+	"kumquatcleat/internal/standin"
+)
+
+// HeaderCrash is the header of calls that crash the servers that run them, once
+// a fault sets the servers' switch crash_header to it.
+const HeaderCrash = "X-Standin-Crash"
+
+const (
+	maxAnswerBytes = 4 << 20
+	// patienceMargin is how long a caller waits beyond the timeout that it sends,
+	// so that the VM's own refusal arrives first.
+	patienceMargin  = 500 * time.Millisecond
+	idleConnections = 2048 // per VM; fewer would open connections under load
+)
+
+// caller makes calls over HTTP. Safe for concurrent use.
+type caller struct {
+	client  *http.Client
+	timeout time.Duration
+}
+
+func newCaller(timeout time.Duration) *caller {
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: idleConnections,
+		DisableCompression:  true,
+	}
+	return &caller{client: &http.Client{Transport: transport}, timeout: timeout}
+}
+
+// make sends one call to its target and fills in what the caller saw.
+func (c *caller) make(ctx context.Context, call *Call, planned *plannedCall) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout+patienceMargin)
+	defer cancel()
+	body := bodyOf(call.ID, planned.kind.BodyBytes)
+	req, err := c.request(ctx, call, planned, body)
+	if err != nil {
+		call.Outcome, call.Detail = CallUnsent, err.Error()
+		return
+	}
+	call.SentNS = standin.MonotonicNow()
+	resp, err := c.client.Do(req)
+	if err != nil {
+		call.AnsweredNS = standin.MonotonicNow()
+		call.Outcome, call.Detail = lostOutcome(err), err.Error()
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	call.AnsweredNS = standin.MonotonicNow()
+	call.Status = resp.StatusCode
+	if err != nil {
+		call.Outcome, call.Detail = CallLost, fmt.Sprintf("answer cut after %d bytes: %v", len(data), err)
+		return
+	}
+	call.judge(resp.Header, data, planned, body)
+}
+
+func (c *caller) request(ctx context.Context, call *Call, planned *plannedCall, body []byte) (*http.Request, error) {
+	url := "http://" + call.Target + planned.path()
+	req, err := http.NewRequestWithContext(ctx, call.Method, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.GetBody = nil // net/http must not send a call again on its own
+	if len(body) == 0 {
+		// A body that is not NoBody has the same effect for calls without one.
+		req.Body = io.NopCloser(bytes.NewReader(nil))
+	}
+	set := func(name, value string) {
+		if value != "" {
+			req.Header.Set(name, value)
+		}
+	}
+	set(routing.HeaderKey, call.Key)
+	set(routing.HeaderIdempotencyKey, call.IdempotencyKey)
+	set(routing.HeaderTimeout, strconv.FormatInt(c.timeout.Milliseconds(), 10))
+	set(standin.HeaderCall, call.ID)
+	set(standin.HeaderWorkMS, strconv.FormatFloat(planned.kind.WorkMS, 'f', -1, 64))
+	if planned.kind.PadBytes > 0 {
+		set(standin.HeaderPad, strconv.Itoa(planned.kind.PadBytes))
+	}
+	if planned.crash {
+		set(HeaderCrash, "1")
+	}
+	return req, nil
+}
+
+// bodyOf returns the body of a call: its id over and over.
+func bodyOf(id string, size int) []byte { return []byte(standin.Pad(id, size)) }
+
+// lostOutcome tells a call that never left from one that may have arrived.
+func lostOutcome(err error) CallOutcome {
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return CallUnsent
+	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return CallUnsent
+	}
+	return CallLost
+}
+
+// judge sets the outcome from a whole HTTP answer.
+func (call *Call) judge(header http.Header, data []byte, planned *plannedCall, body []byte) {
+	call.Server = header.Get(backend.HeaderServer)
+	call.RequestID = header.Get(backend.HeaderRequestID)
+	if outcome := header.Get(routing.HeaderOutcome); outcome != "" {
+		call.judgeRefusal(fault.Outcome(outcome), data)
+		return
+	}
+	switch {
+	case call.Status == http.StatusAccepted:
+		call.Outcome = CallDeferred
+	case call.Status != http.StatusOK:
+		call.Outcome = CallFailed
+		call.Detail = fmt.Sprintf("status %d", call.Status)
+	default:
+		call.judgeAnswer(data, planned, body)
+	}
+}
+
+func (call *Call) judgeRefusal(outcome fault.Outcome, data []byte) {
+	var refusal routing.Refusal
+	if err := json.Unmarshal(data, &refusal); err != nil {
+		call.Outcome, call.Detail = CallWrong, fmt.Sprintf("refusal is not JSON: %v", err)
+		return
+	}
+	call.Refusal = refusal.Kind
+	call.Detail = refusal.Message
+	switch outcome {
+	case fault.NotRun:
+		call.Outcome = CallNotRun
+	case fault.Unknown:
+		call.Outcome = CallUnknown
+	default:
+		call.Outcome, call.Detail = CallWrong, fmt.Sprintf("outcome %q", outcome)
+	}
+}
+
+// judgeAnswer checks that the answer is whole and belongs to this call.
+func (call *Call) judgeAnswer(data []byte, planned *plannedCall, body []byte) {
+	var answer standin.RunAnswer
+	if err := json.Unmarshal(data, &answer); err != nil {
+		call.Outcome, call.Detail = CallWrong, fmt.Sprintf("answer is not whole: %v", err)
+		return
+	}
+	call.Incarnation = answer.Incarnation
+	call.RequestID = answer.RequestID
+	sum := sha256.Sum256(body)
+	switch {
+	case answer.Call != call.ID:
+		call.Outcome, call.Detail = CallWrong, fmt.Sprintf("answer of call %q", answer.Call)
+	case answer.Key != call.Key:
+		call.Outcome, call.Detail = CallWrong, fmt.Sprintf("answer for key %q", answer.Key)
+	case answer.BodySHA256 != hex.EncodeToString(sum[:]):
+		call.Outcome, call.Detail = CallWrong, "the server read another body"
+	case planned.kind.PadBytes > 0 && answer.Pad != standin.Pad(call.ID, planned.kind.PadBytes):
+		call.Outcome, call.Detail = CallWrong, "filler of the answer differs"
+	default:
+		call.Outcome = CallAnswered
+	}
+}
--- /dev/null
+++ b/internal/bench/check_test.go
@@ -0,0 +1,146 @@
+package bench
+
+import (
+	"strings"
+	"testing"
+
+	"kumquatcleat/internal/fault"
+	"kumquatcleat/internal/standin"
+)
+
+// goodHistory is a small history that keeps every rule: slot 1 moves from s1 to
+// s2 under a higher token, one call is refused, one is sent twice and runs once.
+func goodHistory() *History {
+	run := func(call, server, token string, start, end int64) standin.RunRecord {
+		return standin.RunRecord{
+			Server: server, Incarnation: server + "-1", Number: uint64(start), Call: call,
+			Group: "g", HasSlot: true, Slot: 1, Token: token,
+			StartNS: start, EndNS: end, Outcome: standin.RunDone,
+		}
+	}
+	answered := func(id, server string) Call {
+		return Call{ID: id, Outcome: CallAnswered, Server: server, AnsweredNS: 1000}
+	}
+	once := answered("c3", "s2")
+	once.NonIdempotent, once.IdempotencyKey = true, "k3"
+	again := Call{ID: "c4", ResendOf: "c3", NonIdempotent: true, IdempotencyKey: "k3", Outcome: CallUnknown, Refusal: fault.DuplicateRequest}
+	return &History{
+		Info: RunInfo{Servers: []Capacity{{ID: "s1", Checks: true}, {ID: "s2", Checks: true}}},
+		Calls: []Call{
+			answered("c1", "s1"), answered("c2", "s1"), once, again,
+			{ID: "c5", Outcome: CallNotRun, Refusal: fault.Overloaded, AnsweredNS: 1000},
+		},
+		Runs: []standin.RunRecord{
+			run("c1", "s1", "1.0", 10, 30),
+			run("c2", "s1", "1.0", 20, 40),
+			run("c3", "s2", "1.1", 50, 60),
+			{Server: "s1", Call: "c5", Outcome: standin.RunRefused, Reason: "shed", StartNS: 70, EndNS: 70},
+		},
+	}
+}
+
+func TestGoodHistoryBreaksNoRuleAndEveryRuleLooksAtSomething(t *testing.T) {
+	result := Check(goodHistory())
+	if !result.OK() {
+		t.Fatalf("violations %+v", result.Violations)
+	}
+	for _, rule := range Rules() {
+		if result.Checked[rule] == 0 {
+			t.Errorf("rule %s looked at nothing", rule)
+		}
+	}
+}
+
+// Each bad history differs from the good one in one point.
+func TestEachRuleFindsItsBadHistory(t *testing.T) {
+	cases := []struct {
+		name  string
+		spoil func(h *History)
+		rule  Rule
+	}{
+		{"answer of another call", func(h *History) { h.Calls[0].Outcome = CallWrong }, RuleOwnAnswer},
+		{"answer without a run", func(h *History) { h.Calls[0].Server = "s2" }, RuleOwnAnswer},
+		{"answer of a run that was cut off", func(h *History) { h.Runs[0].Outcome = standin.RunLapsed }, RuleOwnAnswer},
+		{"told not-run, had run", func(h *History) { h.Runs[0].Call = "c5"; h.Calls[0].Outcome = CallLost }, RuleNotRun},
+		{"told not-run, ran later", func(h *History) {
+			late := h.Runs[2]
+			late.Call, late.StartNS, late.EndNS = "c5", 2000, 2010
+			h.Runs = append(h.Runs, late)
+		}, RuleNotRun},
+		{"second copy ran too", func(h *History) {
+			second := h.Runs[2]
+			second.Call, second.StartNS, second.EndNS = "c4", 80, 90
+			h.Runs = append(h.Runs, second)
+		}, RuleOnce},
+		{"one call ran twice", func(h *History) {
+			second := h.Runs[2]
+			second.StartNS, second.EndNS, second.Outcome = 80, 90, standin.RunCrashed
+			h.Runs = append(h.Runs, second)
+		}, RuleOnce},
+		{"two owners at one moment", func(h *History) { h.Runs[2].StartNS = 39 }, RuleOneOwner},
+		{"owner whose run outlasts the next owner", func(h *History) { h.Runs[0].EndNS = 100 }, RuleOneOwner},
+		{"token goes back", func(h *History) { h.Runs[2].Token = "0.9" }, RuleTokenOrder},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h := goodHistory()
+			c.spoil(h)
+			result := Check(h)
+			found := map[Rule]bool{}
+			for _, v := range result.Violations {
+				found[v.Rule] = true
+			}
+			if len(found) != 1 || !found[c.rule] {
+				t.Fatalf("violations %+v, want rule %s alone", result.Violations, c.rule)
+			}
+		})
+	}
+}
+
+func TestServerThatDoesNotCheckMayRunUnderAnOlderTokenButNotBesideAnother(t *testing.T) {
+	h := goodHistory()
+	h.Info.Servers = []Capacity{{ID: "s1"}, {ID: "s2"}}
+	h.Runs[2].Token = "0.9"
+	if result := Check(h); !result.OK() {
+		t.Fatalf("violations %+v", result.Violations)
+	}
+	h.Runs[2].StartNS = 39
+	if result := Check(h); result.OK() {
+		t.Fatal("two owners at one moment were not found")
+	}
+}
+
+func TestOwnersThatTouchDoNotOverlap(t *testing.T) {
+	h := goodHistory()
+	h.Runs[2].StartNS = 40
+	if result := Check(h); !result.OK() {
+		t.Fatalf("violations %+v", result.Violations)
+	}
+}
+
+func TestRunOfAKilledServerEndsWithItsLastSign(t *testing.T) {
+	lines := []standin.RunRecord{
+		{Server: "s1", Incarnation: "i1", Number: 1, StartNS: 10, Outcome: standin.RunStarted},
+		{Server: "s1", Incarnation: "i1", Number: 2, StartNS: 20, Outcome: standin.RunStarted},
+		{Server: "s1", Incarnation: "i1", Number: 2, StartNS: 20, EndNS: 30, Outcome: standin.RunDone},
+		{Server: "s1", Incarnation: "i2", Number: 1, StartNS: 90, EndNS: 95, Outcome: standin.RunDone},
+	}
+	runs := foldRuns(lines)
+	if len(runs) != 3 {
+		t.Fatalf("runs %+v", runs)
+	}
+	if runs[0].Outcome != standin.RunCrashed || runs[0].EndNS != 30 {
+		t.Fatalf("run of the killed server: %+v", runs[0])
+	}
+}
+
+func TestLastLineCutOffByAKillIsLeftOut(t *testing.T) {
+	lines := `{"server":"s1","number":1}` + "\n" + `{"server":"s1","num`
+	runs, err := parseLines[standin.RunRecord](strings.NewReader(lines))
+	if err != nil || len(runs) != 1 {
+		t.Fatalf("runs %+v, %v", runs, err)
+	}
+	if _, err := parseLines[standin.RunRecord](strings.NewReader("{\n")); err == nil {
+		t.Fatal("a broken line inside the file was read")
+	}
+}
--- /dev/null
+++ b/internal/bench/cluster.go
@@ -0,0 +1,362 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"kumquatcleat/internal/config"
+	"kumquatcleat/internal/platform"
+	"kumquatcleat/internal/standin"
+)
+
+const (
+	fileCluster  = "cluster.json"
+	readyTimeout = 30 * time.Second // of all processes together
+	endTimeout   = 15 * time.Second // after SIGTERM; then SIGKILL
+	namePlatform = "platform"
+	nameServers  = "servers"
+)
+
+// Cluster is a platform stand-in, servers and daemons on loopback addresses, as
+// separate processes. Its directory holds everything that is known of it.
+type Cluster struct {
+	Dir      string            `json:"-"`
+	Size     string            `json:"size"`
+	Platform string            `json:"platform"` // address
+	VMs      []ClusterVM       `json:"vms"`
+	Services []*config.Service `json:"services"`
+	Separate bool              `json:"separate"` // one process for each server
+}
+
+// ClusterSettings say how to start a cluster.
+type ClusterSettings struct {
+	Size     string
+	Dir      string
+	Net      int    // second octet of the addresses, so that clusters can run side by side
+	Separate bool   // one process for each server, which faults can kill and stop
+	Daemon   string // path of kumquatcleatd
+	Tool     string // path of kumquatcleat
+	// DaemonSettings are laid over the settings file of every daemon.
+	DaemonSettings json.RawMessage
+	Server         standin.ServerSettings // work time, cold start and so on, for every server
+}
+
+// Up starts a cluster and waits until it is ready. After an error whatever it
+// started is ended again.
+func Up(ctx context.Context, s ClusterSettings) (*Cluster, error) {
+	size, err := SizeNamed(s.Size)
+	if err != nil {
+		return nil, err
+	}
+	if s.Net < 0 || s.Net > 255 {
+		return nil, fmt.Errorf("net %d: want 0 to 255", s.Net)
+	}
+	c := &Cluster{
+		Dir:      s.Dir,
+		Size:     s.Size,
+		Platform: fmt.Sprintf("127.%d.0.1:%d", s.Net, portPlatform),
+		VMs:      size.VMs(s.Net),
+		Services: size.Records(s.Net),
+		Separate: s.Separate,
+	}
+	if err := c.prepare(); err != nil {
+		return nil, err
+	}
+	if err := c.start(ctx, s); err != nil {
+		return nil, fmt.Errorf("%w (ended again: %v)", err, c.Down())
+	}
+	return c, nil
+}
+
+// prepare makes the directory. One that holds a live cluster is refused.
+func (c *Cluster) prepare() error {
+	if names, err := c.processNames(); err == nil {
+		for _, name := range names {
+			if p, err := loadProcess(c.Dir, name); err == nil && p.alive() {
+				return fmt.Errorf("cluster: %s holds a live cluster (process %s)", c.Dir, name)
+			}
+		}
+	}
+	for _, sub := range []string{"logs", "pids", "runs", "settings"} {
+		path := filepath.Join(c.Dir, sub)
+		if err := os.RemoveAll(path); err != nil {
+			return fmt.Errorf("cluster: %w", err)
+		}
+		if err := os.MkdirAll(path, 0o755); err != nil {
+			return fmt.Errorf("cluster: %w", err)
+		}
+	}
+	return saveJSON(filepath.Join(c.Dir, fileCluster), c)
+}
+
+func (c *Cluster) start(ctx context.Context, s ClusterSettings) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	if _, err := startProcess(c.Dir, namePlatform, []string{s.Tool, "standin", "platform", "--listen", c.Platform}); err != nil {
+		return err
+	}
+	if err := c.startServers(s); err != nil {
+		return err
+	}
+	if err := waitAnswer(ctx, namePlatform, "http://"+c.Platform+platform.PathVMs); err != nil {
+		return err
+	}
+	if err := c.fillPlatform(ctx); err != nil {
+		return err
+	}
+	if err := c.startDaemons(s); err != nil {
+		return err
+	}
+	return c.waitReady(ctx)
+}
+
+// fillPlatform writes the VM list and the configuration records.
+func (c *Cluster) fillPlatform(ctx context.Context) error {
+	for _, vm := range c.VMs {
+		if err := c.list(ctx, vm, platform.VMLive); err != nil {
+			return err
+		}
+	}
+	acceptor := config.Acceptor{Table: platform.NewClient(c.Platform)}
+	for _, service := range c.Services {
+		data, err := config.Encode(service)
+		if err != nil {
+			return fmt.Errorf("cluster: record %s: %w", service.Name, err)
+		}
+		if _, err := acceptor.Apply(ctx, data, 0); err != nil {
+			return fmt.Errorf("cluster: record %s: %w", service.Name, err)
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) servers() []config.Server {
+	var servers []config.Server
+	for _, service := range c.Services {
+		servers = append(servers, service.Servers...)
+	}
+	return servers
+}
+
+func (c *Cluster) startServers(s ClusterSettings) error {
+	var fleet standin.FleetSettings
+	for _, server := range c.servers() {
+		settings := s.Server
+		settings.ID = server.ID
+		settings.FailureDomain = server.FailureDomain
+		settings.Slots = server.Slots
+		settings.Connections = server.Connections
+		settings.Checks = server.Checks
+		settings.HonoursID = server.HonoursID
+		fleet.Servers = append(fleet.Servers, standin.FleetServer{Listen: server.Address, ServerSettings: settings})
+	}
+	if !c.Separate {
+		return c.startFleet(s.Tool, nameServers, fleet)
+	}
+	for _, server := range fleet.Servers {
+		one := standin.FleetSettings{Servers: []standin.FleetServer{server}}
+		if err := c.startFleet(s.Tool, server.ID, one); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) startFleet(tool, name string, fleet standin.FleetSettings) error {
+	path := filepath.Join(c.Dir, "settings", name+".json")
+	if err := saveJSON(path, fleet); err != nil {
+		return err
+	}
+	_, err := startProcess(c.Dir, name, []string{tool, "standin", "servers", "--settings", path, "--runs-dir", c.runsDir()})
+	return err
+}
+
+// daemonSettings are the settings of a daemon that a cluster sets.
+type daemonSettings struct {
+	ID            string `json:"id"`
+	FailureDomain string `json:"failure_domain"`
+	Listen        string `json:"listen"`
+	PeerListen    string `json:"peer_listen"`
+	Platform      string `json:"platform"`
+}
+
+func (c *Cluster) startDaemons(s ClusterSettings) error {
+	for _, vm := range c.VMs {
+		path := filepath.Join(c.Dir, "settings", vm.ID+".json")
+		settings, err := c.settingsOf(vm, s.DaemonSettings)
+		if err != nil {
+			return err
+		}
+		if err := saveJSON(path, settings); err != nil {
+			return err
+		}
+		if _, err := startProcess(c.Dir, vm.ID, []string{s.Daemon, "--settings", path}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// settingsOf lays extra settings over those of a VM.
+func (c *Cluster) settingsOf(vm ClusterVM, extra json.RawMessage) (json.RawMessage, error) {
+	base, err := json.Marshal(daemonSettings{
+		ID:            vm.ID,
+		FailureDomain: vm.FailureDomain,
+		Listen:        vm.Listen,
+		PeerListen:    vm.PeerListen,
+		Platform:      c.Platform,
+	})
+	if err != nil || len(extra) == 0 {
+		return base, err
+	}
+	merged := map[string]json.RawMessage{}
+	for _, part := range []json.RawMessage{base, extra} {
+		if err := json.Unmarshal(part, &merged); err != nil {
+			return nil, fmt.Errorf("cluster: daemon settings: %w", err)
+		}
+	}
+	return json.Marshal(merged)
+}
+
+func (c *Cluster) waitReady(ctx context.Context) error {
+	for _, server := range c.servers() {
+		if err := waitAnswer(ctx, server.ID, "http://"+server.Address+standin.PathFaults); err != nil {
+			return err
+		}
+	}
+	for _, vm := range c.VMs {
+		if err := waitAnswer(ctx, vm.ID, "http://"+vm.PeerListen+pathReady); err != nil {
+			return err
+		}
+	}
+	slog.Info("bench: cluster ready", "size", c.Size, "vms", len(c.VMs), "servers", len(c.servers()), "platform", c.Platform)
+	return nil
+}
+
+// LoadCluster reads the cluster in a directory.
+func LoadCluster(dir string) (*Cluster, error) {
+	data, err := os.ReadFile(filepath.Join(dir, fileCluster))
+	if err != nil {
+		return nil, fmt.Errorf("cluster: %w", err)
+	}
+	c := &Cluster{Dir: dir}
+	if err := json.Unmarshal(data, c); err != nil {
+		return nil, fmt.Errorf("cluster: %s: %w", dir, err)
+	}
+	return c, nil
+}
+
+// Down ends the processes that the cluster's pid files name, daemons first. A
+// pid that belongs to another process by now is left alone.
+func (c *Cluster) Down() error {
+	names, err := c.processNames()
+	if err != nil {
+		return fmt.Errorf("cluster: %w", err)
+	}
+	slices.SortStableFunc(names, func(a, b string) int { return endOrder(a) - endOrder(b) })
+	var processes []*Process
+	for _, name := range names {
+		p, err := loadProcess(c.Dir, name)
+		if err != nil {
+			return err
+		}
+		// A process that is stopped takes no SIGTERM until it goes on.
+		_ = p.signal(syscall.SIGCONT)
+		_ = p.signal(syscall.SIGTERM)
+		processes = append(processes, p)
+	}
+	var killed []string
+	for _, p := range processes {
+		if !p.waitGone(endTimeout) {
+			killed = append(killed, p.Name)
+			_ = p.signal(syscall.SIGKILL)
+		}
+	}
+	if len(killed) > 0 {
+		return fmt.Errorf("cluster: did not end within %s and were killed: %s", endTimeout, strings.Join(killed, ", "))
+	}
+	return nil
+}
+
+func endOrder(name string) int {
+	switch {
+	case strings.HasPrefix(name, "vm-"):
+		return 0
+	case name == namePlatform:
+		return 2
+	default:
+		return 1
+	}
+}
+
+func (c *Cluster) processNames() ([]string, error) {
+	entries, err := os.ReadDir(filepath.Join(c.Dir, "pids"))
+	if err != nil {
+		return nil, err
+	}
+	var names []string
+	for _, entry := range entries {
+		names = append(names, strings.TrimSuffix(entry.Name(), ".json"))
+	}
+	return names, nil
+}
+
+// Targets returns the addresses of the entry VMs.
+func (c *Cluster) Targets() []string {
+	var targets []string
+	for _, vm := range c.VMs {
+		targets = append(targets, vm.Listen)
+	}
+	return targets
+}
+
+// Capacities returns the servers of the cluster's records.
+func (c *Cluster) Capacities() []Capacity {
+	var capacities []Capacity
+	for _, service := range c.Services {
+		for _, s := range service.Servers {
+			capacities = append(capacities, Capacity{ID: s.ID, Service: service.Name, Slots: s.Slots, Checks: s.Checks})
+		}
+	}
+	return capacities
+}
+
+// StandinAddress returns the address of the platform or of a server.
+func (c *Cluster) StandinAddress(name string) (string, error) {
+	if name == namePlatform {
+		return c.Platform, nil
+	}
+	for _, server := range c.servers() {
+		if server.ID == name {
+			return server.Address, nil
+		}
+	}
+	return "", fmt.Errorf("cluster: no stand-in %q", name)
+}
+
+func (c *Cluster) runsDir() string { return filepath.Join(c.Dir, "runs") }
+
+// Runs returns the run records of all servers.
+func (c *Cluster) Runs() ([]standin.RunRecord, error) {
+	files, err := filepath.Glob(filepath.Join(c.runsDir(), "*.runs.jsonl"))
+	if err != nil {
+		return nil, fmt.Errorf("cluster: %w", err)
+	}
+	var lines []standin.RunRecord
+	for _, file := range files {
+		records, err := loadLines[standin.RunRecord](file)
+		if err != nil {
+			return nil, err
+		}
+		lines = append(lines, records...)
+	}
+	return foldRuns(lines), nil
+}
--- /dev/null
+++ b/internal/bench/inject.go
@@ -0,0 +1,68 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"kumquatcleat/internal/standin"
+)
+
+// switchTimeout bounds a change of a stand-in's switches. A stand-in that is
+// stopped does not answer.
+const switchTimeout = 2 * time.Second
+
+// inject does the faults at their times and records each.
+func inject(ctx context.Context, faults []Fault, cluster *Cluster, start int64) []FaultRecord {
+	var records []FaultRecord
+	for _, fault := range faults {
+		if !sleepUntil(ctx, start+fault.AtMS*int64(time.Millisecond)) {
+			return records
+		}
+		record := FaultRecord{Fault: fault}
+		if err := injectOne(ctx, fault, cluster); err != nil {
+			record.Error = err.Error()
+			slog.Error("bench: fault not injected", "at_ms", fault.AtMS, "error", err)
+		} else {
+			slog.Info("bench: fault", "at_ms", fault.AtMS, "standin", fault.Standin, "process", fault.Process, "do", fault.Do)
+		}
+		record.AtNS = standin.MonotonicNow()
+		records = append(records, record)
+	}
+	return records
+}
+
+func injectOne(ctx context.Context, fault Fault, cluster *Cluster) error {
+	if fault.Process != "" {
+		return cluster.Act(ctx, fault.Process, fault.Do)
+	}
+	address, err := cluster.StandinAddress(fault.Standin)
+	if err != nil {
+		return err
+	}
+	return setSwitches(ctx, address, fault.Switches)
+}
+
+func setSwitches(ctx context.Context, address string, switches []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, switchTimeout)
+	defer cancel()
+	url := "http://" + address + standin.PathFaults
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(switches))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode == http.StatusOK {
+		return nil
+	}
+	message, _ := io.ReadAll(io.LimitReader(resp.Body, 1024))
+	return fmt.Errorf("switches of %s: status %d: %s", address, resp.StatusCode, message)
+}
--- /dev/null
+++ b/internal/bench/load_test.go
@@ -0,0 +1,147 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os/exec"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"kumquatcleat/internal/backend"
+	"kumquatcleat/internal/routing"
+	"kumquatcleat/internal/standin"
+)
+
+// startTarget serves handler as if it were an entry VM.
+func startTarget(t *testing.T, handler http.Handler) string {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func TestRunRecordsEveryCall(t *testing.T) {
+	target := startTarget(t, standin.NewServer(standin.ServerSettings{ID: "s1", Slots: 1000}))
+	s := testScenario(t, `"duration_ms":2000`, `"duration_ms":300`)
+	history, err := Run(context.Background(), s, 1, []string{target, target}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if want := len(schedule(s, 1, 2, "p")); len(history.Calls) != want {
+		t.Fatalf("%d calls recorded, %d planned", len(history.Calls), want)
+	}
+	for _, call := range history.Calls {
+		if call.Outcome != CallAnswered || call.Server != "s1" {
+			t.Fatalf("call %+v", call)
+		}
+	}
+	dir := t.TempDir()
+	if err := SaveAll(dir, history, MakeReport(history)); err != nil {
+		t.Fatal(err)
+	}
+	loaded, err := LoadHistory(dir)
+	if err != nil || len(loaded.Calls) != len(history.Calls) {
+		t.Fatalf("%v", err)
+	}
+}
+
+// oneCall makes one call to a handler and returns what its caller saw.
+func oneCall(t *testing.T, handler http.HandlerFunc) Call {
+	t.Helper()
+	s := testScenario(t)
+	planned := &plannedCall{traffic: &s.Services[0], kind: &Kind{Name: "k", Method: "POST", Path: "/x", BodyBytes: 10, PadBytes: 5}, key: "k1"}
+	call := Call{ID: "c1", Method: "POST", Key: "k1", Target: startTarget(t, handler)}
+	newCaller(time.Minute).make(context.Background(), &call, planned)
+	return call
+}
+
+func TestAnswerOfAnotherCallIsWrong(t *testing.T) {
+	good := standin.NewServer(standin.ServerSettings{ID: "s1"})
+	if call := oneCall(t, good.ServeHTTP); call.Outcome != CallAnswered {
+		t.Fatalf("good answer: %+v", call)
+	}
+	change := func(edit func(*standin.RunAnswer)) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			recorder := httptest.NewRecorder()
+			good.ServeHTTP(recorder, r)
+			var answer standin.RunAnswer
+			_ = json.Unmarshal(recorder.Body.Bytes(), &answer)
+			edit(&answer)
+			_ = json.NewEncoder(w).Encode(answer)
+		}
+	}
+	for name, handler := range map[string]http.HandlerFunc{
+		"other call": change(func(a *standin.RunAnswer) { a.Call = "c2" }),
+		"other key":  change(func(a *standin.RunAnswer) { a.Key = "k2" }),
+		"other body": change(func(a *standin.RunAnswer) { a.BodySHA256 = "" }),
+		"other pad":  change(func(a *standin.RunAnswer) { a.Pad = "c2.c2" }),
+		"half":       func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{"server":`)) },
+	} {
+		if call := oneCall(t, handler); call.Outcome != CallWrong {
+			t.Errorf("%s: %+v", name, call)
+		}
+	}
+}
+
+func TestCutAnswerIsLostNotAnswered(t *testing.T) {
+	cut := standin.NewServer(standin.ServerSettings{ID: "s1", Faults: standin.ServerFaults{CutAnswer: true}})
+	if call := oneCall(t, cut.ServeHTTP); call.Outcome != CallLost {
+		t.Fatalf("%+v", call)
+	}
+}
+
+func TestRefusalKeepsKindAndOutcome(t *testing.T) {
+	call := oneCall(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(routing.HeaderOutcome, "not-run")
+		w.Header().Set(backend.HeaderRequestID, "r1")
+		w.WriteHeader(http.StatusTooManyRequests)
+		_ = json.NewEncoder(w).Encode(routing.Refusal{Kind: "overloaded", Outcome: "not-run"})
+	})
+	if call.Outcome != CallNotRun || call.Refusal != "overloaded" || call.RequestID != "r1" {
+		t.Fatalf("%+v", call)
+	}
+}
+
+func TestCallWithoutAConnectionWasNotSent(t *testing.T) {
+	s := testScenario(t)
+	call := Call{ID: "c1", Method: "GET", Target: "127.0.0.1:1"}
+	planned := &plannedCall{traffic: &s.Services[0], kind: probeKind, key: "k1"}
+	newCaller(time.Minute).make(context.Background(), &call, planned)
+	if call.Outcome != CallUnsent {
+		t.Fatalf("%+v", call)
+	}
+}
+
+func TestSignalNeverReachesALaterProcessWithTheSamePid(t *testing.T) {
+	command := exec.Command("sleep", "60")
+	if err := command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	ticks, err := startTicks(command.Process.Pid)
+	if err != nil {
+		t.Fatal(err)
+	}
+	other := &Process{Name: "x", PID: command.Process.Pid, StartTicks: ticks + 1}
+	if err := other.signal(syscall.SIGKILL); err == nil {
+		t.Error("a process with another start time got the signal")
+	}
+	own := &Process{Name: "x", PID: command.Process.Pid, StartTicks: ticks}
+	if err := own.signal(syscall.SIGKILL); err != nil {
+		t.Error(err)
+	}
+	_ = command.Wait()
+	if own.alive() {
+		t.Error("an ended process counts as alive")
+	}
+}
+
+func TestStatOfANameWithParentheses(t *testing.T) {
+	line := "7 (a) b)) S 1 7 7 0 -1 4194560 1 0 0 0 0 0 0 0 20 0 1 0 4711 0 0\n"
+	if ticks, err := parseStat([]byte(line)); err != nil || ticks != 4711 {
+		t.Fatalf("%d, %v", ticks, err)
+	}
+}
--- /dev/null
+++ b/internal/bench/owner.go
@@ -0,0 +1,187 @@
+package bench
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/anishathalye/porcupine"
+
+	"kumquatcleat/internal/backend"
+	"kumquatcleat/internal/standin"
+)
+
+// slotID names a slot.
+type slotID struct {
+	group string
+	slot  uint32
+}
+
+// tenure is a stretch of successive runs of one slot at one server under one
+// token: from the first start to the last end.
+type tenure struct {
+	server string
+	token  backend.Token
+	start  int64
+	end    int64
+}
+
+// ownerStep is the input of the model: a tenure begins or ends.
+type ownerStep struct {
+	begin  bool
+	server string
+	token  backend.Token
+}
+
+// ownerState is the model's state: the server that runs requests of the slot now
+// (empty: none) and in how many tenures, and the highest token so far.
+type ownerState struct {
+	holder  string
+	tenures int
+	highest backend.Token
+}
+
+// ownerModel is an exclusive owner: a server may begin only while no other one
+// has runs, and under no token older than the last. Begins and ends happen at
+// known moments of one clock, so each is an operation without duration and the
+// checker has to find the one order that the clock gives.
+func ownerModel(tokens bool) porcupine.Model {
+	return porcupine.Model{
+		Init: func() any { return ownerState{} },
+		Step: func(state, input, _ any) (bool, any) {
+			return stepOwner(state.(ownerState), input.(ownerStep), tokens)
+		},
+		DescribeOperation: func(input, _ any) string { return fmt.Sprintf("%+v", input) },
+	}
+}
+
+func stepOwner(state ownerState, step ownerStep, tokens bool) (bool, ownerState) {
+	if !step.begin {
+		if state.holder != step.server {
+			return false, state // an end before its own begin
+		}
+		state.tenures--
+		if state.tenures == 0 {
+			state.holder = ""
+		}
+		return true, state
+	}
+	if state.holder != "" && state.holder != step.server {
+		return false, state
+	}
+	if tokens && step.token.Less(state.highest) {
+		return false, state
+	}
+	state.holder = step.server
+	state.tenures++
+	if state.highest.Less(step.token) {
+		state.highest = step.token
+	}
+	return true, state
+}
+
+// checkOwners checks each slot's runs against the model: once for overlaps at
+// all servers, once for tokens at the servers that check them.
+func checkOwners(h *History, result *CheckResult) {
+	checks := map[string]bool{}
+	for _, server := range h.Info.Servers {
+		checks[server.ID] = server.Checks
+	}
+	for slot, runs := range runsBySlot(h.Runs) {
+		tenures := tenuresOf(runs)
+		result.Checked[RuleOneOwner]++
+		if !linearizable(tenures, false) {
+			result.add(RuleOneOwner, "slot %d of %s: %s", slot.slot, slot.group, describeOverlap(tenures))
+		}
+		checked := slices.DeleteFunc(slices.Clone(tenures), func(t tenure) bool { return !checks[t.server] })
+		if len(checked) == 0 {
+			continue
+		}
+		result.Checked[RuleTokenOrder]++
+		if detail := tokenGoesBack(checked); detail != "" {
+			result.add(RuleTokenOrder, "slot %d of %s: %s", slot.slot, slot.group, detail)
+		}
+	}
+}
+
+func runsBySlot(runs []standin.RunRecord) map[slotID][]standin.RunRecord {
+	bySlot := map[slotID][]standin.RunRecord{}
+	for _, run := range runs {
+		if run.HasSlot && run.Outcome != standin.RunRefused {
+			id := slotID{run.Group, run.Slot}
+			bySlot[id] = append(bySlot[id], run)
+		}
+	}
+	return bySlot
+}
+
+// tenuresOf folds successive runs at one server under one token. Whether runs
+// at two servers overlap shows in the tenures as in the runs: a run at another
+// server starts a new tenure, and the one before keeps its latest end.
+func tenuresOf(runs []standin.RunRecord) []tenure {
+	runs = slices.Clone(runs)
+	slices.SortStableFunc(runs, func(a, b standin.RunRecord) int { return cmp.Compare(a.StartNS, b.StartNS) })
+	var tenures []tenure
+	for _, run := range runs {
+		token, err := backend.ParseToken(run.Token)
+		if err != nil {
+			token = backend.Token{} // a server that does not check runs it all the same
+		}
+		if n := len(tenures); n > 0 && tenures[n-1].server == run.Server && tenures[n-1].token == token {
+			tenures[n-1].end = max(tenures[n-1].end, run.EndNS)
+			continue
+		}
+		tenures = append(tenures, tenure{server: run.Server, token: token, start: run.StartNS, end: run.EndNS})
+	}
+	return tenures
+}
+
+func linearizable(tenures []tenure, tokens bool) bool {
+	operations := make([]porcupine.Operation, 0, 2*len(tenures))
+	for _, t := range tenures {
+		operations = append(operations,
+			porcupine.Operation{Input: ownerStep{begin: true, server: t.server, token: t.token}, Call: t.start, Return: t.start},
+			porcupine.Operation{Input: ownerStep{server: t.server, token: t.token}, Call: t.end, Return: t.end})
+	}
+	return porcupine.CheckOperations(ownerModel(tokens), operations)
+}
+
+// describeOverlap names the first two tenures that overlap, for people.
+func describeOverlap(tenures []tenure) string {
+	for i, a := range tenures {
+		for _, b := range tenures[i+1:] {
+			if a.server != b.server && b.start < a.end {
+				return fmt.Sprintf("%s (token %s, %d to %d) and %s (token %s, %d to %d) overlap for %.3f ms",
+					a.server, a.token, a.start, a.end, b.server, b.token, b.start, b.end,
+					float64(min(a.end, b.end)-b.start)/1e6)
+			}
+		}
+	}
+	return "no order of its runs fits one owner"
+}
+
+// tokenGoesBack names the first run under an older token, or nothing.
+func tokenGoesBack(tenures []tenure) string {
+	if linearizable(withoutOverlap(tenures), true) {
+		return ""
+	}
+	highest := tenures[0]
+	for _, t := range tenures[1:] {
+		if t.token.Less(highest.token) {
+			return fmt.Sprintf("%s ran under token %s at %d, after %s under %s at %d",
+				t.server, t.token, t.start, highest.server, highest.token, highest.start)
+		}
+		highest = t
+	}
+	return "no order of its runs fits rising tokens"
+}
+
+// withoutOverlap keeps the starts alone, so that an overlap is not reported a
+// second time as a wrong order of tokens.
+func withoutOverlap(tenures []tenure) []tenure {
+	starts := slices.Clone(tenures)
+	for i := range starts {
+		starts[i].end = starts[i].start
+	}
+	return starts
+}
--- /dev/null
+++ b/internal/bench/process.go
@@ -0,0 +1,120 @@
+package bench
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"syscall"
+	"time"
+)
+
+// Process is a process that the bench started, as its pid file holds it.
+type Process struct {
+	Name string   `json:"name"`
+	PID  int      `json:"pid"`
+	Argv []string `json:"argv"`
+	// StartTicks is the process's start time in /proc, which tells it from a
+	// later process with the same pid.
+	StartTicks uint64 `json:"start_ticks"`
+}
+
+var errProcessGone = errors.New("process has ended")
+
+// startProcess starts argv with its output appended to DIR/logs/NAME.log and
+// writes its pid file.
+func startProcess(dir, name string, argv []string) (*Process, error) {
+	log, err := os.OpenFile(filepath.Join(dir, "logs", name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, filePerm)
+	if err != nil {
+		return nil, fmt.Errorf("process %s: %w", name, err)
+	}
+	defer func() { _ = log.Close() }()
+	command := exec.Command(argv[0], argv[1:]...)
+	command.Stdout = log
+	command.Stderr = log
+	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true} // an interrupt of the bench is not theirs
+	if err := command.Start(); err != nil {
+		return nil, fmt.Errorf("process %s: %w", name, err)
+	}
+	go func() { _ = command.Wait() }() // collects the process when it ends
+	ticks, err := startTicks(command.Process.Pid)
+	if err != nil {
+		return nil, fmt.Errorf("process %s ended at once; see its log: %w", name, err)
+	}
+	p := &Process{Name: name, PID: command.Process.Pid, Argv: argv, StartTicks: ticks}
+	return p, saveJSON(pidFile(dir, name), p)
+}
+
+func pidFile(dir, name string) string { return filepath.Join(dir, "pids", name+".json") }
+
+// loadProcess reads a pid file.
+func loadProcess(dir, name string) (*Process, error) {
+	data, err := os.ReadFile(pidFile(dir, name))
+	if err != nil {
+		return nil, fmt.Errorf("process %q: %w", name, err)
+	}
+	var p Process
+	if err := json.Unmarshal(data, &p); err != nil {
+		return nil, fmt.Errorf("process %q: %w", name, err)
+	}
+	if p.PID <= 1 {
+		return nil, fmt.Errorf("process %q: pid %d", name, p.PID)
+	}
+	return &p, nil
+}
+
+// signal sends a signal if the pid is still the process that was started.
+func (p *Process) signal(s syscall.Signal) error {
+	if !p.alive() {
+		return fmt.Errorf("process %s: %w", p.Name, errProcessGone)
+	}
+	return syscall.Kill(p.PID, s)
+}
+
+func (p *Process) alive() bool {
+	ticks, err := startTicks(p.PID)
+	return err == nil && ticks == p.StartTicks
+}
+
+// waitGone waits until the process has ended; false: it did not in time.
+func (p *Process) waitGone(limit time.Duration) bool {
+	const step = 20 * time.Millisecond
+	for waited := time.Duration(0); waited < limit; waited += step {
+		if !p.alive() {
+			return true
+		}
+		time.Sleep(step)
+	}
+	return !p.alive()
+}
+
+// startTicks reads when a live process started, in clock ticks since boot.
+func startTicks(pid int) (uint64, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, err
+	}
+	return parseStat(data)
+}
+
+// parseStat reads state and start time from a line of /proc/PID/stat. The name
+// in parentheses may hold spaces and parentheses itself.
+func parseStat(data []byte) (uint64, error) {
+	end := bytes.LastIndexByte(data, ')')
+	if end < 0 {
+		return 0, fmt.Errorf("stat has no name")
+	}
+	fields := bytes.Fields(data[end+1:])
+	const stateField, startField = 0, 19 // counted from the name on
+	if len(fields) <= startField {
+		return 0, fmt.Errorf("stat has %d fields", len(fields))
+	}
+	if state := string(fields[stateField]); state == "Z" || state == "X" {
+		return 0, errProcessGone
+	}
+	return strconv.ParseUint(string(fields[startField]), 10, 64)
+}
--- /dev/null
+++ b/internal/bench/report.go
@@ -0,0 +1,243 @@
+package bench
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"kumquatcleat/internal/fault"
+	"kumquatcleat/internal/standin"
+)
+
+const (
+	latencyLowestUS  = 1                  // finest latency that is told apart
+	latencyHighestUS = 120 * 1000 * 1000  // longest, above every caller's patience
+	latencyDigits    = 3                  // significant digits kept
+	slowAnswerNS     = int64(time.Second) // an answer later than this leaves its key unavailable meanwhile
+	nanosPerMS       = float64(time.Millisecond)
+)
+
+// Report holds the figures of a run.
+type Report struct {
+	Scenario  string          `json:"scenario"`
+	Seed      uint64          `json:"seed"`
+	DurationS float64         `json:"duration_s"`
+	Targets   int             `json:"targets"`
+	Calls     int             `json:"calls"`
+	Skipped   int             `json:"skipped"` // calls that the bench could not send; above 0 the figures flatter
+	Services  []ServiceReport `json:"services"`
+	Faults    []FaultRecord   `json:"faults,omitempty"`
+}
+
+// ServiceReport holds the figures of one service. Calls that repeat another one
+// count in Resent alone.
+type ServiceReport struct {
+	Service   string              `json:"service"`
+	Calls     int                 `json:"calls"`
+	Resent    int                 `json:"resent"`
+	Outcomes  map[CallOutcome]int `json:"outcomes"`
+	Refusals  map[fault.Kind]int  `json:"refusals"`
+	GoodputS  float64             `json:"goodput_per_s"` // answered calls a second
+	Latencies []LatencyReport     `json:"latencies"`
+
+	// Imbalance is the runs of the most loaded server over the mean of all
+	// servers, each divided by the server's slots. 0: no runs were recorded.
+	Imbalance float64        `json:"imbalance"`
+	Runs      map[string]int `json:"runs"` // by server
+	// Changes counts, over all slots, how often successive runs of a slot were at
+	// different servers; ChangedSlots is the share of slots with any change.
+	Changes      int     `json:"ownership_changes"`
+	SlotsSeen    int     `json:"slots_seen"`
+	ChangedSlots float64 `json:"changed_slots"`
+	// Tries is the runs and refusals at servers over the requests.
+	Tries float64 `json:"tries_per_request"`
+
+	Unavailable Unavailable `json:"unavailable"`
+	Probes      Unavailable `json:"probes"` // the same of the probed keys and their probes alone
+}
+
+// Unavailable says for how long keys went without an answer.
+//
+// A key is unavailable from the intended time of a call that got no whole answer
+// (refused, lost, failed or unknown) until the next answer of a call of that key
+// that was meant to be sent later, or until the end of the load; and while a
+// call waits for an answer that takes longer than 1 s. Calls that repeat another
+// one, and calls that the bench skipped, count for nothing.
+type Unavailable struct {
+	KeySeconds float64 `json:"key_seconds"` // sum over keys
+	KeysSeen   int     `json:"keys_seen"`
+	Share      float64 `json:"share"`      // of KeysSeen x the length of the load
+	LongestMS  float64 `json:"longest_ms"` // longest stretch of one key
+}
+
+// LatencyReport holds the latencies of answered calls of one kind, counted from
+// the intended time of each call, so that a slow answer also shows in the calls
+// that should have been sent meanwhile.
+type LatencyReport struct {
+	Kind   string  `json:"kind"`
+	Class  string  `json:"class"`
+	Count  int64   `json:"count"`
+	P50MS  float64 `json:"p50_ms"`
+	P99MS  float64 `json:"p99_ms"`
+	P999MS float64 `json:"p999_ms"`
+	MaxMS  float64 `json:"max_ms"`
+}
+
+// MakeReport works out the figures of a history.
+func MakeReport(h *History) *Report {
+	report := &Report{
+		Scenario:  h.Info.Scenario.Name,
+		Seed:      h.Info.Seed,
+		DurationS: h.Info.Scenario.Duration().Seconds(),
+		Targets:   len(h.Info.Targets),
+		Calls:     len(h.Calls),
+		Faults:    h.Faults,
+	}
+	byService := map[string][]Call{}
+	for _, call := range h.Calls {
+		if call.Outcome == CallSkipped {
+			report.Skipped++
+			continue
+		}
+		byService[call.Service] = append(byService[call.Service], call)
+	}
+	for _, traffic := range h.Info.Scenario.Services {
+		report.Services = append(report.Services, serviceReport(h, traffic.Service, byService[traffic.Service]))
+	}
+	return report
+}
+
+func serviceReport(h *History, service string, all []Call) ServiceReport {
+	r := ServiceReport{
+		Service:  service,
+		Outcomes: map[CallOutcome]int{},
+		Refusals: map[fault.Kind]int{},
+		Runs:     map[string]int{},
+	}
+	first := slices.DeleteFunc(slices.Clone(all), func(c Call) bool { return c.ResendOf != "" })
+	r.Calls = len(first)
+	r.Resent = len(all) - len(first)
+	for _, call := range first {
+		r.Outcomes[call.Outcome]++
+		if call.Refusal != "" {
+			r.Refusals[call.Refusal]++
+		}
+	}
+	seconds := h.Info.Scenario.Duration().Seconds()
+	r.GoodputS = float64(r.Outcomes[CallAnswered]) / seconds
+	r.Latencies = latencies(first)
+	r.countRuns(h, len(all))
+	r.Unavailable = unavailable(first, h.Info)
+	r.Probes = unavailable(onlyProbes(first), h.Info)
+	return r
+}
+
+func onlyProbes(calls []Call) []Call {
+	return slices.DeleteFunc(slices.Clone(calls), func(c Call) bool { return c.Kind != probeKind.Name })
+}
+
+// latencies returns one report a kind, ordered by name.
+func latencies(calls []Call) []LatencyReport {
+	type kindID struct{ kind, class string }
+	histograms := map[kindID]*hdrhistogram.Histogram{}
+	for _, call := range calls {
+		if call.Outcome != CallAnswered {
+			continue
+		}
+		id := kindID{call.Kind, call.Class}
+		if histograms[id] == nil {
+			histograms[id] = newHistogram()
+		}
+		_ = histograms[id].RecordValue(call.latencyUS())
+	}
+	var reports []LatencyReport
+	for id, histogram := range histograms {
+		reports = append(reports, latencyReport(id.kind, id.class, histogram))
+	}
+	slices.SortFunc(reports, func(a, b LatencyReport) int { return cmp.Compare(a.Kind, b.Kind) })
+	return reports
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(latencyLowestUS, latencyHighestUS, latencyDigits)
+}
+
+func latencyReport(kind, class string, histogram *hdrhistogram.Histogram) LatencyReport {
+	at := func(percentile float64) float64 { return float64(histogram.ValueAtPercentile(percentile)) / 1000 }
+	return LatencyReport{
+		Kind: kind, Class: class, Count: histogram.TotalCount(),
+		P50MS: at(50), P99MS: at(99), P999MS: at(99.9), MaxMS: float64(histogram.Max()) / 1000,
+	}
+}
+
+// latencyUS is the time from the intended send to the whole answer.
+func (call *Call) latencyUS() int64 {
+	us := (call.AnsweredNS - call.IntendedNS) / int64(time.Microsecond)
+	return min(max(us, latencyLowestUS), latencyHighestUS)
+}
+
+// countRuns fills in what the servers' records tell of a service.
+func (r *ServiceReport) countRuns(h *History, requests int) {
+	slots := map[string]int{}
+	for _, server := range h.Info.Servers {
+		if server.Service == r.Service {
+			slots[server.ID] = server.Slots
+			r.Runs[server.ID] = 0
+		}
+	}
+	var started []standin.RunRecord
+	tries := 0
+	for _, run := range h.Runs {
+		if slots[run.Server] == 0 || run.StartNS < h.Info.StartNS {
+			continue
+		}
+		tries++
+		if run.Outcome != standin.RunRefused {
+			r.Runs[run.Server]++
+			started = append(started, run)
+		}
+	}
+	if requests > 0 {
+		r.Tries = float64(tries) / float64(requests)
+	}
+	r.Imbalance = imbalance(r.Runs, slots)
+	r.countChanges(started)
+}
+
+// imbalance returns max over mean of the runs per slot.
+func imbalance(runs, slots map[string]int) float64 {
+	total, highest := 0.0, 0.0
+	for server, count := range runs {
+		load := float64(count) / float64(slots[server])
+		total += load
+		highest = max(highest, load)
+	}
+	if total == 0 {
+		return 0
+	}
+	return highest / (total / float64(len(runs)))
+}
+
+func (r *ServiceReport) countChanges(started []standin.RunRecord) {
+	changed := 0
+	bySlot := runsBySlot(started)
+	for _, runs := range bySlot {
+		tenures := tenuresOf(runs)
+		changes := 0
+		for i := 1; i < len(tenures); i++ {
+			if tenures[i].server != tenures[i-1].server {
+				changes++
+			}
+		}
+		r.Changes += changes
+		if changes > 0 {
+			changed++
+		}
+	}
+	r.SlotsSeen = len(bySlot)
+	if r.SlotsSeen > 0 {
+		r.ChangedSlots = float64(changed) / float64(r.SlotsSeen)
+	}
+}
--- /dev/null
+++ b/internal/bench/report_test.go
@@ -0,0 +1,88 @@
+package bench
+
+import (
+	"testing"
+	"time"
+
+	"kumquatcleat/internal/fault"
+	"kumquatcleat/internal/standin"
+)
+
+const testMS = int64(time.Millisecond)
+
+func testCall(outcome CallOutcome, intendedMS, answeredMS int64) Call {
+	return Call{Service: "s", Key: "k1", Kind: "read", Outcome: outcome, IntendedNS: intendedMS * testMS, AnsweredNS: answeredMS * testMS}
+}
+
+func testInfo() RunInfo {
+	return RunInfo{Scenario: Scenario{DurationMS: 10000, Services: []Traffic{{Service: "s"}}}}
+}
+
+func TestKeyIsUnavailableFromTheRefusalToTheNextAnswer(t *testing.T) {
+	calls := []Call{
+		testCall(CallAnswered, 0, 1),
+		testCall(CallNotRun, 1000, 1001),
+		testCall(CallLost, 2000, 2500),
+		testCall(CallAnswered, 3000, 3010),
+		testCall(CallAnswered, 4000, 4010),
+	}
+	got := unavailable(calls, testInfo())
+	if got.LongestMS != 2010 || got.KeySeconds != 2.01 || got.KeysSeen != 1 {
+		t.Fatalf("%+v", got)
+	}
+}
+
+func TestKeyIsUnavailableUntilTheEndOfTheLoadWithoutAnAnswer(t *testing.T) {
+	got := unavailable([]Call{testCall(CallUnknown, 9000, 9100)}, testInfo())
+	if got.LongestMS != 1000 {
+		t.Fatalf("%+v", got)
+	}
+}
+
+func TestAnswerAfterMoreThanASecondCountsAsUnavailable(t *testing.T) {
+	calls := []Call{testCall(CallAnswered, 0, 999), testCall(CallAnswered, 2000, 4000), testCall(CallNotRun, 3000, 3001), testCall(CallAnswered, 3500, 3600)}
+	got := unavailable(calls, testInfo())
+	if got.KeySeconds != 2 { // 2000 to 4000; 3000 to 3600 lies within
+		t.Fatalf("%+v", got)
+	}
+}
+
+func TestLatencyCountsFromTheIntendedSend(t *testing.T) {
+	call := testCall(CallAnswered, 100, 350)
+	call.SentNS = 340 * testMS
+	reports := latencies([]Call{call})
+	if len(reports) != 1 || reports[0].P50MS < 249 || reports[0].P50MS > 251 {
+		t.Fatalf("%+v", reports)
+	}
+}
+
+func TestReportCountsChangesImbalanceAndTries(t *testing.T) {
+	run := func(server string, start int64, outcome standin.RunOutcome) standin.RunRecord {
+		return standin.RunRecord{Server: server, Group: "g", HasSlot: true, Slot: 1, Token: "1.0", StartNS: start, EndNS: start + 1, Outcome: outcome}
+	}
+	info := testInfo()
+	info.Servers = []Capacity{{ID: "a", Service: "s", Slots: 2}, {ID: "b", Service: "s", Slots: 1}}
+	refused := testCall(CallNotRun, 3, 4)
+	refused.Refusal = fault.Overloaded
+	h := &History{
+		Info:  info,
+		Calls: []Call{testCall(CallAnswered, 1, 2), testCall(CallAnswered, 2, 3), refused, testCall(CallAnswered, 4, 5)},
+		Runs: []standin.RunRecord{
+			run("a", 1, standin.RunDone), run("b", 5, standin.RunDone), run("a", 9, standin.RunDone),
+			run("b", 12, standin.RunRefused), run("b", 13, standin.RunDone), run("b", 15, standin.RunDone),
+		},
+	}
+	got := MakeReport(h).Services[0]
+	if got.Changes != 3 || got.ChangedSlots != 1 || got.SlotsSeen != 1 {
+		t.Errorf("changes %d, share %v, slots %d", got.Changes, got.ChangedSlots, got.SlotsSeen)
+	}
+	if got.Imbalance != 1.5 { // per slot: a 1, b 3, mean 2
+		t.Errorf("imbalance %v", got.Imbalance)
+	}
+	if got.Tries != 1.5 { // 6 runs and refusals of 4 calls
+		t.Errorf("tries %v", got.Tries)
+	}
+	if got.Refusals[fault.Overloaded] != 1 || got.Outcomes[CallAnswered] != 3 {
+		t.Errorf("refusals %v, outcomes %v", got.Refusals, got.Outcomes)
+	}
+}
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -94,6 +94,9 @@
 	ActKill     ProcessAction = "kill"     // SIGKILL
 	ActEnd      ProcessAction = "end"      // SIGTERM
 	ActStart    ProcessAction = "start"    // starts a process that has ended again
+	ActUnlist   ProcessAction = "unlist"   // takes a VM off the platform's list
+	ActLeave    ProcessAction = "leave"    // marks a VM as leaving in the list
+	ActList     ProcessAction = "list"     // puts a VM back into the list
 )
 
 // ParseScenario reads and checks a scenario. Unknown fields are errors.
@@ -219,8 +222,8 @@
 		return nil
 	}
 	switch f.Do {
-	case ActStop, ActContinue, ActKill, ActEnd, ActStart:
+	case ActStop, ActContinue, ActKill, ActEnd, ActStart, ActUnlist, ActLeave, ActList:
 		return nil
 	}
-	return fmt.Errorf("do %q: want stop, continue, kill, end or start", f.Do)
+	return fmt.Errorf("do %q: want stop, continue, kill, end, start, unlist, leave or list", f.Do)
 }
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -36,7 +36,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(standinCommand())
+	root.AddCommand(standinCommand(), benchCommand())
 	return root
 }
 
