--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -56,6 +56,9 @@
 	return h.Sum64()
 }
 
+// emptyDigest is the digest of a VM without records.
+var emptyDigest = digestOf(nil)
+
 // Put brings records into force and returns the names of those that were newer
 // than the ones held. A record that is not newer is passed over, so late and
 // doubled messages do no harm. The store keeps the records: don't change them.
