The path whole: daemons, ownership, configuration and stand-ins as separate processes

Cause: the slices stood apart. Change: configuration through the syncer, all durations of the ownership protocol in the settings, requests at servers that do not check bounded by request_deadline_ms, make demo, cluster and stop.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,6 @@
 GO      ?= go
 BIN     := bin
 RUN     := run
-FUZZPKG := ./...
 
 .PHONY: all build setup format vet lint generated unit test demo cluster stop clean
 
@@ -37,5 +36,18 @@
 
 test: setup format vet lint generated unit
 
+# Runs one daemon with stand-ins of the platform and of three servers in the
+# foreground; Ctrl-C ends it.
+demo: build
+	$(BIN)/kumquatcleatd
+
+# Starts the Fellowship's 3 failure domains x 3 VMs with its four services as
+# separate processes on loopback addresses; stop ends just those.
+cluster: build
+	$(BIN)/kumquatcleat bench cluster up --size fellowship --run $(RUN)/cluster
+
+stop:
+	$(BIN)/kumquatcleat bench cluster down --run $(RUN)/cluster
+
 clean:
 	rm -rf $(BIN) $(RUN)
--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -93,7 +93,7 @@
 	if err == nil {
 		return
 	}
-	slog.Warn("claims: copy not taken", "group", group, "vm", to.String(), "error", err.Error())
+	slog.Debug("claims: copy not taken", "group", group, "vm", to.String(), "error", err.Error())
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if known := c.books[group]; known != nil && known.copied == to {
--- a/internal/daemon/configs.go
+++ b/internal/daemon/configs.go
@@ -2,46 +2,58 @@
 
 import (
 	"context"
-	"log/slog"
-	"time"
+	"sync/atomic"
 
 	"kumquatcleat/internal/config"
-	"kumquatcleat/internal/platform"
+	"kumquatcleat/internal/peer"
 )
 
-const configPoll = time.Second // a change is in force well within 5 s
-
-// pollConfigs reads all records whenever the digest row changes, until ctx ends.
-func pollConfigs(ctx context.Context, table platform.Table, store *config.Store) {
-	var sequence uint64
-	known := false
-	for {
-		digest, _, err := config.ReadDigest(ctx, table)
-		if err == nil && (!known || digest.Sequence != sequence) {
-			if readAll(ctx, table, store) {
-				sequence, known = digest.Sequence, true
-			}
-		}
-		if !sleep(ctx, configPoll) {
-			return
-		}
+// configPeers asks other VMs for configuration. It implements config.Peers.
+type configPeers struct {
+	directory *Directory
+}
+
+// Digest implements config.Peers.
+func (p *configPeers) Digest(ctx context.Context, vm string) (uint64, error) {
+	client, err := p.directory.client(vm)
+	if err != nil {
+		return 0, err
 	}
+	answer, err := client.Ping(ctx, &peer.PingRequest{From: encodeVM(p.directory.self)})
+	return answer.GetConfigDigest(), err
 }
 
-func readAll(ctx context.Context, table platform.Table, store *config.Store) bool {
-	rows, err := table.List(ctx, config.RecordPrefix)
+// Configs implements config.Peers.
+func (p *configPeers) Configs(ctx context.Context, vm string, known map[string]uint64) ([][]byte, error) {
+	client, err := p.directory.client(vm)
 	if err != nil {
-		return false
+		return nil, err
+	}
+	answer, err := client.Configs(ctx, &peer.ConfigsRequest{From: encodeVM(p.directory.self), Known: known})
+	return answer.GetRecords(), err
+}
+
+// configMembers turns rosters into the form that the config package wants. The
+// same roster gives the same slice.
+type configMembers struct {
+	members *Members
+	made    atomic.Pointer[madeMembers]
+}
+
+type madeMembers struct {
+	roster *Roster
+	list   []config.Member
+}
+
+func (c *configMembers) list() []config.Member {
+	roster := c.members.Roster()
+	if made := c.made.Load(); made != nil && made.roster == roster {
+		return made.list
 	}
-	for _, row := range rows {
-		_, service, err := config.DecodeStored(row)
-		if err != nil {
-			slog.Error("config: record not readable", "row", row.Key, "error", err.Error())
-			continue
-		}
-		for _, name := range store.Put(service) {
-			slog.Info("config: record in force", "service", name, "version", service.Version)
-		}
+	list := make([]config.Member, 0, len(roster.VMs))
+	for _, vm := range roster.VMs {
+		list = append(list, config.Member{ID: vm.ID, FailureDomain: vm.FailureDomain})
 	}
-	return true
+	c.made.Store(&madeMembers{roster: roster, list: list})
+	return list
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -54,6 +54,7 @@
 	decisions  *logging.Decisions
 	platform   *platform.Client
 	store      *config.Store
+	syncer     *config.Syncer
 	clients    *peer.Clients
 	members    *Members
 	directory  *Directory
@@ -113,6 +114,15 @@
 	}
 	d.groups = NewGroups(d.self, d.settings.OwnershipTiming(), placement.DefaultSettings, env, d.members, d.store)
 	d.groups.claims = d.claims
+	d.syncer = config.NewSyncer(config.SyncerOptions{
+		Self:        config.Member{ID: d.self.ID, FailureDomain: d.settings.FailureDomain},
+		Incarnation: d.self.Incarnation,
+		Store:       d.store,
+		Table:       d.platform,
+		Peers:       &configPeers{directory: d.directory},
+		Members:     (&configMembers{members: d.members}).list,
+		Metrics:     d.registry,
+	})
 	d.directory.groups = d.groups
 	d.directory.claims = d.claims
 }
@@ -147,6 +157,8 @@
 		Canceler:   d.canceler,
 		Decisions:  d.decisions,
 		Registry:   d.registry,
+
+		UncheckedDeadline: d.settings.OwnershipTiming().RequestDeadline,
 	})
 	handler, err := newRestHandler("kumquatcleatd", d.handler)
 	if err != nil {
@@ -178,7 +190,7 @@
 	go d.groups.Run(duties)
 	go d.canceler.run(duties)
 	go d.exchangeSuspects(duties)
-	go pollConfigs(duties, d.platform, d.store)
+	go func() { _ = d.syncer.Run(duties) }()
 	slog.Info("daemon: started", "vm", d.self.String(), "failure_domain", d.settings.FailureDomain,
 		"listen", d.settings.Listen, "peer_listen", d.settings.PeerListen)
 	go d.announceReady(duties)
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -46,8 +46,10 @@
 	switch {
 	case d.stopping.Load():
 		return "stopping"
+	case !d.syncer.Synced():
+		return "the configuration in force is not known yet: wait for the platform or for peers"
 	case len(d.store.Services()) == 0:
-		return "no configuration record is known yet: apply one, or wait for the platform or a peer"
+		return "no configuration record is in force: apply one"
 	default:
 		return ""
 	}
--- a/internal/routing/handler.go
+++ b/internal/routing/handler.go
@@ -33,6 +33,9 @@
 	Canceler   Canceler
 	Decisions  *logging.Decisions
 	Registry   metrics.Registry
+	// UncheckedDeadline bounds a request at a server that does not check grants:
+	// its key may move that long after the last right to send ended.
+	UncheckedDeadline time.Duration
 }
 
 // Handler serves callers. Safe for concurrent use.
--- a/internal/routing/run.go
+++ b/internal/routing/run.go
@@ -99,7 +99,7 @@
 		return asFault(gateErr)
 	}
 	began := time.Now()
-	err = r.send(ctx, target)
+	err = r.sendBounded(ctx, target)
 	took := time.Since(began)
 	permit.Done(limitResult(err), took)
 	r.logAttempt(number, target, err, took)
@@ -118,6 +118,16 @@
 	return target, nil
 }
 
+// sendBounded sends under the deadline that the target allows.
+func (r *run) sendBounded(ctx context.Context, target Target) *fault.Error {
+	if target.HasKey && !target.Server.Checks && r.handler.UncheckedDeadline > 0 {
+		bounded, cancel := context.WithTimeout(ctx, r.handler.UncheckedDeadline)
+		defer cancel()
+		ctx = bounded
+	}
+	return r.send(ctx, target)
+}
+
 // send makes the attempt and, when the server answers, brings the answer to
 // the caller.
 func (r *run) send(ctx context.Context, target Target) *fault.Error {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -20,13 +20,13 @@
 // Process holds the settings that go-zero's conf loads; it can't carry
 // json.RawMessage. Every address is IP:port, never a name.
 type Process struct {
-	ID            string `json:"id"`                   // of this VM, as in the platform's list
-	Incarnation   string `json:"incarnation,optional"` // of this VM in the platform's list; empty: not told
-	FailureDomain string `json:"failure_domain"`       // that this VM stands in
-	Listen        string `json:"listen"`               // for callers
-	PeerListen    string `json:"peer_listen"`          // for other VMs and operators
-	Platform      string `json:"platform"`             // the platform's service
-	LogLevel      string `json:"log_level"`            // debug, info, warn or error
+	ID            string `json:"id"`             // of this VM, as in the platform's list
+	Incarnation   string `json:"incarnation"`    // of this VM in the platform's list; empty: not told
+	FailureDomain string `json:"failure_domain"` // that this VM stands in
+	Listen        string `json:"listen"`         // for callers
+	PeerListen    string `json:"peer_listen"`    // for other VMs and operators
+	Platform      string `json:"platform"`       // the platform's service
+	LogLevel      string `json:"log_level"`      // debug, info, warn or error
 
 	// ShutdownGraceMS bounds how long a planned stop waits for requests in flight.
 	ShutdownGraceMS int64 `json:"shutdown_grace_ms"`
@@ -44,7 +44,16 @@
 	PromiseMS     int64 `json:"promise_ms"`
 	OutageLeaseMS int64 `json:"outage_lease_ms"`
 	RouteLeaseMS  int64 `json:"route_lease_ms"`
-	DriftPerMill  int64 `json:"drift_per_mill"` // clock drift allowed for, in thousandths
+	// HeartbeatMS is the interval of a keeper's messages to its standby.
+	HeartbeatMS int64 `json:"heartbeat_ms"`
+	// KeeperSilenceMS is the silence after which a standby takes its keeper for lost.
+	KeeperSilenceMS   int64 `json:"keeper_silence_ms"`
+	HoldOverSilenceMS int64 `json:"hold_over_silence_ms"`
+	StandbySilenceMS  int64 `json:"standby_silence_ms"`
+	RetryMS           int64 `json:"retry_ms"`
+	// RequestDeadlineMS bounds a request at a server that does not check grants.
+	RequestDeadlineMS int64 `json:"request_deadline_ms"`
+	DriftPerMill      int64 `json:"drift_per_mill"` // clock drift allowed for, in thousandths
 }
 
 // DefaultShutdownGrace lets the longest request of a service with default limits finish.
@@ -79,25 +88,37 @@
 func (s *Settings) OwnershipTiming() ownership.Timing {
 	t := s.Timing
 	return ownership.Timing{
-		Lease:        milliseconds(t.LeaseMS),
-		RowRight:     milliseconds(t.RowRightMS),
-		RowRead:      milliseconds(t.RowReadMS),
-		Promise:      milliseconds(t.PromiseMS),
-		OutageLease:  milliseconds(t.OutageLeaseMS),
-		RouteLease:   milliseconds(t.RouteLeaseMS),
-		DriftPerMill: t.DriftPerMill,
+		Lease:           milliseconds(t.LeaseMS),
+		RowRight:        milliseconds(t.RowRightMS),
+		RowRead:         milliseconds(t.RowReadMS),
+		Promise:         milliseconds(t.PromiseMS),
+		OutageLease:     milliseconds(t.OutageLeaseMS),
+		RouteLease:      milliseconds(t.RouteLeaseMS),
+		Heartbeat:       milliseconds(t.HeartbeatMS),
+		KeeperSilence:   milliseconds(t.KeeperSilenceMS),
+		HoldOverSilence: milliseconds(t.HoldOverSilenceMS),
+		StandbySilence:  milliseconds(t.StandbySilenceMS),
+		Retry:           milliseconds(t.RetryMS),
+		RequestDeadline: milliseconds(t.RequestDeadlineMS),
+		DriftPerMill:    t.DriftPerMill,
 	}
 }
 
 func fromOwnership(t ownership.Timing) Timing {
 	return Timing{
-		LeaseMS:       t.Lease.Milliseconds(),
-		RowRightMS:    t.RowRight.Milliseconds(),
-		RowReadMS:     t.RowRead.Milliseconds(),
-		PromiseMS:     t.Promise.Milliseconds(),
-		OutageLeaseMS: t.OutageLease.Milliseconds(),
-		RouteLeaseMS:  t.RouteLease.Milliseconds(),
-		DriftPerMill:  t.DriftPerMill,
+		LeaseMS:           t.Lease.Milliseconds(),
+		RowRightMS:        t.RowRight.Milliseconds(),
+		RowReadMS:         t.RowRead.Milliseconds(),
+		PromiseMS:         t.Promise.Milliseconds(),
+		OutageLeaseMS:     t.OutageLease.Milliseconds(),
+		RouteLeaseMS:      t.RouteLease.Milliseconds(),
+		HeartbeatMS:       t.Heartbeat.Milliseconds(),
+		KeeperSilenceMS:   t.KeeperSilence.Milliseconds(),
+		HoldOverSilenceMS: t.HoldOverSilence.Milliseconds(),
+		StandbySilenceMS:  t.StandbySilence.Milliseconds(),
+		RetryMS:           t.Retry.Milliseconds(),
+		RequestDeadlineMS: t.RequestDeadline.Milliseconds(),
+		DriftPerMill:      t.DriftPerMill,
 	}
 }
 
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -92,6 +92,12 @@
 	c.between("timing.promise_ms", t.PromiseMS, minTimingMS, maxTimingMS, "milliseconds")
 	c.between("timing.outage_lease_ms", t.OutageLeaseMS, minTimingMS, maxTimingMS, "milliseconds")
 	c.between("timing.route_lease_ms", t.RouteLeaseMS, minTimingMS, maxTimingMS, "milliseconds")
+	c.between("timing.heartbeat_ms", t.HeartbeatMS, minTimingMS, maxTimingMS, "milliseconds")
+	c.between("timing.keeper_silence_ms", t.KeeperSilenceMS, t.HeartbeatMS, maxTimingMS, "milliseconds (the lower bound is timing.heartbeat_ms)")
+	c.between("timing.hold_over_silence_ms", t.HoldOverSilenceMS, minTimingMS, maxTimingMS, "milliseconds")
+	c.between("timing.standby_silence_ms", t.StandbySilenceMS, minTimingMS, maxTimingMS, "milliseconds")
+	c.between("timing.retry_ms", t.RetryMS, minTimingMS, maxTimingMS, "milliseconds")
+	c.between("timing.request_deadline_ms", t.RequestDeadlineMS, minTimingMS, maxTimingMS, "milliseconds")
 	c.between("timing.drift_per_mill", t.DriftPerMill, 0, maxDrift, "thousandths")
 	if t.RowReadMS*ratioRight > t.RowRightMS {
 		c.add("timing.row_read_ms", strconv.FormatInt(t.RowReadMS, 10),
