placement: program that compares placement ways on the users' services

Cause: the way to place slots and its settings are to be chosen from figures.

Ruled out: a simulator of servers or callers. The program only computes, for each 5 s plan interval of 20 minutes, the load of each server that follows from the keys' load and the plan. Keys follow a Zipf law, the 520 hottest trade their popularity with cold keys every 3 minutes, measured loads carry counting noise, are smoothed and one interval late; a server is lost and returns, one drains and leaves, one joins.

Next: the settings of the greedy way.

--- /dev/null
+++ b/internal/placement/compare/service.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"kumquatcleat/internal/placement"
+)
+
+// service is one service whose placement is computed.
+type service struct {
+	user      string
+	name      string
+	servers   int     // over all domains
+	capacity  float64 // requests that each server runs at once
+	domains   int
+	slotCount int
+	keys      int
+}
+
+// services are the users' services of today and one group at the size at which
+// groups are split.
+var services = []service{
+	{"Fellowship", "reefread", 13, 6, 3, 256, 30000},
+	{"Fellowship", "swapbay", 6, 6, 3, 256, 30000},
+	{"Fellowship", "logdeep", 16, 6, 3, 256, 30000},
+	{"Fellowship", "modbench", 6, 6, 3, 256, 30000},
+	{"Omuramba", "catalogue", 10, 3, 3, 256, 30000},
+	{"Omuramba", "settlement", 6, 3, 3, 256, 30000},
+	{"Omuramba", "ledger-reports", 9, 3, 3, 256, 30000},
+	{"Omuramba", "checkout", 6, 3, 3, 256, 30000},
+	{"large", "64 servers, 1024 slots", 64, 6, 1, 1024, 100000},
+}
+
+// Times of a computation.
+const (
+	planInterval = 5 * time.Second
+	warmUp       = 2 * time.Minute // not counted: loads are unknown at first
+	length       = 20 * time.Minute
+)
+
+// Times at which servers of each group come and go.
+const (
+	lossAt   = 5 * time.Minute // the first server is lost
+	returnAt = 8 * time.Minute // and returns
+	drainAt  = 10 * time.Minute
+	leaveAt  = 13 * time.Minute // the second server has left
+	joinAt   = 15 * time.Minute // a new server joins
+)
+
+// serversAt returns the servers of one domain's group at a time.
+func (s service) serversAt(domain int, now time.Duration) []placement.Server {
+	var servers []placement.Server
+	for i := range s.serversIn(domain) {
+		lost := i == 0 && now >= lossAt && now < returnAt
+		drain := i == 1 && now >= drainAt && now < leaveAt
+		if i == 1 && now >= leaveAt {
+			continue
+		}
+		servers = append(servers, s.server(domain, i, lost, drain))
+	}
+	if now >= joinAt {
+		servers = append(servers, s.server(domain, s.servers, false, false))
+	}
+	return servers
+}
+
+func (s service) server(domain, index int, lost, drain bool) placement.Server {
+	id := fmt.Sprintf("%s-%d-%d", s.name, domain, index)
+	return placement.Server{ID: id, Capacity: s.capacity, Home: true, Lost: lost, Drain: drain}
+}
+
+// serversIn returns how many servers of the service a domain has at first.
+func (s service) serversIn(domain int) int {
+	return (s.servers + s.domains - 1 - domain) / s.domains
+}
