--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -63,7 +64,7 @@
 	}
 	l.wait.Go(func() {
 		defer func() { <-l.places }()
-		l.caller.make(ctx, &call, planned)
+		l.send(ctx, &call, planned)
 		l.keep(call)
 		if planned.kind.ResendUnknown && planned.resendOf < 0 && mayHaveRun(call.Outcome) {
 			l.resend(ctx, planned, call.ID)
@@ -82,10 +83,24 @@
 	call := l.newCall(planned, id, l.targets[otherTarget(planned.target, len(l.targets))])
 	call.IntendedNS = standin.MonotonicNow()
 	call.ResendOf = first
-	l.caller.make(ctx, &call, planned)
+	l.send(ctx, &call, planned)
 	l.keep(call)
 }
 
+// send makes a call, and goes on to the next VM while no connection can be
+// opened, as the platform's balancer does. Such a call was sent nowhere.
+func (l *load) send(ctx context.Context, call *Call, planned *plannedCall) {
+	first := slices.Index(l.targets, call.Target)
+	for i := range l.targets {
+		call.Target = l.targets[(first+i)%len(l.targets)]
+		call.Outcome, call.Detail = "", ""
+		l.caller.make(ctx, call, planned)
+		if call.Outcome != CallUnsent {
+			return
+		}
+	}
+}
+
 func (l *load) callID(number int) string { return fmt.Sprintf("%s-%d", l.prefix, number) }
 
 func (l *load) newCall(planned *plannedCall, id, target string) Call {
--- a/internal/bench/load_test.go
+++ b/internal/bench/load_test.go
@@ -116,6 +116,20 @@
 	}
 }
 
+func TestCallThatFindsAVMDownGoesToTheNext(t *testing.T) {
+	up := startTarget(t, standin.NewServer(standin.ServerSettings{ID: "s1", Slots: 1000}))
+	s := testScenario(t, `"duration_ms":2000`, `"duration_ms":100`)
+	history, err := Run(context.Background(), s, 1, []string{"127.0.0.1:1", up}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, call := range history.Calls {
+		if call.Outcome != CallAnswered || call.Target != up {
+			t.Fatalf("call %+v", call)
+		}
+	}
+}
+
 func TestSignalNeverReachesALaterProcessWithTheSamePid(t *testing.T) {
 	command := exec.Command("sleep", "60")
 	if err := command.Start(); err != nil {
--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 
 	"github.com/spf13/cobra"
+	"github.com/zeromicro/go-zero/core/logx"
 
 	"kumquatcleat/internal/bench"
 	"kumquatcleat/internal/standin"
@@ -17,6 +18,8 @@
 	command := &cobra.Command{
 		Use:   "bench",
 		Short: "Load a cluster on loopback addresses and check what it did",
+		// The platform client's library logs every call by default.
+		PersistentPreRun: func(*cobra.Command, []string) { logx.Disable() },
 	}
 	command.AddCommand(benchRunCommand(), benchCheckCommand(), benchClusterCommand())
 	return command
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -108,8 +108,9 @@
 	return command
 }
 
-// serveFleet runs all servers. Servers of one process that crash restart inside
-// it: ending the process would take the others with it.
+// serveFleet runs all servers. A request that crashes a server ends the process
+// when it is the only one; several restart inside the process, so that a crash
+// does not take the others with it.
 func serveFleet(ctx context.Context, fleet standin.FleetSettings, runsDir string) error {
 	group, ctx := errgroup.WithContext(ctx)
 	for _, server := range fleet.Servers {
@@ -118,6 +119,9 @@
 			return failure(err)
 		}
 		server.RunLog = log
+		if len(fleet.Servers) == 1 {
+			server.Crash = exitOnCrash(server.ID)
+		}
 		group.Go(func() error {
 			return standin.ServeServer(ctx, server.Listen, standin.NewServer(server.ServerSettings))
 		})
@@ -134,11 +138,15 @@
 		}
 		server.RunLog = log
 	}
-	server.Crash = func() {
-		slog.Error("standin: crashed by a request", "server", server.ID)
+	server.Crash = exitOnCrash(server.ID)
+	return failure(standin.ServeServer(ctx, server.Listen, standin.NewServer(server.ServerSettings)))
+}
+
+func exitOnCrash(id string) func() {
+	return func() {
+		slog.Error("standin: crashed by a request", "server", id)
 		os.Exit(ExitFailed)
 	}
-	return failure(standin.ServeServer(ctx, server.Listen, standin.NewServer(server.ServerSettings)))
 }
 
 func openRuns(dir, id string) (io.Writer, error) {
