bench: unavailable time counts keys that are called often enough

Change: only keys called once a second or more on average count; the number of such keys is in the report. The probes give the fine measure. Run: go test -race ./internal/bench, passed.

--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -58,7 +58,8 @@
 	Probes      Unavailable `json:"probes"` // the same of the probed keys and their probes alone
 }
 
-// Unavailable says for how long keys went without an answer.
+// Unavailable says for how long keys went without an answer. Only keys count
+// that were called once a second or more on average over the load.
 //
 // A key is unavailable from the intended time of a call that got no whole answer
 // (refused, lost, failed or unknown) until the next answer of a call of that key
--- a/internal/bench/unavailable.go
+++ b/internal/bench/unavailable.go
@@ -5,6 +5,11 @@
 	"slices"
 )
 
+// minCallsPerSecond is how often a key must be called to count. A key that is
+// called less often would stay unavailable in the figures until its next call,
+// long after it is served again.
+const minCallsPerSecond = 1
+
 // stretch is a time without an answer, in CLOCK_MONOTONIC ns.
 type stretch struct{ from, to int64 }
 
@@ -17,8 +22,13 @@
 			byKey[call.Key] = append(byKey[call.Key], call)
 		}
 	}
-	result := Unavailable{KeysSeen: len(byKey)}
+	enough := int(info.Scenario.Duration().Seconds() * minCallsPerSecond)
+	var result Unavailable
 	for _, ofKey := range byKey {
+		if len(ofKey) < enough {
+			continue
+		}
+		result.KeysSeen++
 		for _, s := range merge(stretches(ofKey, end)) {
 			length := float64(s.to - s.from)
 			result.KeySeconds += length / 1e9
