A new VM waits for several peers: a test that fails when it does not

Cause: the test of a stale peer passed with the sample cut to one answer: all peers of the first round answered, so the newest of them won anyway. It showed nothing.

Ruled out: keeping it beside the new one.

Change: the test lets only the stale VM answer in the first round, and checks that it was met; it replaces both the old test and the seeded one, and is stricter. Added: a VM so far behind that a record left the digest.

--- a/internal/config/syncer_test.go
+++ b/internal/config/syncer_test.go
@@ -152,53 +152,39 @@
 	f.wantAll(t, 2)
 }
 
-func TestAStalePeerDoesNotHoldBackANewVMWhileThePlatformIsDown(t *testing.T) {
+// TestAStalePeerDoesNotDecideWhatANewVMServes starts a VM while the platform is
+// down and only a VM that missed the last change answers at first.
+func TestAStalePeerDoesNotDecideWhatANewVMServes(t *testing.T) {
 	f := newFleet(1, 7)
 	f.accept(t, 1)
 	f.rounds(3)
-	stale := f.members[0].ID
+	started := f.start(f.members[3])
+	started.syncer.schedule.use(f.members)
+	stale := pick(started.syncer.schedule.sources.near, 1, 1)[0] // asked in the first round
 	f.vms[stale].cut, f.vms[stale].offline = true, true
 	f.accept(t, 2)
 	f.rounds(3)
-	f.vms[stale].cut = false
 	f.table.setDown(true)
-	started := f.start(f.members[3])
-	for range 10 {
-		started.syncer.Round(context.Background())
-		if started.syncer.Synced() && started.version() != 2 {
-			t.Fatalf("ready to serve with version %d, version 2 was in force", started.version())
-		}
+	started = f.start(f.members[3])
+	for id, vm := range f.vms {
+		vm.cut = id != stale && vm != started
 	}
-	if !started.syncer.Synced() {
-		t.Error("not ready after 10 rounds")
+	started.syncer.Round(context.Background())
+	if started.version() != 1 {
+		t.Fatalf("version %d: the stale VM was not met first, this test shows nothing", started.version())
 	}
-}
-
-// TestSeededReadyOnTheFirstAnswerIsFound shows that the test above can fail: a
-// VM that serves after one answer may serve by the stale VM's record.
-func TestSeededReadyOnTheFirstAnswerIsFound(t *testing.T) {
-	f := newFleet(1, 7)
-	f.accept(t, 1)
-	f.rounds(3)
-	stale := f.members[0].ID
-	f.vms[stale].offline = true
-	f.vms[stale].cut = true
-	f.accept(t, 2)
-	f.rounds(3)
-	f.vms[stale].cut = false
-	f.table.setDown(true)
-	for _, m := range f.members[1:] {
-		vm := f.start(m)
-		vm.syncer.schedule.use(f.members)
-		for _, peer := range vm.syncer.schedule.sources.near {
-			if vm.syncer.askPeer(context.Background(), peer) && vm.version() == 1 {
-				return
-			}
-			vm = f.start(m)
-			vm.syncer.schedule.use(f.members)
-		}
+	if started.syncer.Synced() {
+		t.Fatal("ready to serve with version 1, version 2 was in force")
+	}
+	for _, vm := range f.vms {
+		vm.cut = false
+	}
+	for range startRounds {
+		started.syncer.Round(context.Background())
+	}
+	if !started.syncer.Synced() || started.version() != 2 {
+		t.Errorf("ready %t with version %d", started.syncer.Synced(), started.version())
 	}
-	t.Fatal("no VM met the stale one first")
 }
 
 func TestAllVMsReplacedAtOnceWithoutThePlatformServeNothing(t *testing.T) {
@@ -526,3 +512,20 @@
 		})
 	}
 }
+
+func TestAVMFarBehindMissesNoRecordThatLeftTheDigest(t *testing.T) {
+	f := newFleet(1, 1)
+	f.accept(t, 1)
+	f.rounds(1)
+	a := &Acceptor{Table: f.table}
+	if _, err := a.Apply(context.Background(), encoded(t, record("reefread", 1)), 0); err != nil {
+		t.Fatal(err)
+	}
+	for v := uint64(2); v < recentChanges+5; v++ {
+		f.accept(t, v)
+	}
+	f.rounds(1)
+	if _, ok := f.vms[f.members[0].ID].store.Service("reefread"); !ok {
+		t.Error("reefread, which changed before the digest's first entry, is missing")
+	}
+}
