--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -57,6 +57,7 @@
 	Methods       []string `json:"methods,omitempty"`
 	PathPrefix    string   `json:"path_prefix,omitempty"`
 	NonIdempotent bool     `json:"non_idempotent,omitempty"`
+	Idempotent    bool     `json:"idempotent,omitempty"`
 	Class         Class    `json:"class,omitempty"`
 	DeferOK       bool     `json:"defer_ok,omitempty"`
 	KeyPrefix     string   `json:"key_prefix,omitempty"`
@@ -119,7 +120,8 @@
 	}
 	for _, r := range o.Rules {
 		s.Rules = append(s.Rules, Rule{
-			Methods: r.Methods, PathPrefix: r.PathPrefix, NonIdempotent: r.NonIdempotent,
+			Methods: r.Methods, PathPrefix: r.PathPrefix,
+			NonIdempotent: r.NonIdempotent, Idempotent: r.Idempotent,
 			Class: r.Class, DeferOK: r.DeferOK, KeyPrefix: r.KeyPrefix,
 		})
 	}
@@ -135,7 +137,8 @@
 	}
 	for _, r := range s.Rules {
 		o.Rules = append(o.Rules, ruleV1{
-			Methods: r.Methods, PathPrefix: r.PathPrefix, NonIdempotent: r.NonIdempotent,
+			Methods: r.Methods, PathPrefix: r.PathPrefix,
+			NonIdempotent: r.NonIdempotent, Idempotent: r.Idempotent,
 			Class: r.Class, DeferOK: r.DeferOK, KeyPrefix: r.KeyPrefix,
 		})
 	}
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -158,6 +158,9 @@
 		c.add(field+"key_prefix", strictjson.Show(r.KeyPrefix), keyPathWant)
 	}
 	c.aliases(field+"key_prefix_aliases", r)
+	if r.Idempotent && r.NonIdempotent {
+		c.add(field+"idempotent", "true", "one of idempotent and non_idempotent, not both")
+	}
 	c.oneOf(field+"class", string(r.Class), classWant, "", string(ClassInteractive), string(ClassDeferred))
 	if r.DeferOK && r.Class != ClassDeferred {
 		c.add(field+"defer_ok", "true", `class "deferred" beside it`)
