Commands of the operators' program: validate, diff, apply, get, history, status, explain, drain

Cause: operators drive the system by records; until now nothing but code could write one.

The root command takes its streams as arguments, so that tests run it in the process. status prints totals first and then what is out of order, so that 7,300 VMs fit a screen.

Shown: go test -race ./internal/cli against the platform stand-in: six racing operators, one wins and five see both records; every answer lost; platform down; bad input by name.

--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,275 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+
+	"kumquatcleat/internal/config"
+	"kumquatcleat/internal/operator"
+	"kumquatcleat/internal/platform"
+	"kumquatcleat/internal/standin"
+)
+
+// result is what one run of the program gave.
+type result struct {
+	code       int
+	out, words string
+}
+
+func run(in string, args ...string) result {
+	var out, words bytes.Buffer
+	code := Run(context.Background(), args, strings.NewReader(in), &out, &words)
+	return result{code: code, out: out.String(), words: words.String()}
+}
+
+// want fails unless the run ended with a code and said a text somewhere.
+func (r result) want(t *testing.T, code int, text string) {
+	t.Helper()
+	if r.code != code || !strings.Contains(r.out+r.words, text) {
+		t.Errorf("code %d, want %d and %q\nout: %s\nwords: %s", r.code, code, text, r.out, r.words)
+	}
+}
+
+// startPlatform returns a platform stand-in and its address.
+func startPlatform(t *testing.T) (*standin.Platform, string) {
+	t.Helper()
+	p := standin.NewPlatform(standin.PlatformSettings{})
+	server := httptest.NewServer(p)
+	t.Cleanup(server.Close)
+	return p, strings.TrimPrefix(server.URL, "http://")
+}
+
+func sample(version uint64) *config.Service {
+	return &config.Service{
+		Schema: 1, Version: version, Name: "swapbay", SlotCount: 64, Domains: []string{"a", "b"},
+		Servers: []config.Server{
+			{ID: "s1", FailureDomain: "a", Address: "127.0.0.1:9001", Slots: 6, Connections: 130},
+			{ID: "s2", FailureDomain: "b", Address: "127.0.0.1:9002", Slots: 6, Connections: 130},
+		},
+	}
+}
+
+func file(t *testing.T, s *config.Service) string {
+	t.Helper()
+	data, err := config.Encode(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), s.Name+".json")
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestARecordGoesThroughItsLife(t *testing.T) {
+	_, addr := startPlatform(t)
+	one := sample(1)
+	run("", "apply", file(t, one), "--platform", addr).want(t, ExitOK, "swapbay: version 1 accepted")
+	run("", "get", "--platform", addr).want(t, ExitOK, "swapbay  1")
+	run("", "get", "swapbay", "--platform", addr).want(t, ExitOK, `"slot_count": 64`)
+
+	two := sample(2)
+	two.Servers = two.Servers[:1]
+	two.Limits.QueueLength = 9
+	run("", "diff", file(t, two), "--platform", addr).want(t, ExitOK, "limits.queue_length: absent -> 9")
+	run("", "apply", file(t, two), "--platform", addr).want(t, ExitOK, "version 2 accepted")
+	run("", "history", "swapbay", "--platform", addr).want(t, ExitOK, `servers[s2].id: "s2" -> absent`)
+	run("", "get", "swapbay", "--version", "1", "--platform", addr).want(t, ExitOK, `"s2"`)
+}
+
+func TestWhatGetPrintsCanBeAppliedAgain(t *testing.T) {
+	_, addr := startPlatform(t)
+	run("", "apply", file(t, sample(1)), "--platform", addr).want(t, ExitOK, "accepted")
+	printed := run("", "get", "swapbay", "--platform", addr).out
+	next := strings.Replace(printed, `"version": 1`, `"version": 2`, 1)
+	run(next, "apply", "-", "--platform", addr).want(t, ExitOK, "version 2 accepted")
+}
+
+func TestDrainAndUndoAreChangesLikeAnyOther(t *testing.T) {
+	_, addr := startPlatform(t)
+	run("", "apply", file(t, sample(1)), "--platform", addr).want(t, ExitOK, "accepted")
+	run("", "drain", "swapbay", "s1", "--platform", addr).want(t, ExitOK, "version 2 accepted")
+	run("", "drain", "swapbay", "s1", "--platform", addr).want(t, ExitOK, "nothing to do")
+	run("", "history", "swapbay", "--platform", addr).want(t, ExitOK, "servers[s1].drain: absent -> true")
+	run("", "drain", "swapbay", "s1", "--undo", "--platform", addr).want(t, ExitOK, "version 3 accepted")
+	run("", "drain", "swapbay", "s9", "--platform", addr).want(t, ExitFailed, `no server "s9"`)
+	run("", "drain", "reefread", "s1", "--platform", addr).want(t, ExitFailed, "next: list the names")
+}
+
+func TestRacingOperatorsOneWinsAndTheOthersSeeBothRecords(t *testing.T) {
+	_, addr := startPlatform(t)
+	const operators = 6
+	results := make([]result, operators)
+	files := make([]string, operators)
+	for i := range operators {
+		s := sample(1)
+		s.Limits.QueueLength = 100 + i
+		files[i] = file(t, s)
+	}
+	var group sync.WaitGroup
+	for i := range operators {
+		group.Go(func() { results[i] = run("", "apply", files[i], "--platform", addr, "--json") })
+	}
+	group.Wait()
+	won := 0
+	for i, r := range results {
+		if r.code == ExitOK {
+			won++
+			continue
+		}
+		var c conflictAnswer
+		if err := json.Unmarshal([]byte(r.out), &c); err != nil || r.code != ExitConflict {
+			t.Fatalf("operator %d: code %d, %v: %s %s", i, r.code, err, r.out, r.words)
+		}
+		if c.Theirs == nil || c.Yours == nil || c.Yours.Limits.QueueLength != 100+i || c.Theirs.Limits.QueueLength == 100+i {
+			t.Errorf("operator %d: theirs %+v, yours %+v", i, c.Theirs, c.Yours)
+		}
+		r.want(t, ExitConflict, "next: read the record in force")
+	}
+	if won != 1 {
+		t.Errorf("%d operators won, want 1", won)
+	}
+}
+
+func TestLostAnswersAreResolvedBeforeAnythingIsSaid(t *testing.T) {
+	p, addr := startPlatform(t)
+	p.SetFaults(standin.PlatformFaults{LostAnswerShare: 1})
+	run("", "apply", file(t, sample(1)), "--platform", addr).want(t, ExitOK, "version 1 accepted")
+	run("", "apply", file(t, sample(1)), "--platform", addr).want(t, ExitConflict, "another change came first")
+}
+
+func TestAPlatformThatIsDownIsNamedWithWhatToDo(t *testing.T) {
+	p, addr := startPlatform(t)
+	p.SetFaults(standin.PlatformFaults{Down: true})
+	r := run("", "apply", file(t, sample(1)), "--platform", addr, "--timeout", "300ms")
+	r.want(t, ExitFailed, "nothing was written")
+	r.want(t, ExitFailed, "next: check --platform")
+	if r.out != "" {
+		t.Errorf("words on standard output: %q", r.out)
+	}
+}
+
+func TestASchemaThatALiveVMLacksIsRefusedWithItsName(t *testing.T) {
+	p, addr := startPlatform(t)
+	p.SetVM(platform.VM{ID: "vm-old", Role: "entry", State: platform.VMLive})
+	s := sample(1)
+	s.Rules = []config.Rule{{Timeout: 500}}
+	run("", "apply", file(t, s), "--platform", addr).want(t, ExitUsage, "vm-old")
+	if err := config.PublishReader(context.Background(), platform.NewClient(addr), "vm-old", "i1"); err != nil {
+		t.Fatal(err)
+	}
+	run("", "apply", file(t, s), "--platform", addr).want(t, ExitOK, "accepted")
+}
+
+func TestBadInputIsRefusedWithItsNameAndCode(t *testing.T) {
+	cases := []struct {
+		name string
+		in   string
+		args []string
+		want string
+	}{
+		{"no file", "", []string{"validate", "/nowhere.json"}, "/nowhere.json"},
+		{"no argument", "", []string{"validate"}, "requires at least 1 arg"},
+		{"unknown flag", "", []string{"get", "--plattform", "x"}, "unknown flag: --plattform"},
+		{"unknown command", "", []string{"aply"}, "unknown command"},
+		{"name for an address", "", []string{"get", "--platform", "platform:80"}, `--platform: "platform:80": want IP:port`},
+		{"VM without port", "", []string{"status", "--vm", "10.0.0.1"}, `--vm: "10.0.0.1": want IP:port`},
+		{"no JSON", "{", []string{"apply", "-"}, "well-formed JSON"},
+		{"wrong record", `{"schema":1,"nme":"x"}`, []string{"validate", "-"}, `nme: unknown field`},
+		{"schema of tomorrow", `{"schema":9,"name":"x"}`, []string{"validate", "-"}, `schema: 9: want a schema that this release reads: 1 or 2`},
+		{"negative version", "", []string{"apply", "x.json", "--expect", "-1"}, "invalid argument"},
+		{"bad duration", "", []string{"get", "--timeout", "soon"}, "invalid argument"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { run(c.in, c.args...).want(t, ExitUsage, c.want) })
+	}
+}
+
+func TestValidateReportsEachFile(t *testing.T) {
+	good := file(t, sample(1))
+	bad := sample(1)
+	bad.SlotCount = 0
+	r := run("", "validate", good, file(t, bad))
+	r.want(t, ExitUsage, "valid: record swapbay, version 1, schema 1")
+	r.want(t, ExitUsage, "slot_count: 0: want 1 to 65536 slots")
+	r.want(t, ExitUsage, "1 of 2 files are not valid")
+	var checks []fileCheck
+	if err := json.Unmarshal([]byte(run("", "validate", good, "--json").out), &checks); err != nil || !checks[0].Valid {
+		t.Errorf("%+v, %v", checks, err)
+	}
+}
+
+// startVM serves the operator paths with fixed answers.
+func startVM(t *testing.T, status operator.Status, explain operator.Explain) string {
+	t.Helper()
+	mux := http.NewServeMux()
+	mux.HandleFunc(operator.PathStatus, func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(status)
+	})
+	mux.HandleFunc(operator.PathExplain, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("service") != explain.Service || r.URL.Query().Get("key") != explain.Key {
+			http.Error(w, "no such service", http.StatusNotFound)
+			return
+		}
+		_ = json.NewEncoder(w).Encode(explain)
+	})
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func TestExplainEscapesTheKeyAndNamesAMissingService(t *testing.T) {
+	key := "a b/&service=x#é"
+	addr := startVM(t, operator.Status{}, operator.Explain{Service: "swapbay", Key: key, Owner: "s1", Why: "placed"})
+	run("", "explain", "swapbay", key, "--vm", addr).want(t, ExitOK, "s1")
+	run("", "explain", "reefread", key, "--vm", addr).want(t, ExitFailed, "answered 404")
+}
+
+func TestStatusOfAFullSystemFitsOneScreen(t *testing.T) {
+	const vms, services, lines = 7300, 400, 72
+	status := operator.Status{VM: "vm-0"}
+	for i := range vms {
+		status.VMs = append(status.VMs, operator.VM{
+			ID: "vm-" + string(rune('a'+i%9)), FailureDomain: "d" + string(rune('1'+i%9)), Alive: i%100 != 0, ConfigDigest: uint64(min(i%50, 1)),
+		})
+	}
+	for i := range services {
+		name := "s" + string(rune('a'+i%26)) + string(rune('a'+i/26))
+		status.Groups = append(status.Groups, operator.Group{Group: name, Keeper: "vm-1", Standby: "vm-2", Mode: operator.ModeTable, Unowned: i % 3})
+		status.Servers = append(status.Servers, operator.Server{Service: name, ID: "s1", Healthy: i%2 == 0})
+		status.ConfigVersions = append(status.ConfigVersions, operator.ConfigRecord{Name: name, Version: 1})
+	}
+	r := run("", "status", "--vm", startVM(t, status, operator.Explain{}))
+	r.want(t, ExitOK, "platform DOWN")
+	if got := strings.Count(r.out, "\n"); got > lines {
+		t.Errorf("%d lines, want at most %d:\n%s", got, lines, r.out)
+	}
+	var whole operator.Status
+	data := run("", "status", "--json", "--vm", startVM(t, status, operator.Explain{})).out
+	if err := json.Unmarshal([]byte(data), &whole); err != nil || len(whole.VMs) != vms {
+		t.Errorf("%d VMs in JSON, %v", len(whole.VMs), err)
+	}
+}
+
+func TestAVMThatDoesNotAnswerIsNamed(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	addr := strings.TrimPrefix(server.URL, "http://")
+	run("", "status", "--vm", addr).want(t, ExitFailed, "answered 404")
+	server.Close()
+	run("", "status", "--vm", addr).want(t, ExitFailed, "next: check --vm")
+}
+
+func TestCompletionScriptsAreThere(t *testing.T) {
+	for _, shell := range []string{"bash", "zsh", "fish"} {
+		run("", "completion", shell).want(t, ExitOK, "kumquatcleat")
+	}
+}
