Deferred work: durable tickets, workers by compare-and-set, parking

Cause: refunds, transfers and log searches can wait, but must not vanish and must land once.

Change: Deferred.Accept answers only once the row is written; Worker takes an item by compare-and-set, sends it with its ticket as request id and records the answer. An attempt whose outcome is unknown is repeated where the server honours ids and parked for the operator elsewhere. A lost answer to a write is settled by repeating the write byte for byte, then by its write id. New kind deferral_unconfirmed, with outcome unknown: a write without an answer may land after the refusal, so 'not run' would be a lie; Withdraw puts a row in its place and tells which came first.

Ruled out: a lease by wall clock (two machines' clocks are not compared): a worker counts the lease from when it first saw that version of the row.

--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -56,6 +56,8 @@
 	Stopping Kind = "stopping"
 	// DeferralUnavailable is deferred work that could not be made durable.
 	DeferralUnavailable Kind = "deferral_unavailable"
+	// DeferralUnconfirmed is deferred work whose durability was not confirmed.
+	DeferralUnconfirmed Kind = "deferral_unconfirmed"
 	// CallerGone is a caller that closed its connection before the answer.
 	CallerGone Kind = "caller_gone"
 	// ConfigConflict is a configuration write that lost a race.
@@ -108,6 +110,7 @@
 	DuplicateRequest:    {http.StatusConflict, Unknown, 0},
 	Stopping:            {http.StatusServiceUnavailable, NotRun, time.Second},
 	DeferralUnavailable: {http.StatusServiceUnavailable, NotRun, 5 * time.Second},
+	DeferralUnconfirmed: {http.StatusGatewayTimeout, Unknown, 0},
 	CallerGone:          {http.StatusBadGateway, Unknown, 0},
 	ConfigConflict:      {http.StatusConflict, NotRun, 0},
 	ConfigInvalid:       {http.StatusBadRequest, NotRun, 0},
--- /dev/null
+++ b/internal/retry/deferred.go
@@ -0,0 +1,201 @@
+package retry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+
+	"github.com/google/uuid"
+
+	"kumquatcleat/internal/config"
+	"kumquatcleat/internal/fault"
+	"kumquatcleat/internal/platform"
+)
+
+// DeferredSettings bound deferred work.
+type DeferredSettings struct {
+	// Lease is how long a worker leaves an item that another one runs, counted
+	// from when it first saw that version, in milliseconds. Default 120000, at
+	// least twice the run time.
+	Lease config.Milliseconds `json:"lease_ms"`
+	// Run is the longest run of one attempt, in milliseconds. Default 60000, at
+	// least 1.
+	Run config.Milliseconds `json:"run_ms"`
+	// WriteRetry is the pause between two tries of a write without an answer, in
+	// milliseconds. Default 200, at least 1.
+	WriteRetry config.Milliseconds `json:"write_retry_ms"`
+	// MaxBody is the largest request or answer body that is kept, in bytes.
+	// Default 262144, at least 1.
+	MaxBody int `json:"max_body_bytes"`
+}
+
+// DefaultDeferredSettings returns the defaults that each field states.
+func DefaultDeferredSettings() DeferredSettings {
+	return DeferredSettings{Lease: 120000, Run: 60000, WriteRetry: 200, MaxBody: 256 << 10}
+}
+
+// Validate returns an error that names the first field outside its range, its
+// value and what is allowed.
+func (s DeferredSettings) Validate() error {
+	if s.Run < 1 {
+		return fmt.Errorf("run_ms: %d is not allowed; want at least 1", s.Run)
+	}
+	if s.Lease < 2*s.Run {
+		return fmt.Errorf("lease_ms: %d is not allowed; want at least twice run_ms, %d", s.Lease, 2*s.Run)
+	}
+	if s.WriteRetry < 1 {
+		return fmt.Errorf("write_retry_ms: %d is not allowed; want at least 1", s.WriteRetry)
+	}
+	if s.MaxBody < 1 {
+		return fmt.Errorf("max_body_bytes: %d is not allowed; want at least 1", s.MaxBody)
+	}
+	return nil
+}
+
+// Deferred accepts work that can wait and tells what became of it. It is safe for
+// concurrent use.
+type Deferred struct {
+	settings  DeferredSettings
+	store     deferredStore
+	submitter string
+}
+
+// NewDeferred returns the acceptor of the VM named submitter.
+func NewDeferred(s DeferredSettings, table platform.Table, submitter string) *Deferred {
+	return &Deferred{settings: s, store: newDeferredStore(s, table), submitter: submitter}
+}
+
+func newDeferredStore(s DeferredSettings, table platform.Table) deferredStore {
+	return deferredStore{table: table, newID: uuid.NewString, pause: s.WriteRetry.Duration()}
+}
+
+// Ticket names deferred work. A caller's idempotency key always gives the same
+// ticket, so a request that is sent again finds the first one; without a key each
+// request gets a new ticket.
+func Ticket(service, idempotencyKey string) string {
+	if idempotencyKey == "" {
+		return uuid.NewString()
+	}
+	digest := sha256.Sum256([]byte(service + string(separator) + idempotencyKey))
+	return hex.EncodeToString(digest[:])
+}
+
+// Accept makes work durable under a ticket and returns nil once it is. The same
+// request under the same ticket is accepted again without effect. It fails with a
+// *fault.Error: DeferralUnavailable says that the work is not accepted and never
+// will be by this call, DeferralUnconfirmed that it may be, BadRequest that
+// the ticket belongs to another request.
+func (d *Deferred) Accept(ctx context.Context, service, ticket string, honoursID bool, request DeferredRequest) error {
+	if len(request.Body) > d.settings.MaxBody {
+		return fault.New(fault.BodyTooLarge, "deferred work keeps bodies up to %d bytes, this one has %d", d.settings.MaxBody, len(request.Body))
+	}
+	item := DeferredItem{
+		Schema: deferredSchema, Ticket: ticket, Service: service, HonoursID: honoursID,
+		Request: request, Print: request.fingerprint(), State: DeferredQueued, Submitter: d.submitter,
+	}
+	row, err := d.read(ctx, item.key())
+	if err != nil {
+		return fault.Wrap(fault.DeferralUnavailable, err, "deferred work can't be stored now")
+	}
+	if row.version > 0 && row.item.State != DeferredWithdrawn {
+		return sameRequest(row.item, item)
+	}
+	_, err = d.store.put(ctx, item, row.version)
+	if errors.Is(err, platform.ErrConflict) {
+		return d.overtaken(ctx, item)
+	}
+	if err != nil {
+		return fault.Wrap(fault.DeferralUnconfirmed, err, "ticket %s may or may not be accepted", ticket)
+	}
+	return nil
+}
+
+// read returns a row, with version 0 when there is none. Accept calls it first to
+// find a platform that is down while a refusal can still be certain.
+func (d *Deferred) read(ctx context.Context, key string) (deferredRow, error) {
+	row, err := d.store.get(ctx, key)
+	if errors.Is(err, platform.ErrNotFound) {
+		return deferredRow{}, nil
+	}
+	return row, err
+}
+
+// overtaken looks at the row that stands in the place of a first write: our own
+// that a worker took up since, another copy's, or a withdrawal.
+func (d *Deferred) overtaken(ctx context.Context, item DeferredItem) error {
+	row, err := d.store.get(ctx, item.key())
+	if err != nil {
+		return fault.Wrap(fault.DeferralUnconfirmed, err, "ticket %s may or may not be accepted", item.Ticket)
+	}
+	if row.item.State == DeferredWithdrawn {
+		return fault.New(fault.DeferralUnavailable, "ticket %s was withdrawn", item.Ticket)
+	}
+	return sameRequest(row.item, item)
+}
+
+func sameRequest(accepted, item DeferredItem) error {
+	if accepted.Print != item.Print {
+		return fault.New(fault.BadRequest, "ticket %s belongs to another request", item.Ticket)
+	}
+	return nil
+}
+
+// Status returns what is known of a ticket, or a *fault.Error of kind NotFound or
+// PlatformUnavailable.
+func (d *Deferred) Status(ctx context.Context, service, ticket string) (DeferredItem, error) {
+	row, err := d.store.get(ctx, DeferredKey(service, ticket))
+	if errors.Is(err, platform.ErrNotFound) {
+		return DeferredItem{}, fault.New(fault.NotFound, "service %s has no ticket %s", service, ticket)
+	}
+	if err != nil {
+		return DeferredItem{}, fault.Wrap(fault.PlatformUnavailable, err, "ticket %s", ticket)
+	}
+	return row.item, nil
+}
+
+// Withdraw makes sure that an unconfirmed ticket is not accepted. It returns true
+// when the ticket is withdrawn, and false when it was accepted after all.
+func (d *Deferred) Withdraw(ctx context.Context, service, ticket string) (bool, error) {
+	item := DeferredItem{
+		Schema: deferredSchema, Ticket: ticket, Service: service,
+		State: DeferredWithdrawn, Submitter: d.submitter,
+	}
+	_, err := d.store.put(ctx, item, 0)
+	if err == nil {
+		return true, nil
+	}
+	if !errors.Is(err, platform.ErrConflict) {
+		return false, fault.Wrap(fault.PlatformUnavailable, err, "ticket %s", ticket)
+	}
+	row, err := d.store.get(ctx, item.key())
+	if err != nil {
+		return false, fault.Wrap(fault.PlatformUnavailable, err, "ticket %s", ticket)
+	}
+	return row.item.State == DeferredWithdrawn, nil
+}
+
+// Resolve ends the parking of an item by an operator who found out whether it ran:
+// ran settles it without an answer, otherwise it is queued again.
+func (d *Deferred) Resolve(ctx context.Context, service, ticket string, ran bool, reason string) error {
+	row, err := d.store.get(ctx, DeferredKey(service, ticket))
+	if errors.Is(err, platform.ErrNotFound) {
+		return fault.New(fault.NotFound, "service %s has no ticket %s", service, ticket)
+	}
+	if err != nil {
+		return fault.Wrap(fault.PlatformUnavailable, err, "ticket %s", ticket)
+	}
+	if row.item.State != DeferredParked {
+		return fault.New(fault.ConfigConflict, "ticket %s is %s, not parked", ticket, row.item.State)
+	}
+	item := row.item
+	item.State, item.Holder, item.Reason = DeferredQueued, "", reason
+	if ran {
+		item.State = DeferredDone
+	}
+	if _, err := d.store.put(ctx, item, row.version); err != nil {
+		return fault.Wrap(fault.ConfigConflict, err, "ticket %s changed meanwhile", ticket)
+	}
+	return nil
+}
