--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -64,7 +64,7 @@
 	quarantine *retry.MemoryQuarantine
 	canceler   *canceler
 	handler    *routing.Handler
-	callers    *http.Server
+	callers    *callerServer
 	peers      *http.Server
 	stopping   atomic.Bool
 	cancel     context.CancelFunc // ends the duties
@@ -140,14 +140,14 @@
 	d.operatorRoutes(mux)
 	mux.Handle(peer.PeerPathPrefix, peer.NewPeerServer(&peerService{daemon: d}))
 	d.peers = &http.Server{Addr: d.settings.PeerListen, Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
-	d.callers = &http.Server{Addr: d.settings.Listen, ReadHeaderTimeout: readHeaderTimeout}
+	d.callers = newCallerServer(d.settings.Listen)
 	return nil
 }
 
 // serveCallers builds the request path, whose goroutines end with ctx.
 func (d *Daemon) serveCallers(ctx context.Context) error {
 	d.handler = routing.NewHandler(routing.Parts{
-		Services:   &effectiveServices{store: d.store, members: d.members},
+		Services:   &effectiveServices{store: d.store, members: d.members, synced: d.syncer.Synced},
 		Resolver:   routing.NewRouteTable(ctx, d.directory),
 		Gate:       d.gates,
 		Policy:     retry.NewBudgetPolicy(retry.DefaultBudgetSettings(), rand.Float64),
@@ -164,7 +164,7 @@
 	if err != nil {
 		return fmt.Errorf("daemon: rest: %w", err)
 	}
-	d.callers.Handler = handler
+	d.callers.server.Handler = handler
 	return nil
 }
 
@@ -182,7 +182,7 @@
 	if err := listenAndServe(d.peers, failed); err != nil {
 		return err
 	}
-	if err := listenAndServe(d.callers, failed); err != nil {
+	if err := d.callers.start(failed); err != nil {
 		return err
 	}
 	go d.decisions.Run(duties)
@@ -234,7 +234,7 @@
 	defer cancel()
 	_ = sleep(ctx, min(noticeTime, d.settings.ShutdownGrace()))
 	d.handOver(ctx)
-	err := d.callers.Shutdown(ctx)
+	err := d.callers.finish(ctx)
 	if err != nil {
 		err = fmt.Errorf("daemon: %d requests were cut: the grace of %v was too short", d.handler.InFlight(), d.settings.ShutdownGrace())
 	}
--- a/internal/daemon/groups.go
+++ b/internal/daemon/groups.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -35,19 +36,20 @@
 	clients   *backend.ControlClients
 	claims    *Claims // set before Run
 
+	stopping atomic.Bool // no new roles, no new plans
+
 	mu      sync.Mutex
 	running map[string]*groupRun
 }
 
 // groupRun is one running Driver with what it was last told.
 type groupRun struct {
-	id       config.GroupID
-	driver   *ownership.Driver
-	cancel   context.CancelFunc
-	rates    *rateBook
-	told     string // fingerprint of the last MembersChanged
-	planned  time.Duration
-	stopping bool
+	id      config.GroupID
+	driver  *ownership.Driver
+	cancel  context.CancelFunc
+	rates   *rateBook
+	told    string // fingerprint of the last MembersChanged
+	planned time.Duration
 }
 
 // NewGroups returns the duty. env.Servers is set here: the configuration names
@@ -102,6 +104,9 @@
 }
 
 func (g *Groups) startWanted(ctx context.Context, roster *Roster) {
+	if g.stopping.Load() {
+		return
+	}
 	for name, keepers := range roster.Groups {
 		if !isCandidate(keepers.Candidates, g.self) {
 			continue
@@ -135,7 +140,7 @@
 // tell passes on what changed: the VMs that may keep the group, and the plan.
 func (g *Groups) tell(ctx context.Context, run *groupRun, roster *Roster) {
 	keepers, ok := roster.Groups[run.id.String()]
-	if !ok || run.stopping {
+	if !ok || g.stopping.Load() {
 		return
 	}
 	if told := fmt.Sprint(keepers.Candidates, keepers.Gone); told != run.told {
@@ -169,9 +174,9 @@
 	}
 	input := placementInput(service, run.id, routes, run.rates.total(g.env.Clock()))
 	markServers(input.Servers, status, roster.Leave)
-	event := ownership.PlanChanged{
-		Servers: make(map[string]ownership.ServerPlan, len(input.Servers)),
-		Owners:  placement.Plan(input, g.placement),
+	event := ownership.PlanChanged{Servers: make(map[string]ownership.ServerPlan, len(input.Servers))}
+	if mayPlan(status) {
+		event.Owners = placement.Plan(input, g.placement)
 	}
 	for _, server := range service.ServersOf(run.id) {
 		event.Servers[server.ID] = ownership.ServerPlan{
@@ -182,6 +187,13 @@
 	run.driver.Tell(ctx, event)
 }
 
+// mayPlan reports whether wanted owners can be worked out here: by the keeper,
+// who knows the present ones, or for a group that has none yet. A plan made
+// without the present owners would move most slots after a change of keeper.
+func mayPlan(status ownership.Status) bool {
+	return status.Role == ownership.RoleKeeper || status.Token.Epoch == 0
+}
+
 func placementInput(service *config.Service, id config.GroupID, routes ownership.Routes, rates map[uint32]float64) placement.Input {
 	input := placement.Input{Current: map[uint32]string{}}
 	for _, slot := range service.SlotsOf(id) {
@@ -220,9 +232,9 @@
 
 // Stop hands every role over and waits for that until ctx ends.
 func (g *Groups) Stop(ctx context.Context) {
+	g.stopping.Store(true)
 	runs := g.runs()
 	for _, run := range runs {
-		run.stopping = true
 		run.driver.Tell(ctx, ownership.StopRequested{})
 	}
 	for _, run := range runs {
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -207,7 +207,7 @@
 	for _, service := range m.store.Services() {
 		for _, id := range service.Groups() {
 			candidates, gone := m.view.Candidates(now, id.Domain, service.Isolation, id.String())
-			next.Groups[id.String()] = GroupKeepers{ID: id, Candidates: candidates, Gone: gone}
+			next.Groups[id.String()] = GroupKeepers{ID: id, Candidates: withKnownStart(candidates), Gone: gone}
 			for _, ref := range gone {
 				next.Gone[ref] = true
 			}
@@ -216,6 +216,14 @@
 	m.roster.Store(next)
 }
 
+// withKnownStart leaves out VMs that are only listed. Named in a row by the
+// platform's incarnation alone, such a VM would not know itself as standby.
+func withKnownStart(refs []ownership.VMRef) []ownership.VMRef {
+	return slices.DeleteFunc(refs, func(ref ownership.VMRef) bool {
+		return !strings.Contains(ref.Incarnation, startSeparator)
+	})
+}
+
 // sleep waits and reports whether ctx is still alive.
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/internal/daemon/rates.go
+++ b/internal/daemon/rates.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -8,9 +9,13 @@
 )
 
 const (
-	reportLife    = 5 * time.Second // a VM that stopped reporting stops counting
-	reportSmooth  = 0.3             // weight of a new report; damps bursts shorter than a few reports
-	negligibleRPS = 0.01
+	reportLife = 5 * time.Second // a VM that stopped reporting stops counting
+	// rateMemory is the time constant of the smoothing. Reports come at uneven
+	// intervals, some of them milliseconds long: one request in such an interval
+	// looks like hundreds a second. Shorter memory moves slots on that noise; a
+	// longer one follows hot keys, which change within minutes, too late.
+	rateMemory    = 20 * time.Second
+	negligibleRPS = 0.001
 )
 
 // rateBook adds up how often each slot is sent to, over the VMs that report.
@@ -33,18 +38,19 @@
 	defer b.mu.Unlock()
 	r, ok := b.reports[vm]
 	if !ok {
-		r = &rateReport{rates: map[uint32]float64{}}
+		r = &rateReport{at: now, rates: map[uint32]float64{}}
 		b.reports[vm] = r
 	}
+	keep := math.Exp(-(now - r.at).Seconds() / rateMemory.Seconds())
 	r.at = now
 	for slot, rate := range r.rates {
-		r.rates[slot] = rate * (1 - reportSmooth)
+		r.rates[slot] = rate * keep
 		if r.rates[slot] < negligibleRPS {
 			delete(r.rates, slot)
 		}
 	}
 	for _, load := range loads {
-		r.rates[load.GetSlot()] += load.GetPerSecond() * reportSmooth
+		r.rates[load.GetSlot()] += load.GetPerSecond() * (1 - keep)
 	}
 }
 
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -13,6 +13,7 @@
 type effectiveServices struct {
 	store   *config.Store
 	members *Members
+	synced  func() bool
 	mu      sync.Mutex
 	made    map[string]effectiveService
 }
@@ -47,6 +48,9 @@
 	return marked, true
 }
 
+// Known implements routing.Services.
+func (e *effectiveServices) Known() bool { return e.synced() }
+
 func markLeaving(base *config.Service, leaving map[string]bool) *config.Service {
 	marked := *base
 	marked.Servers = slices.Clone(base.Servers)
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -54,6 +54,8 @@
 	DuplicateRequest Kind = "duplicate_request"
 	// Stopping is a VM that is shutting down and takes no new requests.
 	Stopping Kind = "stopping"
+	// Starting is a VM that does not know the configuration in force yet.
+	Starting Kind = "starting"
 	// DeferralUnavailable is deferred work that could not be made durable.
 	DeferralUnavailable Kind = "deferral_unavailable"
 	// CallerGone is a caller that closed its connection before the answer.
@@ -107,6 +109,7 @@
 	ClaimUnavailable:    {http.StatusServiceUnavailable, NotRun, time.Second},
 	DuplicateRequest:    {http.StatusConflict, Unknown, 0},
 	Stopping:            {http.StatusServiceUnavailable, NotRun, time.Second},
+	Starting:            {http.StatusServiceUnavailable, NotRun, time.Second},
 	DeferralUnavailable: {http.StatusServiceUnavailable, NotRun, 5 * time.Second},
 	CallerGone:          {http.StatusBadGateway, Unknown, 0},
 	ConfigConflict:      {http.StatusConflict, NotRun, 0},
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -55,6 +55,9 @@
 	if hasDotSegment(rest) {
 		return c, fault.New(fault.BadRequest, "path %q has a dot segment: send the resolved path", r.URL.Path)
 	}
+	if !services.Known() {
+		return c, fault.New(fault.Starting, "this VM does not know the configuration in force yet: send the request again")
+	}
 	service, ok := services.Service(name)
 	if !ok {
 		return c, fault.New(fault.UnknownService, "no service %q: ask the operator for the services in force", name)
--- a/internal/routing/call_test.go
+++ b/internal/routing/call_test.go
@@ -76,6 +76,19 @@
 	}
 }
 
+// unknownServices is a VM that has not learnt its configuration.
+type unknownServices struct{}
+
+func (unknownServices) Service(string) (*config.Service, bool) { return nil, false }
+func (unknownServices) Known() bool                            { return false }
+
+func TestServiceIsNotCalledUnknownBeforeTheConfigurationIsKnown(t *testing.T) {
+	_, err := parseCall(httptest.NewRequest(http.MethodGet, "http://router/swapbay/x", nil), unknownServices{})
+	if err == nil || err.Kind != fault.Starting {
+		t.Fatalf("got %v, want kind %s", err, fault.Starting)
+	}
+}
+
 func FuzzParseCall(f *testing.F) {
 	f.Add("/swapbay/listings/7", "k", "100")
 	f.Add("/swapbay/listings/%2e%2e/7", "", "-1")
--- a/internal/routing/forward_test.go
+++ b/internal/routing/forward_test.go
@@ -53,6 +53,7 @@
 func (o oneService) Service(name string) (*config.Service, bool) {
 	return o.service, name == o.service.Name
 }
+func (o oneService) Known() bool { return true }
 
 type noClaims struct{}
 
--- a/internal/routing/handler.go
+++ b/internal/routing/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -118,7 +119,8 @@
 		name = call.idempotencyKey
 	}
 	group := call.service.GroupOf(call.service.SlotOf(name)).String()
-	once, verdict, err := h.Claimer.Claim(ctx, group, call.service.Name+"\x00"+call.key+"\x00"+call.idempotencyKey, call.requestID)
+	scoped := call.service.Name + "\x00" + call.key + "\x00" + call.idempotencyKey
+	once, verdict, err := h.claimPatiently(ctx, group, scoped, call.requestID)
 	switch {
 	case verdict == retry.ClaimFirst:
 		return once, nil
@@ -129,6 +131,25 @@
 	}
 }
 
+const (
+	// claimTries and claimPause span the time in which a VM that was just named
+	// as standby learns of it: one read of the group's row.
+	claimTries = 6
+	claimPause = 100 * time.Millisecond
+)
+
+// claimPatiently tries again while no VM can record the claim. Each try has an
+// id of its own: a try that was given up must not be taken for the next one.
+func (h *Handler) claimPatiently(ctx context.Context, group, key, requestID string) (retry.Claim, retry.Verdict, error) {
+	for number := 1; ; number++ {
+		id := requestID + "/" + strconv.Itoa(number)
+		once, verdict, err := h.Claimer.Claim(ctx, group, key, id)
+		if verdict != retry.ClaimRefused || number == claimTries || !pauseFor(ctx, claimPause) {
+			return once, verdict, err
+		}
+	}
+}
+
 // settle ends a claim. An unknown outcome keeps the claim: the request may have
 // run, and a copy must be refused.
 func (h *Handler) settle(ctx context.Context, once retry.Claim, err *fault.Error) {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -32,4 +32,7 @@
 // Services gives the configuration in force on this VM.
 type Services interface {
 	Service(name string) (*config.Service, bool)
+	// Known reports whether the configuration in force is known. Before that a
+	// name that Service does not find may well be a service.
+	Known() bool
 }
