Partitions between VMs, servers and the platform, by the sender's address

Cause: a failure domain that is cut off could not be provoked: outgoing connections came from one loopback address, so nobody could tell VMs apart.

Change: a daemon's connections to servers, platform and peers come from the IP in its settings (internal/dial; peers did so already). The stand-ins and a relay in front of each VM's peer address hold back both directions for the sources that are cut off and deliver at the end of the cut, as a network that drops packets does; a reset would tell the peers too much. Fault "cut" of scenarios names a domain and what it loses: peers, servers, platform.

--- a/internal/backend/http.go
+++ b/internal/backend/http.go
@@ -12,6 +12,8 @@
 
 	"github.com/zeromicro/go-zero/core/breaker"
 	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"kumquatcleat/internal/dial"
 )
 
 const (
@@ -28,10 +30,18 @@
 }
 
 // NewControlClients returns a maker of Controllers.
-func NewControlClients() *ControlClients {
+func NewControlClients() *ControlClients { return NewControlClientsFrom("") }
+
+// NewControlClientsFrom returns a maker of Controllers that dial from a local IP
+// address; empty: any.
+func NewControlClientsFrom(localIP string) *ControlClients {
 	// The breaker is shared by all servers: one lost server would refuse the rest.
 	breaker.NoBreakerFor(controlBreaker)
-	transport := &http.Transport{MaxIdleConnsPerHost: controlMaxIdlePerSrv, IdleConnTimeout: controlIdleTimeout}
+	transport := &http.Transport{
+		DialContext:         dial.From(localIP, controlTimeout).DialContext,
+		MaxIdleConnsPerHost: controlMaxIdlePerSrv,
+		IdleConnTimeout:     controlIdleTimeout,
+	}
 	client := &http.Client{Transport: transport, Timeout: controlTimeout}
 	return &ControlClients{service: httpc.NewServiceWithClient(controlBreaker, client)}
 }
--- a/internal/bench/actions.go
+++ b/internal/bench/actions.go
@@ -1,9 +1,7 @@
 package bench
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -77,28 +75,15 @@
 		Incarnation:   platformIncarnation,
 		Role:          roleEntry,
 		FailureDomain: vm.FailureDomain,
-		Address:       vm.PeerListen,
+		Address:       vm.PeerAddress,
 		State:         state,
 	}})
 }
 
 func (c *Cluster) postVM(ctx context.Context, change standin.VMChange) error {
-	body, err := json.Marshal(change)
-	if err != nil {
-		return err
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.Platform+standin.PathVMs, bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
+	if err := postJSON(ctx, "http://"+c.Platform+standin.PathVMs, change); err != nil {
 		return fmt.Errorf("cluster: VM list: %w", err)
 	}
-	_ = resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("cluster: VM list: status %d", resp.StatusCode)
-	}
 	return nil
 }
 
--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -23,6 +23,7 @@
 	endTimeout   = 15 * time.Second // after SIGTERM; then SIGKILL
 	namePlatform = "platform"
 	nameServers  = "servers"
+	nameRelays   = "relays"
 )
 
 // Cluster is a platform stand-in, servers and daemons on loopback addresses, as
@@ -31,6 +32,7 @@
 	Dir      string            `json:"-"`
 	Size     string            `json:"size"`
 	Platform string            `json:"platform"` // address
+	Relays   string            `json:"relays"`   // address of the relays' cuts
 	VMs      []ClusterVM       `json:"vms"`
 	Services []*config.Service `json:"services"`
 	Separate bool              `json:"separate"` // one process for each server
@@ -47,6 +49,8 @@
 	// DaemonSettings are laid over the settings file of every daemon.
 	DaemonSettings json.RawMessage
 	Server         standin.ServerSettings // work time, cold start and so on, for every server
+	// NoChecks makes servers that run whatever arrives, and records that say so.
+	NoChecks bool
 }
 
 // Up starts a cluster and waits until it is ready. After an error whatever it
@@ -63,10 +67,14 @@
 		Dir:      s.Dir,
 		Size:     s.Size,
 		Platform: fmt.Sprintf("127.%d.0.1:%d", s.Net, portPlatform),
+		Relays:   fmt.Sprintf("127.%d.0.2:%d", s.Net, portPlatform),
 		VMs:      size.VMs(s.Net),
 		Services: size.Records(s.Net),
 		Separate: s.Separate,
 	}
+	if s.NoChecks {
+		c.dropChecks()
+	}
 	if err := c.prepare(); err != nil {
 		return nil, err
 	}
@@ -76,6 +84,14 @@
 	return c, nil
 }
 
+func (c *Cluster) dropChecks() {
+	for _, service := range c.Services {
+		for i := range service.Servers {
+			service.Servers[i].Checks = false
+		}
+	}
+}
+
 // prepare makes the directory. One that holds a live cluster is refused.
 func (c *Cluster) prepare() error {
 	if names, err := c.processNames(); err == nil {
@@ -103,9 +119,15 @@
 	if _, err := startProcess(c.Dir, namePlatform, []string{s.Tool, "standin", "platform", "--listen", c.Platform}); err != nil {
 		return err
 	}
+	if err := c.startRelays(s); err != nil {
+		return err
+	}
 	if err := c.startServers(s); err != nil {
 		return err
 	}
+	if err := waitAnswer(ctx, nameRelays, "http://"+c.Relays+standin.PathRelays); err != nil {
+		return err
+	}
 	if err := waitAnswer(ctx, namePlatform, "http://"+c.Platform+platform.PathVMs); err != nil {
 		return err
 	}
@@ -170,6 +192,20 @@
 	return nil
 }
 
+// startRelays starts the relays between VMs.
+func (c *Cluster) startRelays(s ClusterSettings) error {
+	settings := standin.RelaySettings{Listen: c.Relays}
+	for _, vm := range c.VMs {
+		settings.Relays = append(settings.Relays, standin.RelayRoute{Listen: vm.PeerAddress, Forward: vm.PeerListen})
+	}
+	path := filepath.Join(c.Dir, "settings", nameRelays+".json")
+	if err := saveJSON(path, settings); err != nil {
+		return err
+	}
+	_, err := startProcess(c.Dir, nameRelays, []string{s.Tool, "standin", "relays", "--settings", path})
+	return err
+}
+
 func (c *Cluster) startFleet(tool, name string, fleet standin.FleetSettings) error {
 	path := filepath.Join(c.Dir, "settings", name+".json")
 	if err := saveJSON(path, fleet); err != nil {
--- a/internal/bench/inject.go
+++ b/internal/bench/inject.go
@@ -1,12 +1,8 @@
 package bench
 
 import (
-	"bytes"
 	"context"
-	"fmt"
-	"io"
 	"log/slog"
-	"net/http"
 	"time"
 
 	"kumquatcleat/internal/standin"
@@ -28,7 +24,7 @@
 			record.Error = err.Error()
 			slog.Error("bench: fault not injected", "at_ms", fault.AtMS, "error", err)
 		} else {
-			slog.Info("bench: fault", "at_ms", fault.AtMS, "standin", fault.Standin, "process", fault.Process, "do", fault.Do)
+			slog.Info("bench: fault", "at_ms", fault.AtMS, "standin", fault.Standin, "process", fault.Process, "do", fault.Do, "cut", fault.Cut)
 		}
 		record.AtNS = standin.MonotonicNow()
 		records = append(records, record)
@@ -37,6 +33,9 @@
 }
 
 func injectOne(ctx context.Context, fault Fault, cluster *Cluster) error {
+	if fault.Cut != nil {
+		return cluster.Cut(ctx, *fault.Cut)
+	}
 	if fault.Process != "" {
 		return cluster.Act(ctx, fault.Process, fault.Do)
 	}
@@ -44,25 +43,5 @@
 	if err != nil {
 		return err
 	}
-	return setSwitches(ctx, address, fault.Switches)
-}
-
-func setSwitches(ctx context.Context, address string, switches []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, switchTimeout)
-	defer cancel()
-	url := "http://" + address + standin.PathFaults
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(switches))
-	if err != nil {
-		return err
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode == http.StatusOK {
-		return nil
-	}
-	message, _ := io.ReadAll(io.LimitReader(resp.Body, 1024))
-	return fmt.Errorf("switches of %s: status %d: %s", address, resp.StatusCode, message)
+	return postJSON(ctx, "http://"+address+standin.PathFaults, fault.Switches)
 }
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -75,13 +75,14 @@
 }
 
 // Fault is one change at a time of the run. It sets the switches of a stand-in,
-// or does something to a process of the cluster.
+// does something to a process of the cluster, or cuts the network.
 type Fault struct {
 	AtMS     int64           `json:"at_ms"`
 	Standin  string          `json:"standin,omitempty"`  // "platform" or a server's id
 	Switches json.RawMessage `json:"switches,omitempty"` // all switches of the stand-in
 	Process  string          `json:"process,omitempty"`  // name in the cluster's directory
 	Do       ProcessAction   `json:"do,omitempty"`
+	Cut      *Cut            `json:"cut,omitempty"` // partition from now on; {} ends it
 }
 
 // ProcessAction is something done to a process of the cluster.
@@ -210,12 +211,25 @@
 	return nil
 }
 
+// targets counts what a fault names.
+func (f *Fault) targets() int {
+	count := 0
+	for _, named := range []bool{f.Standin != "", f.Process != "", f.Cut != nil} {
+		if named {
+			count++
+		}
+	}
+	return count
+}
+
 func (f *Fault) check() error {
 	switch {
 	case f.AtMS < 0:
 		return fmt.Errorf("at_ms %d: want 0 or more", f.AtMS)
-	case (f.Standin == "") == (f.Process == ""):
-		return fmt.Errorf("want one of standin and process")
+	case f.targets() != 1:
+		return fmt.Errorf("want one of standin, process and cut")
+	case f.Cut != nil:
+		return f.Cut.check()
 	case f.Standin != "" && len(f.Switches) == 0:
 		return fmt.Errorf("switches is missing")
 	case f.Process == "":
--- a/internal/bench/sizes.go
+++ b/internal/bench/sizes.go
@@ -41,6 +41,7 @@
 const (
 	netDomainServer = 100 // third octet of servers in the first domain
 	netDomainVM     = 1   // third octet of VMs in the first domain
+	netDomainRelay  = 50  // third octet of the relays to them
 )
 
 var (
@@ -131,6 +132,9 @@
 	FailureDomain string `json:"failure_domain"`
 	Listen        string `json:"listen"`      // for callers
 	PeerListen    string `json:"peer_listen"` // for other VMs and operators
+	// PeerAddress is what the platform's list says: a relay to PeerListen, so
+	// that VMs can be cut off from each other.
+	PeerAddress string `json:"peer_address"`
 }
 
 // VMs returns the entry VMs of a size, on addresses 127.net.x.y.
@@ -144,6 +148,7 @@
 				FailureDomain: domain,
 				Listen:        fmt.Sprintf("%s:%d", ip, portEntry),
 				PeerListen:    fmt.Sprintf("%s:%d", ip, portPeer),
+				PeerAddress:   fmt.Sprintf("127.%d.%d.%d:%d", net, netDomainRelay+d, i+1, portPeer),
 			})
 		}
 	}
--- a/internal/bench/sizes_test.go
+++ b/internal/bench/sizes_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 
 	"kumquatcleat/internal/config"
@@ -84,7 +85,7 @@
 			fits = fits && names[traffic.Service]
 		}
 		for _, fault := range s.Faults {
-			fits = fits && (names[fault.Process] || names[fault.Standin])
+			fits = fits && (names[fault.Process] || names[fault.Standin] || fault.Cut != nil && (fault.Cut.Domain == "" || slices.Contains(size.Domains, fault.Cut.Domain)))
 		}
 		if fits {
 			return true
--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -184,6 +184,7 @@
 	f.StringVar(&s.Dir, "run", "run/cluster", "directory for settings, logs, pid files and run records")
 	f.IntVar(&s.Net, "net", 0, "second octet of the addresses 127.NET.x.y")
 	f.BoolVar(&s.Separate, "separate-servers", false, "one process for each server")
+	f.BoolVar(&s.NoChecks, "no-checks", false, "servers that run whatever arrives, and records that say so")
 	f.StringVar(&s.Daemon, "daemon", "", "path of kumquatcleatd; default: beside this program")
 	f.StringVar(&daemonSettings, "daemon-settings", "", "JSON object laid over each daemon's settings")
 	serverFlags(command, &s.Server)
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -24,7 +24,7 @@
 		Use:   "standin",
 		Short: "Run a stand-in of the platform or of servers, for tests",
 	}
-	command.AddCommand(standinPlatformCommand(), standinServerCommand(), standinServersCommand())
+	command.AddCommand(standinPlatformCommand(), standinServerCommand(), standinServersCommand(), standinRelaysCommand())
 	return command
 }
 
@@ -108,6 +108,29 @@
 	return command
 }
 
+func standinRelaysCommand() *cobra.Command {
+	var settingsFile string
+	command := &cobra.Command{
+		Use:   "relays",
+		Short: "Run relays between VMs, which can be cut",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			data, err := os.ReadFile(settingsFile)
+			if err != nil {
+				return usageError(err)
+			}
+			settings, err := standin.ParseRelays(data)
+			if err != nil {
+				return usageError(err)
+			}
+			return failure(standin.ServeRelays(stopContext(cmd), settings))
+		},
+	}
+	command.Flags().StringVar(&settingsFile, "settings", "", "JSON file of the relays' settings")
+	_ = command.MarkFlagRequired("settings")
+	return command
+}
+
 // serveFleet runs all servers. A request that crashes a server ends the process
 // when it is the only one; several restart inside the process, so that a crash
 // does not take the others with it.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -49,6 +49,7 @@
 // Daemon is one entry VM's process.
 type Daemon struct {
 	settings   *settings.Settings
+	localIP    string // that its connections to others come from
 	self       ownership.VMRef
 	registry   metrics.Registry
 	decisions  *logging.Decisions
@@ -73,18 +74,19 @@
 // New provisions a daemon. Nothing runs before Run.
 func New(s *settings.Settings) (*Daemon, error) {
 	proc.SetTimeToForceQuit(libraryQuitTime)
+	host, _, err := net.SplitHostPort(s.PeerListen)
+	if err != nil {
+		return nil, fmt.Errorf("daemon: peer_listen %q: %w", s.PeerListen, err)
+	}
 	d := &Daemon{
 		settings: s,
+		localIP:  host,
 		self:     ownership.VMRef{ID: s.ID, Incarnation: newIncarnation(s.Incarnation)},
 		registry: metrics.NewRegistry(),
-		platform: platform.NewClient(s.Platform),
+		platform: platform.NewClientFrom(host, s.Platform),
 		store:    config.NewStore(),
 	}
 	d.decisions = logging.NewDecisions(d.registry)
-	host, _, err := net.SplitHostPort(s.PeerListen)
-	if err != nil {
-		return nil, fmt.Errorf("daemon: peer_listen %q: %w", s.PeerListen, err)
-	}
 	d.clients = peer.NewClients(host)
 	d.provisionOwnership()
 	if err := d.provisionRequestPath(); err != nil {
@@ -112,7 +114,7 @@
 		Decisions: d.decisions,
 		Clock:     clock,
 	}
-	d.groups = NewGroups(d.self, d.settings.OwnershipTiming(), placement.DefaultSettings, env, d.members, d.store)
+	d.groups = NewGroups(d.self, d.settings.OwnershipTiming(), placement.DefaultSettings, env, d.members, d.store, d.localIP)
 	d.groups.claims = d.claims
 	d.syncer = config.NewSyncer(config.SyncerOptions{
 		Self:        config.Member{ID: d.self.ID, FailureDomain: d.settings.FailureDomain},
@@ -131,7 +133,7 @@
 	vms := func() int { return max(1, len(d.members.Roster().VMs)) }
 	d.gates = limits.New(limits.DefaultSettings(), vms, time.Now)
 	d.quarantine = retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now)
-	d.canceler = newCanceler(backend.NewControlClients())
+	d.canceler = newCanceler(backend.NewControlClientsFrom(d.localIP))
 	return nil
 }
 
@@ -153,7 +155,7 @@
 		Policy:     retry.NewBudgetPolicy(retry.DefaultBudgetSettings(), rand.Float64),
 		Claimer:    d.claims,
 		Quarantine: d.quarantine,
-		Transport:  routing.NewTransport(0),
+		Transport:  routing.NewTransportFrom(d.localIP, 0),
 		Canceler:   d.canceler,
 		Decisions:  d.decisions,
 		Registry:   d.registry,
--- a/internal/daemon/groups.go
+++ b/internal/daemon/groups.go
@@ -53,14 +53,14 @@
 // NewGroups returns the duty. env.Servers is set here: the configuration names
 // the servers.
 func NewGroups(self ownership.VMRef, timing ownership.Timing, placing placement.Settings,
-	env ownership.Environment, members *Members, store *config.Store) *Groups {
+	env ownership.Environment, members *Members, store *config.Store, localIP string) *Groups {
 	g := &Groups{
 		self:      self,
 		timing:    timing,
 		placement: placing,
 		members:   members,
 		store:     store,
-		clients:   backend.NewControlClients(),
+		clients:   backend.NewControlClientsFrom(localIP),
 		running:   map[string]*groupRun{},
 	}
 	env.Servers = g
--- a/internal/peer/clients.go
+++ b/internal/peer/clients.go
@@ -3,10 +3,11 @@
 package peer
 
 import (
-	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"kumquatcleat/internal/dial"
 )
 
 const (
@@ -27,12 +28,8 @@
 
 // NewClients returns Clients that dial from a local IP address; empty: any.
 func NewClients(localIP string) *Clients {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	if ip := net.ParseIP(localIP); ip != nil {
-		dialer.LocalAddr = &net.TCPAddr{IP: ip}
-	}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial.From(localIP, dialTimeout).DialContext,
 		MaxIdleConnsPerHost: idlePerPeer,
 		IdleConnTimeout:     idleConnTimeout,
 	}
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -12,6 +12,8 @@
 
 	"github.com/zeromicro/go-zero/core/breaker"
 	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"kumquatcleat/internal/dial"
 )
 
 // Paths of the platform's HTTP interface.
@@ -52,11 +54,18 @@
 }
 
 // NewClient returns a client of the platform at address, host:port.
-func NewClient(address string) *Client {
+func NewClient(address string) *Client { return NewClientFrom("", address) }
+
+// NewClientFrom returns a client that dials from a local IP address; empty: any.
+func NewClientFrom(localIP, address string) *Client {
 	// The breaker would refuse calls at random after an outage; retries here
 	// are bounded by their callers.
 	breaker.NoBreakerFor(breakerName)
-	transport := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second}
+	transport := &http.Transport{
+		DialContext:         dial.From(localIP, callTimeout).DialContext,
+		MaxIdleConnsPerHost: 16,
+		IdleConnTimeout:     30 * time.Second,
+	}
 	client := &http.Client{Transport: transport, Timeout: callTimeout}
 	return &Client{base: "http://" + address, service: httpc.NewServiceWithClient(breakerName, client)}
 }
--- a/internal/routing/transport.go
+++ b/internal/routing/transport.go
@@ -11,6 +11,8 @@
 
 	"github.com/zeromicro/go-zero/core/breaker"
 	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"kumquatcleat/internal/dial"
 )
 
 const (
@@ -36,14 +38,18 @@
 
 // NewTransport returns a Transport whose pools keep up to idlePerServer
 // connections to each server.
-func NewTransport(idlePerServer int) *Transport {
+func NewTransport(idlePerServer int) *Transport { return NewTransportFrom("", idlePerServer) }
+
+// NewTransportFrom returns a Transport that dials from a local IP address;
+// empty: any.
+func NewTransportFrom(localIP string, idlePerServer int) *Transport {
 	if idlePerServer <= 0 {
 		idlePerServer = defaultConnections
 	}
 	// The limits and retry slices decide about servers in trouble. The library's
 	// breaker would refuse at random and hide a server that has recovered.
 	breaker.NoBreakerFor(serverBreaker)
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := dial.From(localIP, dialTimeout)
 	roundTripper := &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -30,6 +30,7 @@
 	objects *objects
 	vms     *vmList
 	faults  *platformSwitches
+	cuts    Cuts
 	mux     *http.ServeMux
 }
 
@@ -52,6 +53,7 @@
 	p.mux.HandleFunc("PUT "+PathVMs, p.replaceVMs)
 	p.mux.HandleFunc("GET "+PathFaults, p.getFaults)
 	p.mux.HandleFunc("POST "+PathFaults, p.setFaults)
+	p.cuts.handle(p.mux)
 	return p
 }
 
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -20,7 +20,7 @@
 		return fmt.Errorf("standin: platform: %w", err)
 	}
 	slog.Info("standin: platform ready", "address", listener.Addr().String())
-	return serve(ctx, listener, p)
+	return serve(ctx, p.cuts.Listener(listener), p)
 }
 
 // ServeServer serves a server stand-in at listen, host:port, until ctx ends. It
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -70,6 +70,7 @@
 	switches *serverSwitches
 	runs     *runLog
 	results  *resultStore
+	cuts     Cuts
 
 	mu          sync.Mutex // guards the fields below
 	incarnation string
@@ -104,6 +105,7 @@
 	server.mux.HandleFunc("GET "+PathFaults, server.getFaults)
 	server.mux.HandleFunc("POST "+PathFaults, server.setFaults)
 	server.mux.HandleFunc("GET "+PathRuns, server.getRuns)
+	server.cuts.handle(server.mux)
 	return server
 }
 
--- a/internal/standin/server_faults.go
+++ b/internal/standin/server_faults.go
@@ -83,10 +83,10 @@
 	writeJSON(w, faults)
 }
 
-// Listener wraps l with the server's connection limit and its switch for
-// refused connects.
+// Listener wraps l with the server's connection limit, its switch for refused
+// connects and its cuts.
 func (s *Server) Listener(l net.Listener) net.Listener {
-	return &limitedListener{Listener: l, server: s}
+	return s.cuts.Listener(&limitedListener{Listener: l, server: s})
 }
 
 type limitedListener struct {
