Settings hold limits, retry, claims, quarantine and placement, checked like the rest

Cause: 'limits' and 'retry' were kept as raw JSON and read by nobody: a misspelt or impossible value was accepted and passed over.

Change: Settings is one typed struct again, which conf loads whole; each package's own Validate says what is allowed. strictjson reads numbers with a fraction. The syncer compares the list of members by content: a new slice each 50 ms made it rank all VMs each second.

--- a/internal/config/schedule.go
+++ b/internal/config/schedule.go
@@ -134,7 +134,7 @@
 
 // use works the sources out anew when the list is another one.
 func (s *schedule) use(members []Member) {
-	if len(members) == len(s.sources.members) && len(members) > 0 && &members[0] == &s.sources.members[0] {
+	if len(members) > 0 && slices.Equal(members, s.sources.members) {
 		return
 	}
 	next := sources{members: members}
--- a/internal/config/syncer.go
+++ b/internal/config/syncer.go
@@ -32,7 +32,8 @@
 	Store       *Store
 	Table       platform.Table
 	Peers       Peers
-	// Members returns the live entry VMs, this one among them. The slice is
+	// Members returns the live entry VMs, this one among them, in the same order
+	// while they are the same. The slice is
 	// shared: a change gives a new slice.
 	Members func() []Member
 	Log     *slog.Logger     // nil: slog.Default
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -64,9 +64,9 @@
 	if err := json.Unmarshal(data, s); err != nil {
 		return nil, err
 	}
-	whole, err := json.Marshal(s.Process)
+	whole, err := json.Marshal(s)
 	if err != nil {
 		return nil, err
 	}
-	return s, conf.LoadFromJsonBytes(whole, &s.Process)
+	return s, conf.LoadFromJsonBytes(whole, s)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,23 +3,16 @@
 package settings
 
 import (
-	"encoding/json"
 	"time"
 
+	"kumquatcleat/internal/limits"
 	"kumquatcleat/internal/ownership"
+	"kumquatcleat/internal/placement"
+	"kumquatcleat/internal/retry"
 )
 
-// Settings of one kumquatcleatd.
+// Settings of one kumquatcleatd. Every address is IP:port, never a name.
 type Settings struct {
-	Process
-
-	Limits json.RawMessage `json:"limits,omitempty"` // read by the limits package
-	Retry  json.RawMessage `json:"retry,omitempty"`  // read by the retry package
-}
-
-// Process holds the settings that go-zero's conf loads; it can't carry
-// json.RawMessage. Every address is IP:port, never a name.
-type Process struct {
 	ID            string `json:"id"`             // of this VM, as in the platform's list
 	Incarnation   string `json:"incarnation"`    // of this VM in the platform's list; empty: not told
 	FailureDomain string `json:"failure_domain"` // that this VM stands in
@@ -31,8 +24,19 @@
 	// ShutdownGraceMS bounds how long a planned stop waits for requests in flight.
 	ShutdownGraceMS int64 `json:"shutdown_grace_ms"`
 	// Embedded starts stand-ins of the platform and of servers in the process.
-	Embedded bool   `json:"embedded"`
-	Timing   Timing `json:"timing"`
+	Embedded bool `json:"embedded"`
+
+	Timing    Timing             `json:"timing"`
+	Limits    limits.Settings    `json:"limits"`
+	Retry     Retry              `json:"retry"`
+	Placement placement.Settings `json:"placement"`
+}
+
+// Retry holds the settings of the retry package.
+type Retry struct {
+	Budget     retry.BudgetSettings     `json:"budget"`
+	Claims     retry.ClaimSettings      `json:"claims"`
+	Quarantine retry.QuarantineSettings `json:"quarantine"`
 }
 
 // Timing holds the durations of the ownership protocol, in milliseconds. All VMs
@@ -74,11 +78,18 @@
 
 // defaults returns what a settings file may leave out.
 func defaults() *Settings {
-	return &Settings{Process: Process{
+	return &Settings{
 		LogLevel:        "info",
 		ShutdownGraceMS: DefaultShutdownGrace.Milliseconds(),
 		Timing:          fromOwnership(ownership.DefaultTiming),
-	}}
+		Limits:          limits.DefaultSettings(),
+		Retry: Retry{
+			Budget:     retry.DefaultBudgetSettings(),
+			Claims:     retry.DefaultClaimSettings(),
+			Quarantine: retry.DefaultQuarantineSettings(),
+		},
+		Placement: placement.DefaultSettings,
+	}
 }
 
 // ShutdownGrace returns the bound on a planned stop.
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"regexp"
 	"strconv"
+	"strings"
 
 	"kumquatcleat/internal/strictjson"
 )
@@ -34,6 +35,11 @@
 	c.logLevel(s.LogLevel)
 	c.between("shutdown_grace_ms", s.ShutdownGraceMS, 0, maxGraceMS, "milliseconds")
 	c.timing(s.Timing)
+	c.section("limits", s.Limits.Validate())
+	c.section("retry.budget", s.Retry.Budget.Validate())
+	c.section("retry.claims", s.Retry.Claims.Validate())
+	c.section("retry.quarantine", s.Retry.Quarantine.Validate())
+	c.section("placement", s.Placement.Validate())
 	return c.problems
 }
 
@@ -85,6 +91,18 @@
 	}
 }
 
+// section takes over what another package says of its settings: the field, a
+// colon, and what is wrong with its value.
+func (c *check) section(name string, err error) {
+	if err == nil {
+		return
+	}
+	field, wrong, _ := strings.Cut(err.Error(), ": ")
+	field = strings.TrimPrefix(field, name+".")
+	value, want, _ := strings.Cut(wrong, "; want ")
+	c.add(name+"."+field, value, want)
+}
+
 func (c *check) timing(t Timing) {
 	c.between("timing.lease_ms", t.LeaseMS, minTimingMS, maxTimingMS, "milliseconds")
 	c.between("timing.row_right_ms", t.RowRightMS, minTimingMS, maxTimingMS, "milliseconds")
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -21,7 +21,7 @@
 type Problem struct {
 	Field string // path such as servers[2].address; empty: the document as a whole
 	Value string // as written, shortened
-	Want  string // what is allowed
+	Want  string // what is allowed; empty: Value says it
 }
 
 // String names the field, the value and what is allowed.
@@ -30,6 +30,9 @@
 	if field == "" {
 		field = "document"
 	}
+	if p.Want == "" {
+		return fmt.Sprintf("%s: %s", field, p.Value)
+	}
 	if p.Value == "" {
 		return fmt.Sprintf("%s: want %s", field, p.Want)
 	}
@@ -175,6 +178,7 @@
 }
 
 func (c *checker) scalar(path string, t reflect.Type, token json.Token) error {
+	number, isNumber := token.(json.Number)
 	switch t.Kind() {
 	case reflect.String:
 		if _, ok := token.(string); !ok {
@@ -185,21 +189,26 @@
 			return c.mismatch(path, token, "true or false")
 		}
 	case reflect.Int, reflect.Int32, reflect.Int64:
-		number, ok := token.(json.Number)
-		if !ok {
+		if !isNumber {
 			return c.mismatch(path, token, "a whole number")
 		}
 		if _, err := strconv.ParseInt(number.String(), 10, t.Bits()); err != nil {
 			c.add(path, number.String(), "a whole number of "+strconv.Itoa(t.Bits())+" bits")
 		}
 	case reflect.Uint32, reflect.Uint64:
-		number, ok := token.(json.Number)
-		if !ok {
+		if !isNumber {
 			return c.mismatch(path, token, "a whole number from 0")
 		}
 		if _, err := strconv.ParseUint(number.String(), 10, t.Bits()); err != nil {
 			c.add(path, number.String(), "a whole number from 0, of "+strconv.Itoa(t.Bits())+" bits")
 		}
+	case reflect.Float64:
+		if !isNumber {
+			return c.mismatch(path, token, "a number")
+		}
+		if _, err := number.Float64(); err != nil {
+			c.add(path, number.String(), "a number of 64 bits")
+		}
 	default:
 		return fmt.Errorf("type %s is not supported", t)
 	}
