--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,7 +23,6 @@
 	"kumquatcleat/internal/membership"
 	"kumquatcleat/internal/ownership"
 	"kumquatcleat/internal/peer"
-	"kumquatcleat/internal/placement"
 	"kumquatcleat/internal/platform"
 	"kumquatcleat/internal/retry"
 	"kumquatcleat/internal/routing"
@@ -105,14 +104,14 @@
 	view := membership.NewView(self, membership.DefaultSettings)
 	d.members = NewMembers(self, view, d.platform, d.clients, d.store, clock)
 	d.directory = NewDirectory(d.self, d.members, d.clients)
-	d.claims = NewClaims(d.self, retry.DefaultClaimSettings(), d.directory)
+	d.claims = NewClaims(d.self, d.settings.Retry.Claims, d.directory)
 	env := ownership.Environment{
 		Table:     d.platform,
 		Peers:     d.directory,
 		Decisions: d.decisions,
 		Clock:     clock,
 	}
-	d.groups = NewGroups(d.self, d.settings.OwnershipTiming(), placement.DefaultSettings, env, d.members, d.store)
+	d.groups = NewGroups(d.self, d.settings.OwnershipTiming(), d.settings.Placement, env, d.members, d.store)
 	d.groups.claims = d.claims
 	d.syncer = config.NewSyncer(config.SyncerOptions{
 		Self:        config.Member{ID: d.self.ID, FailureDomain: d.settings.FailureDomain},
@@ -129,8 +128,8 @@
 
 func (d *Daemon) provisionRequestPath() error {
 	vms := func() int { return max(1, len(d.members.Roster().VMs)) }
-	d.gates = limits.New(limits.DefaultSettings(), vms, time.Now)
-	d.quarantine = retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now)
+	d.gates = limits.New(d.settings.Limits, vms, time.Now)
+	d.quarantine = retry.NewQuarantine(d.settings.Retry.Quarantine, time.Now)
 	d.canceler = newCanceler(backend.NewControlClients())
 	return nil
 }
@@ -150,7 +149,7 @@
 		Services:   &effectiveServices{store: d.store, members: d.members},
 		Resolver:   routing.NewRouteTable(ctx, d.directory),
 		Gate:       d.gates,
-		Policy:     retry.NewBudgetPolicy(retry.DefaultBudgetSettings(), rand.Float64),
+		Policy:     retry.NewBudgetPolicy(d.settings.Retry.Budget, rand.Float64),
 		Claimer:    d.claims,
 		Quarantine: d.quarantine,
 		Transport:  routing.NewTransport(0),
