--- a/internal/config/schema_test.go
+++ b/internal/config/schema_test.go
@@ -53,6 +53,48 @@
 	}
 }
 
+// TestNoFieldIsForgottenBetweenTheSchemas sets every field of a record that
+// schema 1 knows, and of one that needs schema 2, and reads both back.
+func TestNoFieldIsForgottenBetweenTheSchemas(t *testing.T) {
+	for _, schema := range ReadableSchemas() {
+		want := &Service{}
+		fill(reflect.ValueOf(want).Elem())
+		want.Schema = schema
+		if schema == Schema1 {
+			want.Rules[0].KeyPrefixAliases, want.Rules[0].Timeout = nil, 0
+		}
+		data, err := Encode(want)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, problems := decodeSchema(schema, data)
+		if len(problems) > 0 || !reflect.DeepEqual(got, want) {
+			t.Errorf("schema %d: got %+v, want %+v, %v", schema, got, want, problems)
+		}
+	}
+}
+
+// fill gives every field a value that is not its zero value.
+func fill(v reflect.Value) {
+	switch v.Kind() {
+	case reflect.Struct:
+		for i := range v.NumField() {
+			fill(v.Field(i))
+		}
+	case reflect.Slice:
+		v.Set(reflect.MakeSlice(v.Type(), 1, 1))
+		fill(v.Index(0))
+	case reflect.String:
+		v.SetString("x")
+	case reflect.Bool:
+		v.SetBool(true)
+	case reflect.Int, reflect.Int64:
+		v.SetInt(7)
+	default:
+		v.SetUint(7)
+	}
+}
+
 func TestRecordsThatAReaderCannotKnowAreRefusedByName(t *testing.T) {
 	cases := []struct{ name, text, want string }{
 		{"schema 3", strings.Replace(recordV1, `"schema":1`, `"schema":3`, 1), "schema: 3: want a schema that this release reads: 1 or 2"},
@@ -71,6 +113,7 @@
 		{"method", strings.Replace(recordV1, `["POST"]`, `["post"]`, 1), `rules[0].methods[0]: "post": want an HTTP method`},
 		{"prefix", strings.Replace(recordV1, `"path_prefix":"/listings"`, `"path_prefix":"listings"`, 1), `rules[0].path_prefix: "listings"`},
 		{"key prefix", strings.Replace(recordV1, `"key_prefix":"/listings/"`, `"key_prefix":"/listings"`, 1), `rules[0].key_prefix: "/listings"`},
+		{"both idempotent and not", strings.Replace(recordV1, `"non_idempotent":true`, `"non_idempotent":true,"idempotent":true`, 1), "rules[0].idempotent: true: want it or non_idempotent"},
 		{"class", strings.Replace(recordV2, `deferred`, `later`, 1), `rules[0].class: "later": want "interactive" or "deferred"`},
 		{"negative timeout", strings.Replace(recordV2, `9000`, `-1`, 1), "rules[0].timeout_ms: -1: want 0 to 60000 milliseconds"},
 		{"alias twice", strings.Replace(recordV2, `["/l/"]`, `["/l/","/l/"]`, 1), "rules[0].key_prefix_aliases[1]"},
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -162,6 +162,9 @@
 		c.add(field+"idempotent", "true", "one of idempotent and non_idempotent, not both")
 	}
 	c.oneOf(field+"class", string(r.Class), classWant, "", string(ClassInteractive), string(ClassDeferred))
+	if r.Idempotent && r.NonIdempotent {
+		c.add(field+"idempotent", "true", "it or non_idempotent, not both")
+	}
 	if r.DeferOK && r.Class != ClassDeferred {
 		c.add(field+"defer_ok", "true", `class "deferred" beside it`)
 	}
