Suspects of a crash are told to the other VMs at once

Cause: a VM learnt of another's lost server only by its turn, 200 ms a VM: at 12 VMs up to 2.4 s in which the caller could take a third server down through another VM. Change: a loss is pushed at once to up to 16 VMs, turns remain for those that missed it. Test: the crashing request is refused at every VM.

--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -12,6 +12,7 @@
 
 	"kumquatcleat/internal/config"
 	"kumquatcleat/internal/fault"
+	"kumquatcleat/internal/retry"
 	"kumquatcleat/internal/routing"
 	"kumquatcleat/internal/standin"
 )
@@ -185,6 +186,24 @@
 	r.until("the other requests to be served", func() bool { return r.get(r.vms[0], "/swapbay/listings/7") == http.StatusOK })
 }
 
+func TestCrashingRequestIsStoppedAtTheOtherVMsToo(t *testing.T) {
+	r := newRig(t, 3)
+	for _, server := range r.servers {
+		server.SetFaults(standin.ServerFaults{CrashPathPrefix: "/crash"})
+	}
+	for range 40 {
+		a, _ := r.call(r.vms[0], http.MethodGet, "/swapbay/crash")
+		if a.refusal.Kind == fault.Quarantined {
+			break
+		}
+	}
+	for _, vm := range r.vms[1:] {
+		r.until("the quarantine at "+vm.settings.ID, func() bool {
+			return vm.suspects.Admit("swapbay", retry.Fingerprint(http.MethodGet, "/crash", "", []byte("body"))) != nil
+		})
+	}
+}
+
 func TestLostServersKeysAreServedAgain(t *testing.T) {
 	r := newRig(t, 2)
 	a, err := r.call(r.vms[0], http.MethodGet, "/swapbay/listings/7")
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -40,34 +40,31 @@
 	// libraryQuitTime is beyond any planned stop: go-zero would otherwise kill
 	// the process 5.5 s after a signal.
 	libraryQuitTime = 24 * time.Hour
-	// suspectsInterval is how often VMs exchange suspects: a request that crashes
-	// servers is stopped at two even when its caller changes the VM.
-	suspectsInterval = 200 * time.Millisecond
 )
 
 // Daemon is one entry VM's process.
 type Daemon struct {
-	settings   *settings.Settings
-	localIP    string // that its connections to others come from
-	self       ownership.VMRef
-	registry   metrics.Registry
-	decisions  *logging.Decisions
-	platform   *platform.Client
-	store      *config.Store
-	syncer     *config.Syncer
-	clients    *peer.Clients
-	members    *Members
-	directory  *Directory
-	groups     *Groups
-	claims     *Claims
-	gates      *limits.Gates
-	quarantine *retry.MemoryQuarantine
-	canceler   *canceler
-	handler    *routing.Handler
-	callers    *callerServer
-	peers      *http.Server
-	stopping   atomic.Bool
-	cancel     context.CancelFunc // ends the duties
+	settings  *settings.Settings
+	localIP   string // that its connections to others come from
+	self      ownership.VMRef
+	registry  metrics.Registry
+	decisions *logging.Decisions
+	platform  *platform.Client
+	store     *config.Store
+	syncer    *config.Syncer
+	clients   *peer.Clients
+	members   *Members
+	directory *Directory
+	groups    *Groups
+	claims    *Claims
+	gates     *limits.Gates
+	suspects  *suspects
+	canceler  *canceler
+	handler   *routing.Handler
+	callers   *callerServer
+	peers     *http.Server
+	stopping  atomic.Bool
+	cancel    context.CancelFunc // ends the duties
 }
 
 // New provisions a daemon. Nothing runs before Run.
@@ -131,7 +128,7 @@
 func (d *Daemon) provisionRequestPath() error {
 	vms := func() int { return max(1, len(d.members.Roster().VMs)) }
 	d.gates = limits.New(d.settings.Limits, vms, time.Now)
-	d.quarantine = retry.NewQuarantine(d.settings.Retry.Quarantine, time.Now)
+	d.suspects = newSuspects(d.self, retry.NewQuarantine(d.settings.Retry.Quarantine, time.Now), d.members, d.clients)
 	d.canceler = newCanceler(backend.NewControlClientsFrom(d.localIP))
 	return nil
 }
@@ -153,7 +150,7 @@
 		Gate:       d.gates,
 		Policy:     retry.NewBudgetPolicy(d.settings.Retry.Budget, rand.Float64),
 		Claimer:    d.claims,
-		Quarantine: d.quarantine,
+		Quarantine: d.suspects,
 		Transport:  routing.NewTransportFrom(d.localIP, 0),
 		Canceler:   d.canceler,
 		Decisions:  d.decisions,
@@ -190,7 +187,7 @@
 	go d.members.Run(duties)
 	go d.groups.Run(duties)
 	go d.canceler.run(duties)
-	go d.exchangeSuspects(duties)
+	go d.suspects.run(duties)
 	go func() { _ = d.syncer.Run(duties) }()
 	slog.Info("daemon: started", "vm", d.self.String(), "failure_domain", d.settings.FailureDomain,
 		"listen", d.settings.Listen, "peer_listen", d.settings.PeerListen)
@@ -257,29 +254,3 @@
 	}
 	return d.handler.InFlight()
 }
-
-// exchangeSuspects tells one peer after another which requests lost servers,
-// and learns theirs.
-func (d *Daemon) exchangeSuspects(ctx context.Context) {
-	for turn := 0; sleep(ctx, suspectsInterval); turn++ {
-		vms := d.members.Roster().VMs
-		if len(vms) < 2 {
-			continue
-		}
-		vm := vms[turn%len(vms)]
-		if vm.ID == d.self.ID {
-			continue
-		}
-		d.exchangeWith(ctx, vm)
-	}
-}
-
-func (d *Daemon) exchangeWith(ctx context.Context, vm platform.VM) {
-	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
-	defer cancel()
-	message := &peer.SuspectsMessage{From: encodeVM(d.self), Suspects: encodeSuspects(d.quarantine.Snapshot())}
-	answer, err := d.clients.For(vm.Address).Suspects(ctx, message)
-	if err == nil {
-		d.quarantine.Merge(decodeSuspects(answer.GetSuspects()))
-	}
-}
--- a/internal/daemon/peerservice.go
+++ b/internal/daemon/peerservice.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/twitchtv/twirp"
 
 	"kumquatcleat/internal/config"
 	"kumquatcleat/internal/peer"
-	"kumquatcleat/internal/retry"
 )
 
 // peerService answers the other VMs. It implements peer.Peer.
@@ -64,11 +62,8 @@
 
 // Suspects implements peer.Peer.
 func (s *peerService) Suspects(_ context.Context, in *peer.SuspectsMessage) (*peer.SuspectsMessage, error) {
-	s.daemon.quarantine.Merge(decodeSuspects(in.GetSuspects()))
-	return &peer.SuspectsMessage{
-		From:     encodeVM(s.daemon.self),
-		Suspects: encodeSuspects(s.daemon.quarantine.Snapshot()),
-	}, nil
+	s.daemon.suspects.Merge(decodeSuspects(in.GetSuspects()))
+	return s.daemon.suspects.message(), nil
 }
 
 func wireError(err error) error {
@@ -77,29 +72,3 @@
 	}
 	return twirp.NewError(twirp.FailedPrecondition, err.Error())
 }
-
-func decodeSuspects(in []*peer.Suspect) []retry.Suspect {
-	out := make([]retry.Suspect, 0, len(in))
-	for _, s := range in {
-		out = append(out, retry.Suspect{
-			Service:     s.GetService(),
-			Fingerprint: s.GetFingerprint(),
-			Servers:     s.GetServers(),
-			TTL:         time.Duration(s.GetTtlMs()) * time.Millisecond,
-		})
-	}
-	return out
-}
-
-func encodeSuspects(in []retry.Suspect) []*peer.Suspect {
-	out := make([]*peer.Suspect, 0, len(in))
-	for _, s := range in {
-		out = append(out, &peer.Suspect{
-			Service:     s.Service,
-			Fingerprint: s.Fingerprint,
-			Servers:     s.Servers,
-			TtlMs:       uint32(s.TTL.Milliseconds()),
-		})
-	}
-	return out
-}
