--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -54,6 +54,8 @@
 	DuplicateRequest Kind = "duplicate_request"
 	// Stopping is a VM that is shutting down and takes no new requests.
 	Stopping Kind = "stopping"
+	// Starting is a VM that does not know the configuration in force yet.
+	Starting Kind = "starting"
 	// DeferralUnavailable is deferred work that could not be made durable.
 	DeferralUnavailable Kind = "deferral_unavailable"
 	// DeferralUnconfirmed is deferred work whose durability was not confirmed.
@@ -109,6 +111,7 @@
 	ClaimUnavailable:    {http.StatusServiceUnavailable, NotRun, time.Second},
 	DuplicateRequest:    {http.StatusConflict, Unknown, 0},
 	Stopping:            {http.StatusServiceUnavailable, NotRun, time.Second},
+	Starting:            {http.StatusServiceUnavailable, NotRun, time.Second},
 	DeferralUnavailable: {http.StatusServiceUnavailable, NotRun, 5 * time.Second},
 	DeferralUnconfirmed: {http.StatusGatewayTimeout, Unknown, 0},
 	CallerGone:          {http.StatusBadGateway, Unknown, 0},
