AIMD raises the limit by 0.2 a round instead of 1

Cause: at a server with a short queue the limit grew by one a round trip until requests were shed, cut itself, and grew again: at 3x a third of the requests were shed by the server that could have been refused, or waited, at the VM.

--- a/internal/limits/aimd.go
+++ b/internal/limits/aimd.go
@@ -1,9 +1,14 @@
 package limits
 
-// aimd raises the limit by about one for each limit's worth of successes and
-// cuts it by a factor when a request is shed, lost or late. Requests that left
-// before a cut say nothing new of the limit after it, so after a cut it ignores
-// as many bad results as requests were out.
+// raiseStep is how far one limit's worth of successes raises the limit. A larger
+// step fills a server's short queue again at once, and requests are shed there
+// that could have waited at the VM; a smaller one recovers late after a cut.
+const raiseStep = 0.2
+
+// aimd raises the limit by raiseStep for each limit's worth of successes and cuts
+// it by a factor when a request is shed or lost, or when a batch of requests is
+// late. Requests that left before a cut say nothing new of the limit after it, so
+// after a cut it ignores as many bad results as requests were out.
 type aimd struct {
 	current   float64
 	slots     int
@@ -46,7 +51,7 @@
 	if float64(inFlight) < l.current-1 {
 		return
 	}
-	l.current = clamp(l.current+1/l.current, l.slots)
+	l.current = clamp(l.current+raiseStep/l.current, l.slots)
 }
 
 func (l *aimd) cut(inFlight int) {
