membership: rows name VMs that a new VM never saw

Cause: a VM that starts after a group's keeper and standby have ended never saw them, so it could never prove them gone: with all VMs replaced at once every group would wait for an operator. And since a daemon marks each of its starts, the VM list, which knows the platform's part of an incarnation alone, can't tell two starts on one VM apart; concluding from it could bury a young start.

Ruled out: taking every unknown VM in a row for gone (it may be younger than the list); dropping the mark (a start that forgot its promises would pass for its predecessor).

Change: View.Mention(now, ref) for the keeper and standby of each row read. A list read decides if it lacks the id or names another VM under it; an answer to a ping sent after the row was read decides between starts on one VM. Mentioned ids are pinged. Candidates keeps its answer while the view stays as it is.

Conclusion: three new tests, which fail without the rule that each names.

--- a/internal/membership/candidates.go
+++ b/internal/membership/candidates.go
@@ -29,17 +29,44 @@
 // become its ping targets, and with them the suspected VMs that rank among them.
 func (v *View) Candidates(now time.Duration, homeDomain string, isolation config.Isolation, groupKey string) (candidates, gone []ownership.VMRef) {
 	v.Tick(now)
+	group := v.ranked[groupKey]
+	if group.generation != v.generation || group.home != homeDomain || group.isolation != isolation {
+		group = v.rankGroup(homeDomain, isolation, groupKey)
+	}
+	group.until = now + partnerTime
+	v.ranked[groupKey] = group
+	for _, id := range group.coKeepers {
+		v.partners[id] = group.until
+	}
+	return slices.Clone(group.candidates), v.gone.list()
+}
+
+// rankedGroup is the answer to Candidates, kept while the view stays as it is.
+type rankedGroup struct {
+	home       string
+	isolation  config.Isolation
+	generation uint64
+	until      time.Duration // forgotten if nobody asks before
+	candidates []ownership.VMRef
+	coKeepers  []string // ids of the ping targets that follow from the group
+}
+
+func (v *View) rankGroup(homeDomain string, isolation config.Isolation, groupKey string) rankedGroup {
+	group := rankedGroup{home: homeDomain, isolation: isolation, generation: v.generation}
 	ranked := v.rank(homeDomain, groupKey)
 	if isolation == config.IsolationMove {
 		ranked = standbyElsewhere(ranked, homeDomain, v.isLive)
 	}
-	v.pingCoKeepers(now, ranked)
 	for _, m := range ranked {
-		if v.isLive(m) && len(candidates) < v.settings.MaxCandidates {
-			candidates = append(candidates, m.ref())
+		if len(group.candidates) == v.settings.MaxCandidates {
+			break
+		}
+		if v.isLive(m) {
+			group.candidates = append(group.candidates, m.ref())
 		}
 	}
-	return candidates, v.gone.list()
+	group.coKeepers = v.coKeepersOf(ranked)
+	return group
 }
 
 // rank returns the members that are not leaving: those of the home domain, then
@@ -100,9 +127,9 @@
 	return slices.Insert(ranked, first+1, m)
 }
 
-// pingCoKeepers makes ping targets of a group's first candidates if this VM is
-// one of them.
-func (v *View) pingCoKeepers(now time.Duration, ranked []*member) {
+// coKeepersOf returns the other VMs among a group's first candidates, suspected
+// ones between them included, if this VM is one of them.
+func (v *View) coKeepersOf(ranked []*member) []string {
 	first, live := 0, 0
 	for first < len(ranked) && live < v.settings.CoKeepers {
 		if v.isLive(ranked[first]) {
@@ -110,13 +137,28 @@
 		}
 		first++
 	}
-	coKeepers := ranked[:first]
-	if !slices.Contains(coKeepers, v.self) {
-		return
+	if !slices.Contains(ranked[:first], v.self) {
+		return nil
 	}
-	for _, m := range coKeepers {
+	var ids []string
+	for _, m := range ranked[:first] {
 		if m != v.self {
-			v.partners[m.vm.ID] = now + partnerTime
+			ids = append(ids, m.vm.ID)
+		}
+	}
+	return ids
+}
+
+// expirePartners forgets the groups and co-keepers that nobody asks for.
+func (v *View) expirePartners(now time.Duration) {
+	for id, until := range v.partners {
+		if now >= until {
+			delete(v.partners, id)
+		}
+	}
+	for key, group := range v.ranked {
+		if now >= group.until {
+			delete(v.ranked, key)
 		}
 	}
 }
--- a/internal/membership/pings.go
+++ b/internal/membership/pings.go
@@ -22,12 +22,14 @@
 	return due
 }
 
-// watched returns the VMs that this one pings: co-keepers, then successors on
-// the hash ring, then VMs that the list does not name.
+// watched returns the VMs that this one pings: co-keepers, then VMs under whose
+// ids rows name other incarnations, then successors on the hash ring, then VMs
+// that the list does not name.
 func (v *View) watched() []*member {
 	targets := v.coKeepers()
-	targets = v.appendNew(targets, v.successors())
-	targets = v.appendNew(targets, v.unlisted())
+	targets = appendNew(targets, v.mentioned())
+	targets = appendNew(targets, v.successors())
+	targets = appendNew(targets, v.unlisted())
 	return targets[:min(len(targets), v.settings.MaxPingTargets)]
 }
 
@@ -36,10 +38,24 @@
 	for id := range v.partners {
 		ids = append(ids, id)
 	}
+	return v.othersByID(ids)
+}
+
+func (v *View) mentioned() []*member {
+	ids := make([]string, 0, len(v.mentions))
+	for ref := range v.mentions {
+		ids = append(ids, ref.ID)
+	}
+	return v.othersByID(ids)
+}
+
+// othersByID returns the members with the given ids, ordered by id, without
+// this VM.
+func (v *View) othersByID(ids []string) []*member {
 	slices.Sort(ids)
 	var found []*member
 	for _, id := range ids {
-		if m := v.members[id]; m != nil {
+		if m := v.members[id]; m != nil && m != v.self {
 			found = append(found, m)
 		}
 	}
@@ -70,7 +86,7 @@
 }
 
 // appendNew appends the members that targets lacks.
-func (v *View) appendNew(targets, more []*member) []*member {
+func appendNew(targets, more []*member) []*member {
 	for _, m := range more {
 		if !slices.Contains(targets, m) {
 			targets = append(targets, m)
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -22,9 +22,14 @@
 // under way for PingTimeout and so proves nothing about the time of its arrival.
 // Where the order of two incarnations is open, nothing is concluded. A VM that
 // was never listed may be too young for the list: it gets ListGrace in addition.
+//
+// An incarnation is the platform's, and may go on after a dot with the mark of
+// one start of the daemon on that VM. The list knows nothing of the mark, so of
+// two starts on one VM only an answer can tell which has ended.
 package membership
 
 import (
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -64,6 +69,7 @@
 	holders    map[string]string        // address: id of the VM heard there last
 	partners   map[string]time.Duration // co-keepers by id: until when they are pinged
 	rosters    rosters
+	ranked     map[string]rankedGroup // by group
 	generation uint64
 }
 
@@ -78,6 +84,7 @@
 		listAsOf: never,
 		holders:  map[string]string{},
 		partners: map[string]time.Duration{},
+		ranked:   map[string]rankedGroup{},
 	}
 	v.self = v.add(0, platform.VM{
 		ID:            self.ID,
@@ -105,11 +112,7 @@
 			delete(v.doubtful, id)
 		}
 	}
-	for id, until := range v.partners {
-		if now >= until {
-			delete(v.partners, id)
-		}
-	}
+	v.expirePartners(now)
 }
 
 // review decides anew whether a doubtful member is suspected.
@@ -216,8 +219,10 @@
 	}
 }
 
-// Mention tells that a group row names a VM. If that VM is not known to run, the
-// next list reads decide whether it is gone.
+// Mention tells that a group row, read now, names a VM: its keeper or standby. If
+// that VM is not known, list reads and pings decide whether it is gone. Without
+// this, a VM that ended before this one first saw it could never be replaced in
+// its roles.
 func (v *View) Mention(now time.Duration, ref ownership.VMRef) {
 	if ref.IsZero() || v.gone.has(ref) {
 		return
@@ -230,28 +235,43 @@
 	}
 }
 
-// settleMentions decides about the VMs that rows name. A row is written by or
-// about VMs that ran before it was read, so the reading of the row is the last
-// time at which they may have run for all that is known.
+// settleMentions decides by a list read about the VMs that rows name. A VM that a
+// row names ran before the row was read, so that is the last time at which it is
+// known to have run.
 func (v *View) settleMentions(asOf time.Duration, entries map[string]platform.VM) {
 	for ref, since := range v.mentions {
 		entry, named := entries[ref.ID]
-		if named && entry.Incarnation == ref.Incarnation {
-			delete(v.mentions, ref)
-			continue
-		}
-		proof := since
-		if !named {
-			proof += v.settings.ListGrace
+		switch {
+		case !named && asOf > since+v.settings.ListGrace:
+			v.settle(ref)
+		case named && asOf > since && v.namesAnotherVM(entry, ref):
+			v.settle(ref)
 		}
-		outdated := named && v.gone.has(refOf(entry))
-		if asOf > proof && !outdated {
-			delete(v.mentions, ref)
-			v.bury(ref)
+	}
+}
+
+// namesAnotherVM reports whether a list entry is a replacement of the VM that
+// ref names, not merely another start of the daemon on it.
+func (v *View) namesAnotherVM(entry platform.VM, ref ownership.VMRef) bool {
+	return !v.gone.has(refOf(entry)) && platformPart(entry.Incarnation) != platformPart(ref.Incarnation)
+}
+
+// settleMentionsBy decides by an answer about the VMs that rows name under the
+// id of the VM that answered. A ping sent after the row was read, and answered by
+// another incarnation, shows that the one in the row has ended.
+func (v *View) settleMentionsBy(m *member, sentNoEarlier time.Duration) {
+	for ref, since := range v.mentions {
+		if ref.ID == m.vm.ID && ref != m.ref() && sentNoEarlier > since {
+			v.settle(ref)
 		}
 	}
 }
 
+func (v *View) settle(ref ownership.VMRef) {
+	delete(v.mentions, ref)
+	v.bury(ref)
+}
+
 // Learn adds a VM that another source names, such as a peer or the settings of
 // this process. It counts as live once it has answered.
 func (v *View) Learn(now time.Duration, vm platform.VM) {
@@ -282,6 +302,7 @@
 	}
 	m.answeredAt = now
 	v.hear(m, now)
+	v.settleMentionsBy(m, now-v.settings.PingTimeout)
 }
 
 // answeredAnew handles an answer of another incarnation under a known id. It
@@ -393,6 +414,14 @@
 	v.rosters.dirty = true
 }
 
+// startSeparator parts the platform's incarnation from the mark of a start.
+const startSeparator = "."
+
+func platformPart(incarnation string) string {
+	part, _, _ := strings.Cut(incarnation, startSeparator)
+	return part
+}
+
 func refOf(vm platform.VM) ownership.VMRef {
 	return ownership.VMRef{ID: vm.ID, Incarnation: vm.Incarnation}
 }
--- a/internal/membership/view_test.go
+++ b/internal/membership/view_test.go
@@ -237,6 +237,40 @@
 	expectLive(t, v, at(20), "a@a1", "b@b1")
 }
 
+func TestAllVMsReplacedAtOnceUnderTheirIDsAreGoneForTheNewOnes(t *testing.T) {
+	v := newTestView()
+	v.Mention(at(2), ref("b", "b0.x"))
+	list := []platform.VM{entry("a", "a1", "d1"), entry("b", "b1", "d1")}
+	v.ListRead(at(3), list, at(2))
+	expectGone(t, v, at(3))
+	v.ListRead(at(5), list, at(2))
+	expectGone(t, v, at(5), ref("b", "b0.x"))
+}
+
+func TestListCannotTellWhichStartOnAVMHasEnded(t *testing.T) {
+	v := newTestView()
+	v.ListRead(at(1), []platform.VM{entry("b", "b1.old", "d1")}, 0)
+	v.PingAnswered(at(1.5), "b", "b1.old", false)
+	v.Mention(at(2), ref("b", "b1.new"))
+	v.ListRead(at(3), []platform.VM{entry("b", "b1.old", "d1")}, 0)
+	expectGone(t, v, at(3))
+	if pingsOf(v, at(3), at(4))["b"] == 0 {
+		t.Fatal("the VM whose start is in doubt is not pinged")
+	}
+	v.PingAnswered(at(4), "b", "b1.new", false)
+	expectGone(t, v, at(4), ref("b", "b1.old"))
+}
+
+func TestAnswerTellsThatAnEarlierStartInARowHasEnded(t *testing.T) {
+	v := newTestView()
+	v.ListRead(at(1), []platform.VM{entry("b", "b1.new", "d1")}, 0)
+	v.Mention(at(2), ref("b", "b1.old"))
+	v.PingAnswered(at(2.1), "b", "b1.new", false) // may have been sent before the row was read
+	expectGone(t, v, at(2.1))
+	v.PingAnswered(at(2.5), "b", "b1.new", false)
+	expectGone(t, v, at(2.5), ref("b", "b1.old"))
+}
+
 func TestOwnPredecessorIsGoneOnlyOnceAYoungerListNamesThisVM(t *testing.T) {
 	v := newTestView()
 	list := []platform.VM{entry("a", "a1", "d1")}
