--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,7 +23,6 @@
 	"kumquatcleat/internal/membership"
 	"kumquatcleat/internal/ownership"
 	"kumquatcleat/internal/peer"
-	"kumquatcleat/internal/placement"
 	"kumquatcleat/internal/platform"
 	"kumquatcleat/internal/retry"
 	"kumquatcleat/internal/routing"
@@ -41,50 +40,49 @@
 	// libraryQuitTime is beyond any planned stop: go-zero would otherwise kill
 	// the process 5.5 s after a signal.
 	libraryQuitTime = 24 * time.Hour
-	// suspectsInterval is how often VMs exchange suspects: a request that crashes
-	// servers is stopped at two even when its caller changes the VM.
-	suspectsInterval = 200 * time.Millisecond
 )
 
 // Daemon is one entry VM's process.
 type Daemon struct {
-	settings   *settings.Settings
-	self       ownership.VMRef
-	registry   metrics.Registry
-	decisions  *logging.Decisions
-	platform   *platform.Client
-	store      *config.Store
-	syncer     *config.Syncer
-	clients    *peer.Clients
-	members    *Members
-	directory  *Directory
-	groups     *Groups
-	claims     *Claims
-	gates      *limits.Gates
-	quarantine *retry.MemoryQuarantine
-	canceler   *canceler
-	handler    *routing.Handler
-	callers    *http.Server
-	peers      *http.Server
-	stopping   atomic.Bool
-	cancel     context.CancelFunc // ends the duties
+	settings  *settings.Settings
+	localIP   string // that its connections to others come from
+	self      ownership.VMRef
+	registry  metrics.Registry
+	decisions *logging.Decisions
+	platform  *platform.Client
+	store     *config.Store
+	syncer    *config.Syncer
+	clients   *peer.Clients
+	members   *Members
+	directory *Directory
+	groups    *Groups
+	claims    *Claims
+	gates     *limits.Gates
+	suspects  *suspects
+	canceler  *canceler
+	handler   *routing.Handler
+	callers   *callerServer
+	peers     *http.Server
+	stopping  atomic.Bool
+	cancel    context.CancelFunc // ends the duties
 }
 
 // New provisions a daemon. Nothing runs before Run.
 func New(s *settings.Settings) (*Daemon, error) {
 	proc.SetTimeToForceQuit(libraryQuitTime)
+	host, _, err := net.SplitHostPort(s.PeerListen)
+	if err != nil {
+		return nil, fmt.Errorf("daemon: peer_listen %q: %w", s.PeerListen, err)
+	}
 	d := &Daemon{
 		settings: s,
+		localIP:  host,
 		self:     ownership.VMRef{ID: s.ID, Incarnation: newIncarnation(s.Incarnation)},
 		registry: metrics.NewRegistry(),
-		platform: platform.NewClient(s.Platform),
+		platform: platform.NewClientFrom(host, s.Platform),
 		store:    config.NewStore(),
 	}
 	d.decisions = logging.NewDecisions(d.registry)
-	host, _, err := net.SplitHostPort(s.PeerListen)
-	if err != nil {
-		return nil, fmt.Errorf("daemon: peer_listen %q: %w", s.PeerListen, err)
-	}
 	d.clients = peer.NewClients(host)
 	d.provisionOwnership()
 	if err := d.provisionRequestPath(); err != nil {
@@ -105,14 +103,14 @@
 	view := membership.NewView(self, membership.DefaultSettings)
 	d.members = NewMembers(self, view, d.platform, d.clients, d.store, clock)
 	d.directory = NewDirectory(d.self, d.members, d.clients)
-	d.claims = NewClaims(d.self, retry.DefaultClaimSettings(), d.directory)
+	d.claims = NewClaims(d.self, d.settings.Retry.Claims, d.directory)
 	env := ownership.Environment{
 		Table:     d.platform,
 		Peers:     d.directory,
 		Decisions: d.decisions,
 		Clock:     clock,
 	}
-	d.groups = NewGroups(d.self, d.settings.OwnershipTiming(), placement.DefaultSettings, env, d.members, d.store)
+	d.groups = NewGroups(d.self, d.settings.OwnershipTiming(), d.settings.Placement, env, d.members, d.store, d.localIP)
 	d.groups.claims = d.claims
 	d.syncer = config.NewSyncer(config.SyncerOptions{
 		Self:        config.Member{ID: d.self.ID, FailureDomain: d.settings.FailureDomain},
@@ -129,9 +127,9 @@
 
 func (d *Daemon) provisionRequestPath() error {
 	vms := func() int { return max(1, len(d.members.Roster().VMs)) }
-	d.gates = limits.New(limits.DefaultSettings(), vms, time.Now)
-	d.quarantine = retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now)
-	d.canceler = newCanceler(backend.NewControlClients())
+	d.gates = limits.New(d.settings.Limits, vms, time.Now)
+	d.suspects = newSuspects(d.self, retry.NewQuarantine(d.settings.Retry.Quarantine, time.Now), d.members, d.clients)
+	d.canceler = newCanceler(backend.NewControlClientsFrom(d.localIP))
 	return nil
 }
 
@@ -140,20 +138,20 @@
 	d.operatorRoutes(mux)
 	mux.Handle(peer.PeerPathPrefix, peer.NewPeerServer(&peerService{daemon: d}))
 	d.peers = &http.Server{Addr: d.settings.PeerListen, Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
-	d.callers = &http.Server{Addr: d.settings.Listen, ReadHeaderTimeout: readHeaderTimeout}
+	d.callers = newCallerServer(d.settings.Listen)
 	return nil
 }
 
 // serveCallers builds the request path, whose goroutines end with ctx.
 func (d *Daemon) serveCallers(ctx context.Context) error {
 	d.handler = routing.NewHandler(routing.Parts{
-		Services:   &effectiveServices{store: d.store, members: d.members},
+		Services:   &effectiveServices{store: d.store, members: d.members, synced: d.syncer.Synced},
 		Resolver:   routing.NewRouteTable(ctx, d.directory),
 		Gate:       d.gates,
-		Policy:     retry.NewBudgetPolicy(retry.DefaultBudgetSettings(), rand.Float64),
+		Policy:     retry.NewBudgetPolicy(d.settings.Retry.Budget, rand.Float64),
 		Claimer:    d.claims,
-		Quarantine: d.quarantine,
-		Transport:  routing.NewTransport(0),
+		Quarantine: d.suspects,
+		Transport:  routing.NewTransportFrom(d.localIP, 0),
 		Canceler:   d.canceler,
 		Decisions:  d.decisions,
 		Registry:   d.registry,
@@ -164,7 +162,7 @@
 	if err != nil {
 		return fmt.Errorf("daemon: rest: %w", err)
 	}
-	d.callers.Handler = handler
+	d.callers.server.Handler = handler
 	return nil
 }
 
@@ -182,14 +180,14 @@
 	if err := listenAndServe(d.peers, failed); err != nil {
 		return err
 	}
-	if err := listenAndServe(d.callers, failed); err != nil {
+	if err := d.callers.start(failed); err != nil {
 		return err
 	}
 	go d.decisions.Run(duties)
 	go d.members.Run(duties)
 	go d.groups.Run(duties)
 	go d.canceler.run(duties)
-	go d.exchangeSuspects(duties)
+	go d.suspects.run(duties)
 	go func() { _ = d.syncer.Run(duties) }()
 	slog.Info("daemon: started", "vm", d.self.String(), "failure_domain", d.settings.FailureDomain,
 		"listen", d.settings.Listen, "peer_listen", d.settings.PeerListen)
@@ -234,7 +232,7 @@
 	defer cancel()
 	_ = sleep(ctx, min(noticeTime, d.settings.ShutdownGrace()))
 	d.handOver(ctx)
-	err := d.callers.Shutdown(ctx)
+	err := d.callers.finish(ctx)
 	if err != nil {
 		err = fmt.Errorf("daemon: %d requests were cut: the grace of %v was too short", d.handler.InFlight(), d.settings.ShutdownGrace())
 	}
@@ -256,29 +254,3 @@
 	}
 	return d.handler.InFlight()
 }
-
-// exchangeSuspects tells one peer after another which requests lost servers,
-// and learns theirs.
-func (d *Daemon) exchangeSuspects(ctx context.Context) {
-	for turn := 0; sleep(ctx, suspectsInterval); turn++ {
-		vms := d.members.Roster().VMs
-		if len(vms) < 2 {
-			continue
-		}
-		vm := vms[turn%len(vms)]
-		if vm.ID == d.self.ID {
-			continue
-		}
-		d.exchangeWith(ctx, vm)
-	}
-}
-
-func (d *Daemon) exchangeWith(ctx context.Context, vm platform.VM) {
-	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
-	defer cancel()
-	message := &peer.SuspectsMessage{From: encodeVM(d.self), Suspects: encodeSuspects(d.quarantine.Snapshot())}
-	answer, err := d.clients.For(vm.Address).Suspects(ctx, message)
-	if err == nil {
-		d.quarantine.Merge(decodeSuspects(answer.GetSuspects()))
-	}
-}
