membership: bound on pings a second instead of six targets

Cause: with six targets, co-keepers in a fleet of 12 VMs don't all ping each other. A daemon knows another's start only from its ping answers and names no VM in a row whose start it doesn't know, so VMs of one group would name candidates differently.

Change: twelve targets again, and at most twelve pings a second: each target is pinged every 500 ms up to six of them, every second with twelve.

Figures: pings sent at most 12 a second before and after; targets 6 before, 12 after. With twelve targets a silent VM is suspected after 2.3 s at the latest (two pings 1 s apart, the second waited for 300 ms).

Conclusion: the test of a fleet of 12 names every co-keeper as pinged.

--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -16,6 +16,7 @@
 	"kumquatcleat/internal/peer"
 	"kumquatcleat/internal/placement"
 	"kumquatcleat/internal/platform"
+	"kumquatcleat/internal/routing"
 )
 
 // Sizes over which slopes are taken.
@@ -216,15 +217,20 @@
 	}
 }
 
+func routesAnswer(slots int) *peer.RoutesAnswer {
+	answer := &peer.RoutesAnswer{Keeper: true, Version: 43210, Token: &peer.Token{Epoch: 120, Seq: 43210}, RouteLeaseMs: 500}
+	for slot := range slots {
+		answer.Routes = append(answer.Routes, &peer.Route{
+			Slot: uint32(slot * domains), Server: serverOf(slot % 16), ServerIncarnation: startOf(slot % 16),
+			Token: &peer.Token{Epoch: 120, Seq: uint64(40000 + slot)},
+		})
+	}
+	return answer
+}
+
 func BenchmarkRoutesAnswer(b *testing.B) {
 	for _, slots := range slotCounts {
-		answer := &peer.RoutesAnswer{Keeper: true, Version: 43210, Token: &peer.Token{Epoch: 120, Seq: 43210}, RouteLeaseMs: 500}
-		for slot := range slots {
-			answer.Routes = append(answer.Routes, &peer.Route{
-				Slot: uint32(slot * domains), Server: serverOf(slot % 16), ServerIncarnation: startOf(slot % 16),
-				Token: &peer.Token{Epoch: 120, Seq: uint64(40000 + slot)},
-			})
-		}
+		answer := routesAnswer(slots)
 		b.Run(fmt.Sprintf("slots=%d", slots), func(b *testing.B) {
 			for b.Loop() {
 				data, _ := proto.Marshal(answer)
@@ -252,6 +258,49 @@
 	}
 }
 
+// BenchmarkRouteState is what a router keeps of a group's routes.
+func BenchmarkRouteState(b *testing.B) {
+	for _, slots := range slotCounts {
+		answer := routesAnswer(slots)
+		data, _ := proto.Marshal(answer)
+		b.Run(fmt.Sprintf("slots=%d", slots), func(b *testing.B) {
+			before := heapBytes()
+			var routes map[uint32]routing.SlotRoute
+			for b.Loop() {
+				var read peer.RoutesAnswer
+				_ = proto.Unmarshal(data, &read)
+				routes = make(map[uint32]routing.SlotRoute, len(read.Routes))
+				for _, r := range read.Routes {
+					token := backend.Token{Epoch: r.GetToken().GetEpoch(), Seq: r.GetToken().GetSeq()}
+					routes[r.GetSlot()] = routing.SlotRoute{Server: r.GetServer(), ServerIncarnation: r.GetServerIncarnation(), Token: token}
+				}
+			}
+			b.ReportMetric(heapBytes()-before, "state-bytes")
+			runtime.KeepAlive(routes)
+		})
+	}
+}
+
+// BenchmarkHotKeys is the cost of counting one request's key.
+func BenchmarkHotKeys(b *testing.B) {
+	for _, capacity := range []int{64, 640, 6400} {
+		b.Run(fmt.Sprintf("capacity=%d", capacity), func(b *testing.B) {
+			keys := make([]string, 100_000)
+			for i := range keys {
+				keys[i] = fmt.Sprintf("thread-%08d", i*i%99_991)
+			}
+			before := heapBytes()
+			sketch := placement.NewHotKeys(capacity)
+			for i := 0; b.Loop(); i++ {
+				sketch.Add(keys[i%len(keys)], 1)
+			}
+			b.ReportMetric(heapBytes()-before, "state-bytes")
+			runtime.KeepAlive(sketch)
+			runtime.KeepAlive(keys)
+		})
+	}
+}
+
 func BenchmarkServiceRecord(b *testing.B) {
 	for _, servers := range append(serverCounts, 4096) {
 		service := config.Service{Schema: 1, Version: 77, Name: "reefread", SlotCount: 240, Domains: []string{"lk-west-0", "lk-west-1", "lk-west-2"}}
@@ -271,13 +320,19 @@
 	}
 }
 
+// renewal returns a renewal of a grant and the answer of a server that holds slots.
+func renewal(slots int) (backend.GrantRequest, backend.ServerState) {
+	grant := backend.GrantRequest{Group: "reefread/lk-west-1/0", Token: backend.Token{Epoch: 120, Seq: 43210}, Renew: true, ExpiresAt: 1765432109876}
+	state := backend.ServerState{Server: serverOf(1), Incarnation: startOf(1), Clock: 1765432109876, Accepted: true, Highest: grant.Token, Checks: true}
+	for slot := range slots {
+		state.Slots = append(state.Slots, backend.SlotToken{Slot: uint32(slot * domains), Token: grant.Token})
+	}
+	return grant, state
+}
+
 func BenchmarkGrantRenewal(b *testing.B) {
 	for _, slots := range []int{16, 160, 1600} {
-		grant := backend.GrantRequest{Group: "reefread/lk-west-1/0", Token: backend.Token{Epoch: 120, Seq: 43210}, Renew: true, ExpiresAt: 1765432109876}
-		state := backend.ServerState{Server: serverOf(1), Incarnation: startOf(1), Clock: 1765432109876, Accepted: true, Highest: grant.Token, Checks: true}
-		for slot := range slots {
-			state.Slots = append(state.Slots, backend.SlotToken{Slot: uint32(slot * domains), Token: grant.Token})
-		}
+		grant, state := renewal(slots)
 		question, _ := json.Marshal(grant)
 		answer, _ := json.Marshal(state)
 		b.Run(fmt.Sprintf("slots=%d", slots), func(b *testing.B) {
--- a/internal/capacity/wire_test.go
+++ b/internal/capacity/wire_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -9,6 +11,9 @@
 	"testing"
 	"time"
 
+	"github.com/zeromicro/go-zero/core/logx"
+
+	"kumquatcleat/internal/backend"
 	"kumquatcleat/internal/peer"
 )
 
@@ -72,16 +77,21 @@
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
-// measureCalls reports processor time and bytes a call, both ends together,
-// without the headers of TCP and IP.
+// measureCalls measures calls of a peer.
 func measureCalls(b *testing.B, call func(peer.Peer) error) {
 	client, listener := startPeer(b)
-	if err := call(client); err != nil {
+	measure(b, listener, func() error { return call(client) })
+}
+
+// measure reports processor time and bytes a call, both ends together, without
+// the headers of TCP and IP.
+func measure(b *testing.B, listener *countingListener, call func() error) {
+	if err := call(); err != nil {
 		b.Fatal(err)
 	}
 	bytes, used := listener.bytes.Load(), processorTime()
 	for b.Loop() {
-		if err := call(client); err != nil {
+		if err := call(); err != nil {
 			b.Fatal(err)
 		}
 	}
@@ -106,3 +116,28 @@
 		return err
 	})
 }
+
+// BenchmarkRenewCall is one renewal of a grant, with the slots that a server of
+// 16 slots holds in its answer.
+func BenchmarkRenewCall(b *testing.B) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	listener := &countingListener{Listener: inner}
+	logx.Disable()
+	grant, state := renewal(16)
+	answer, _ := json.Marshal(state)
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = w.Write(answer)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(handler), ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(listener) }()
+	b.Cleanup(func() { _ = server.Close() })
+	controller := backend.NewControlClients().For(inner.Addr().String())
+	measure(b, listener, func() error {
+		_, err := controller.Grant(context.Background(), grant)
+		return err
+	})
+}
--- a/internal/membership/candidates_test.go
+++ b/internal/membership/candidates_test.go
@@ -116,7 +116,7 @@
 	for _, n := range pingsOf(v, at(1), at(11)) {
 		total += n
 	}
-	limit := DefaultSettings.MaxPingTargets * int(at(10)/DefaultSettings.PingInterval)
+	limit := DefaultSettings.MaxPingsPerSecond * 10
 	if total == 0 || total > limit {
 		t.Fatalf("%d pings in 10 s, want 1 to %d", total, limit)
 	}
@@ -132,6 +132,24 @@
 	}
 }
 
+func TestFewVMsAreAllKnownToTheirCoKeepers(t *testing.T) {
+	v := viewOf(fleet(12, 3), 0)
+	coKeepers := map[string]bool{}
+	for group := range 24 {
+		candidates, _ := v.Candidates(at(1), fmt.Sprintf("d%d", group%3), config.IsolationKeep, fmt.Sprintf("g%d", group))
+		first := candidates[:DefaultSettings.CoKeepers]
+		for _, r := range first {
+			coKeepers[r.ID] = coKeepers[r.ID] || slices.Contains(first, ref("vm0000", "1"))
+		}
+	}
+	pings := pingsOf(v, at(1), at(3))
+	for id, want := range coKeepers {
+		if want && id != "vm0000" && pings[id] == 0 {
+			t.Errorf("co-keeper %s is not pinged", id)
+		}
+	}
+}
+
 func TestEveryVMIsPingedByOthers(t *testing.T) {
 	for _, n := range []int{12, 60} {
 		vms := fleet(n, 3)
--- a/internal/membership/pings.go
+++ b/internal/membership/pings.go
@@ -10,13 +10,16 @@
 )
 
 // PingTargets returns the VMs to ping now and schedules their next pings. Over
-// time it names at most Settings.MaxPingTargets VMs each Settings.PingInterval.
+// time it names at most Settings.MaxPingTargets VMs, each every
+// Settings.PingInterval or less often, and Settings.MaxPingsPerSecond in all.
 func (v *View) PingTargets(now time.Duration) []platform.VM {
 	v.Tick(now)
 	var due []platform.VM
-	for _, m := range v.watched() {
+	targets := v.watched()
+	interval := v.settings.pingInterval(len(targets))
+	for _, m := range targets {
 		if now >= m.nextPing {
-			m.nextPing = now + v.settings.PingInterval
+			m.nextPing = now + interval
 			due = append(due, m.vm)
 		}
 	}
--- a/internal/membership/settings.go
+++ b/internal/membership/settings.go
@@ -7,7 +7,7 @@
 
 // Settings are the durations and bounds of a View.
 type Settings struct {
-	// PingInterval is the time between two pings of one VM. Default 500 ms.
+	// PingInterval is the least time between two pings of one VM. Default 500 ms.
 	PingInterval time.Duration `json:"ping_interval"`
 	// PingTimeout is how long an answer is waited for. Default 300 ms.
 	PingTimeout time.Duration `json:"ping_timeout"`
@@ -22,22 +22,26 @@
 	// RingSuccessors is how many VMs that follow this one on the hash ring of
 	// its failure domain it pings. Default 2.
 	RingSuccessors int `json:"ring_successors"`
-	// MaxPingTargets bounds the VMs that this one pings. Default 6.
+	// MaxPingTargets bounds the VMs that this one pings. Default 12.
 	MaxPingTargets int `json:"max_ping_targets"`
+	// MaxPingsPerSecond bounds the pings that this VM sends: with many targets
+	// each is pinged less often than every PingInterval. Default 12.
+	MaxPingsPerSecond int `json:"max_pings_per_second"`
 	// MaxCandidates bounds the candidates of a group. Default 16.
 	MaxCandidates int `json:"max_candidates"`
 }
 
 // DefaultSettings are used where settings leave membership out.
 var DefaultSettings = Settings{
-	PingInterval:   500 * time.Millisecond,
-	PingTimeout:    300 * time.Millisecond,
-	SuspicionTime:  time.Second, // longer delays a standby beyond the 3 s in which keys are served again
-	ListGrace:      5 * time.Second,
-	CoKeepers:      3, // 2 leaves a keeper and its standby without a witness
-	RingSuccessors: 2,
-	MaxPingTargets: 6, // more exceed the bytes a second that a node may spend on control
-	MaxCandidates:  16,
+	PingInterval:      500 * time.Millisecond,
+	PingTimeout:       300 * time.Millisecond,
+	SuspicionTime:     time.Second, // longer delays a new standby
+	ListGrace:         5 * time.Second,
+	CoKeepers:         3, // 2 leaves a keeper and its standby without a witness
+	RingSuccessors:    2,
+	MaxPingTargets:    12, // fewer leave co-keepers in a fleet of 12 VMs unknown to each other
+	MaxPingsPerSecond: 12, // more exceed the bytes a second that a node may spend on control
+	MaxCandidates:     16,
 }
 
 // Validate checks that every value is in its range. The error names the field,
@@ -66,6 +70,7 @@
 		{"co_keepers", s.CoKeepers, 2, 16},
 		{"ring_successors", s.RingSuccessors, 0, 16},
 		{"max_ping_targets", s.MaxPingTargets, 1, 256},
+		{"max_pings_per_second", s.MaxPingsPerSecond, 1, 1000},
 		{"max_candidates", s.MaxCandidates, s.CoKeepers, 256},
 	}
 	for _, c := range counts {
@@ -75,3 +80,8 @@
 	}
 	return nil
 }
+
+// pingInterval returns the time between two pings of one of several targets.
+func (s Settings) pingInterval(targets int) time.Duration {
+	return max(s.PingInterval, time.Duration(targets)*time.Second/time.Duration(s.MaxPingsPerSecond))
+}
