--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -30,7 +30,6 @@
 package membership
 
 import (
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -67,7 +66,7 @@
 	mentions map[ownership.VMRef]time.Duration // refs in rows, not known to run: since when
 
 	listAsOf   time.Duration            // what the newest list read was the truth of
-	holders    map[string]string        // address: id of the VM heard there last
+	holders    map[string]string        // address: id of the VM that answered there last
 	partners   map[string]time.Duration // co-keepers by id: until when they are pinged
 	rosters    rosters
 	ranked     map[string]rankedGroup // by group
@@ -135,145 +134,6 @@
 	v.changed()
 }
 
-// ListRead takes in a reading of the VM list. sentAt is when the read was sent,
-// not when it was answered: the list may have been made at any time in between.
-// age is how old the platform says that it is. A read older than an earlier one
-// is ignored, and so is a read without any entry VM, which can only be wrong.
-func (v *View) ListRead(sentAt time.Duration, vms []platform.VM, age time.Duration) {
-	asOf := sentAt - max(0, age)
-	entries := entriesOf(vms)
-	if asOf < v.listAsOf || len(entries) == 0 {
-		return
-	}
-	v.listAsOf = asOf
-	for _, vm := range entries {
-		v.listNames(sentAt, asOf, vm)
-	}
-	for _, m := range v.members {
-		entry, named := entries[m.vm.ID]
-		if !named || entry.Incarnation != m.vm.Incarnation {
-			v.listLacks(asOf, m, named)
-		}
-	}
-	v.settleMentions(asOf, entries)
-}
-
-func entriesOf(vms []platform.VM) map[string]platform.VM {
-	entries := make(map[string]platform.VM, len(vms))
-	for _, vm := range vms {
-		if vm.Role == roleEntry {
-			entries[vm.ID] = vm
-		}
-	}
-	return entries
-}
-
-// listNames takes in one VM that the list names.
-func (v *View) listNames(now, asOf time.Duration, vm platform.VM) {
-	m := v.members[vm.ID]
-	if m != nil && m.vm.Incarnation != vm.Incarnation {
-		if !v.replaces(vm, asOf, m) {
-			return
-		}
-		v.remove(m)
-		m = nil
-	}
-	if m == nil {
-		if v.gone.has(refOf(vm)) {
-			return
-		}
-		m = v.add(now, vm)
-	}
-	if m == v.self {
-		// Its settings know this VM better than the list does, but for its end.
-		state := vm.State
-		vm = m.vm
-		vm.State = state
-	}
-	if !m.listed || m.vm != vm {
-		v.changed()
-	}
-	m.listed = true
-	m.listedAt = asOf
-	m.vm = vm
-}
-
-// replaces reports whether vm, which ran at a time, is a successor of m.
-func (v *View) replaces(vm platform.VM, at time.Duration, m *member) bool {
-	return m != v.self && !v.gone.has(refOf(vm)) && at > m.lastProof()
-}
-
-// listLacks takes in that the list does not name a member. If it names another
-// incarnation under the same id, that one is a known predecessor or their order
-// is open, so nothing is concluded.
-func (v *View) listLacks(asOf time.Duration, m *member, idNamed bool) {
-	if m == v.self {
-		return
-	}
-	if !idNamed && m.gone(asOf, v.settings) {
-		v.remove(m)
-		return
-	}
-	v.doubtful[m.vm.ID] = m
-	if m.listed {
-		m.listed = false
-		v.changed()
-	}
-}
-
-// Mention tells that a group row, read now, names a VM: its keeper or standby. If
-// that VM is not known, list reads and pings decide whether it is gone. Without
-// this, a VM that ended before this one first saw it could never be replaced in
-// its roles.
-func (v *View) Mention(now time.Duration, ref ownership.VMRef) {
-	if ref.IsZero() || v.gone.has(ref) {
-		return
-	}
-	if m := v.members[ref.ID]; m != nil && m.vm.Incarnation == ref.Incarnation {
-		return
-	}
-	if _, ok := v.mentions[ref]; !ok {
-		v.mentions[ref] = now
-	}
-}
-
-// settleMentions decides by a list read about the VMs that rows name. A VM that a
-// row names ran before the row was read, so that is the last time at which it is
-// known to have run.
-func (v *View) settleMentions(asOf time.Duration, entries map[string]platform.VM) {
-	for ref, since := range v.mentions {
-		entry, named := entries[ref.ID]
-		switch {
-		case !named && asOf > since+v.settings.ListGrace:
-			v.settle(ref)
-		case named && asOf > since && v.namesAnotherVM(entry, ref):
-			v.settle(ref)
-		}
-	}
-}
-
-// namesAnotherVM reports whether a list entry is a replacement of the VM that
-// ref names, not merely another start of the daemon on it.
-func (v *View) namesAnotherVM(entry platform.VM, ref ownership.VMRef) bool {
-	return !v.gone.has(refOf(entry)) && platformPart(entry.Incarnation) != platformPart(ref.Incarnation)
-}
-
-// settleMentionsBy decides by an answer about the VMs that rows name under the
-// id of the VM that answered. A ping sent after the row was read, and answered by
-// another incarnation, shows that the one in the row has ended.
-func (v *View) settleMentionsBy(m *member, sentNoEarlier time.Duration) {
-	for ref, since := range v.mentions {
-		if ref.ID == m.vm.ID && ref != m.ref() && sentNoEarlier > since {
-			v.settle(ref)
-		}
-	}
-}
-
-func (v *View) settle(ref ownership.VMRef) {
-	delete(v.mentions, ref)
-	v.bury(ref)
-}
-
 // Learn adds a VM that another source names, such as a peer or the settings of
 // this process. It counts as live once it has answered.
 func (v *View) Learn(now time.Duration, vm platform.VM) {
@@ -304,6 +164,7 @@
 	}
 	m.answeredAt = now
 	v.hear(m, now)
+	v.holdAddress(m)
 	v.settleMentionsBy(m, now-v.settings.PingTimeout)
 }
 
@@ -335,15 +196,22 @@
 func (v *View) hear(m *member, at time.Duration) {
 	known := m.heardAt != never
 	m.heard(at)
-	if m.vm.Address != "" {
-		v.holders[m.vm.Address] = m.vm.ID
-	}
 	if !known || m.suspected && m.failures == 0 {
 		m.suspected = false
 		v.changed()
 	}
 }
 
+// holdAddress records that a member was the last to answer at its address.
+func (v *View) holdAddress(m *member) {
+	address := m.vm.Address
+	if address == "" || v.holders[address] == m.vm.ID {
+		return
+	}
+	v.holders[address] = m.vm.ID
+	v.changed()
+}
+
 // PingFailed takes in that a VM did not answer a ping in time.
 func (v *View) PingFailed(now time.Duration, id string) {
 	m := v.members[id]
@@ -380,7 +248,7 @@
 }
 
 // isLive reports whether a member is taken for running. Of two VMs at one
-// address only the one heard there last is: the other was replaced.
+// address only the one that answered there last is: the other was replaced.
 func (v *View) isLive(m *member) bool {
 	if m == v.self {
 		return true
@@ -428,14 +296,6 @@
 	v.rosters.dirty = true
 }
 
-// startSeparator parts the platform's incarnation from the mark of a start.
-const startSeparator = "."
-
-func platformPart(incarnation string) string {
-	part, _, _ := strings.Cut(incarnation, startSeparator)
-	return part
-}
-
 func refOf(vm platform.VM) ownership.VMRef {
 	return ownership.VMRef{ID: vm.ID, Incarnation: vm.Incarnation}
 }
--- a/internal/membership/view_test.go
+++ b/internal/membership/view_test.go
@@ -223,6 +223,8 @@
 	v.PingAnswered(at(3), "c", "c1", false)
 	expectLive(t, v, at(3), "a@a1", "c@c1")
 	expectGone(t, v, at(3))
+	v.PingAnswered(at(4), "b", "b1", false)
+	expectLive(t, v, at(4), "a@a1", "b@b1")
 }
 
 func TestVMNamedByARowAloneIsGoneAfterGrace(t *testing.T) {
