Roles wait for a settled view; a VM can start while the platform is down

A VM that starts while the platform is down knew no peer to ask. A row that names VMs of before a full replacement was never judged, since only listed or pinged VMs could be found gone. Change: groups start 1.5 s after the first list; settings may name peers that are asked for the VMs that run; VMs that a row names are looked into. While the list names such a VM and no start of it has answered, nothing is concluded. Not shown yet on processes.

--- a/internal/daemon/codec.go
+++ b/internal/daemon/codec.go
@@ -5,6 +5,7 @@
 
 	"kumquatcleat/internal/ownership"
 	"kumquatcleat/internal/peer"
+	"kumquatcleat/internal/platform"
 )
 
 var kindsToWire = map[ownership.PeerKind]peer.Agreement_Kind{
@@ -72,3 +73,23 @@
 	event.Message.Row = row
 	return event, err
 }
+
+func encodeVMs(vms []platform.VM) []*peer.VMInfo {
+	out := make([]*peer.VMInfo, 0, len(vms))
+	for _, vm := range vms {
+		ref := ownership.VMRef{ID: vm.ID, Incarnation: vm.Incarnation}
+		out = append(out, &peer.VMInfo{Ref: encodeVM(ref), FailureDomain: vm.FailureDomain, Address: vm.Address})
+	}
+	return out
+}
+
+func decodeVMs(in []*peer.VMInfo) []platform.VM {
+	out := make([]platform.VM, 0, len(in))
+	for _, vm := range in {
+		out = append(out, platform.VM{
+			ID: vm.GetRef().GetId(), Incarnation: vm.GetRef().GetIncarnation(),
+			FailureDomain: vm.GetFailureDomain(), Address: vm.GetAddress(), State: platform.VMLive,
+		})
+	}
+	return out
+}
--- a/internal/daemon/groups.go
+++ b/internal/daemon/groups.go
@@ -104,7 +104,7 @@
 }
 
 func (g *Groups) startWanted(ctx context.Context, roster *Roster) {
-	if g.stopping.Load() {
+	if g.stopping.Load() || !roster.Settled {
 		return
 	}
 	for name, keepers := range roster.Groups {
@@ -149,6 +149,7 @@
 	}
 	if status, err := run.driver.Status(ctx); err == nil {
 		g.claims.Follow(ctx, run.id.String(), status)
+		g.mention(ctx, status, roster)
 	}
 	now := g.env.Clock()
 	if run.planned != 0 && now-run.planned < planInterval {
@@ -158,6 +159,17 @@
 	g.plan(ctx, run, roster)
 }
 
+// mention has the VMs looked into that the row names and the roster lacks: a
+// third VM may take over only once both are known to be gone.
+func (g *Groups) mention(ctx context.Context, status ownership.Status, roster *Roster) {
+	for _, ref := range []ownership.VMRef{status.Keeper, status.Standby} {
+		vm, live := roster.ByID[ref.ID]
+		if !ref.IsZero() && (!live || vm.Incarnation != ref.Incarnation) {
+			g.members.Mention(ctx, ref)
+		}
+	}
+}
+
 // plan decides the wanted owners of a group's slots and tells the driver.
 func (g *Groups) plan(ctx context.Context, run *groupRun, roster *Roster) {
 	service, ok := g.store.Service(run.id.Service)
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -3,13 +3,9 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
-	"strings"
 	"sync/atomic"
 	"time"
 
-	"github.com/google/uuid"
-
 	"kumquatcleat/internal/config"
 	"kumquatcleat/internal/membership"
 	"kumquatcleat/internal/ownership"
@@ -24,16 +20,18 @@
 	listTimeout      = 2 * time.Second
 	pingTimeout      = 250 * time.Millisecond
 	memberInboxItems = 4096
+	// settleTime covers a few pings of every VM that may keep a group.
+	settleTime = 1500 * time.Millisecond
 )
 
 // Roster is an immutable view of the VMs, as this VM sees them.
 type Roster struct {
-	VMs    []platform.VM            // live entry VMs
-	ByID   map[string]platform.VM   // the same, by id
-	Groups map[string]GroupKeepers  // by group
-	Leave  map[string]bool          // servers that the platform's list calls leaving
-	Listed bool                     // the platform's list was read at least once
-	Gone   map[ownership.VMRef]bool // VMs known to run no more
+	VMs     []platform.VM            // live entry VMs
+	ByID    map[string]platform.VM   // the same, by id
+	Groups  map[string]GroupKeepers  // by group
+	Leave   map[string]bool          // servers that the platform's list calls leaving
+	Settled bool                     // the VMs that run have had time to answer
+	Gone    map[ownership.VMRef]bool // VMs known to run no more
 }
 
 // GroupKeepers are the VMs that may keep one group.
@@ -55,45 +53,16 @@
 	inbox    *ring.Ring[func(now time.Duration)]
 	roster   atomic.Pointer[Roster]
 	leaving  map[string]bool
-	starts   map[string]string // by VM id: the incarnation that answered a ping last
-	listed   bool
-	platform atomic.Bool // the last read of the list succeeded
-}
-
-// startSeparator parts the platform's incarnation of a VM from the mark of one
-// start of the daemon on it. The platform's list knows the first part only; a
-// daemon that was started again on the same VM has forgotten its promises and
-// must not be taken for its predecessor.
-const startSeparator = "."
-
-// startMarkLength keeps marks of one VM apart: 32 random bits.
-const startMarkLength = 8
-
-func newIncarnation(platformPart string) string {
-	return platformPart + startSeparator + uuid.NewString()[:startMarkLength]
-}
-
-// withStarts returns the list with the full incarnation of each VM whose start
-// is known. A VM that the list names under another platform incarnation keeps
-// the list's: it was replaced.
-func (m *Members) withStarts(vms []platform.VM) []platform.VM {
-	out := slices.Clone(vms)
-	for i := range out {
-		start, ok := m.starts[out[i].ID]
-		if !ok {
-			continue
-		}
-		platformPart, _, _ := strings.Cut(start, startSeparator)
-		if platformPart == "" || platformPart == out[i].Incarnation {
-			out[i].Incarnation = start
-		}
-	}
-	return out
+	starts   starts
+	seeds    []string      // peers' addresses from the settings
+	listed   bool          // VMs were learnt, from the list or from a seed
+	listedAt time.Duration // when that was first
+	platform atomic.Bool   // the last read of the list succeeded
 }
 
 // NewMembers returns the duty. Run starts it.
 func NewMembers(self membership.Self, view *membership.View, lister platform.VMLister,
-	clients *peer.Clients, store *config.Store, clock func() time.Duration) *Members {
+	clients *peer.Clients, store *config.Store, clock func() time.Duration, seeds []string) *Members {
 	m := &Members{
 		self:    ownership.VMRef{ID: self.ID, Incarnation: self.Incarnation},
 		view:    view,
@@ -103,7 +72,8 @@
 		clock:   clock,
 		inbox:   ring.New[func(time.Duration)](memberInboxItems),
 		leaving: map[string]bool{},
-		starts:  map[string]string{self.ID: self.Incarnation},
+		starts:  newStarts(self.ID, self.Incarnation),
+		seeds:   seeds,
 	}
 	m.roster.Store(&Roster{ByID: map[string]platform.VM{}, Groups: map[string]GroupKeepers{}})
 	return m
@@ -118,6 +88,7 @@
 // Run keeps the view until ctx ends.
 func (m *Members) Run(ctx context.Context) {
 	go m.readListForever(ctx)
+	go m.askSeeds(ctx)
 	ticker := time.NewTicker(memberTick)
 	defer ticker.Stop()
 	for {
@@ -159,10 +130,12 @@
 		return
 	}
 	m.inbox.Put(ctx, func(now time.Duration) {
-		m.listed = true
+		if !m.listed {
+			m.listed, m.listedAt = true, now
+		}
 		m.leaving = leavingServers(vms)
 		// The list may be as old as the time since the question, too.
-		m.view.ListRead(now, m.withStarts(vms), age+now-sentAt)
+		m.view.ListRead(now, m.starts.fill(vms), age+now-sentAt)
 	})
 }
 
@@ -179,27 +152,83 @@
 func (m *Members) ping(ctx context.Context, vm platform.VM) {
 	callCtx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
-	from := &peer.VMRef{Id: m.self.ID, Incarnation: m.self.Incarnation}
-	answer, err := m.clients.For(vm.Address).Ping(callCtx, &peer.PingRequest{From: from})
+	answer, err := m.clients.For(vm.Address).Ping(callCtx, &peer.PingRequest{From: encodeVM(m.self)})
 	m.inbox.Put(ctx, func(now time.Duration) {
 		if err != nil {
 			m.view.PingFailed(now, vm.ID)
 			return
 		}
-		m.starts[answer.GetFrom().GetId()] = answer.GetFrom().GetIncarnation()
+		m.starts.heard(decodeVM(answer.GetFrom()))
 		m.view.PingAnswered(now, answer.GetFrom().GetId(), answer.GetFrom().GetIncarnation(), answer.GetStopping())
 	})
 }
 
+// settled reports whether the VMs that run have had time to answer a ping since
+// this VM learnt of them. Roles taken before that would go to whoever starts
+// first, in whatever failure domain.
+func (m *Members) settled(now time.Duration) bool {
+	return m.listed && now-m.listedAt >= settleTime
+}
+
+// Mention tells that a group's row names a VM that is not in the roster.
+func (m *Members) Mention(ctx context.Context, ref ownership.VMRef) {
+	m.inbox.Put(ctx, func(now time.Duration) {
+		switch m.starts.judge(ref) {
+		case startOther:
+			m.view.Mention(now, ref)
+		case startUnasked:
+			go m.pingListed(ctx, ref.ID)
+		}
+	})
+}
+
+// pingListed pings a VM that the list names, to learn its start.
+func (m *Members) pingListed(ctx context.Context, id string) {
+	address, ok := m.starts.address(id)
+	if ok {
+		m.ping(ctx, platform.VM{ID: id, Address: address})
+	}
+}
+
+// askSeeds learns VMs from the peers that the settings name, for as long as the
+// platform's list was never read.
+func (m *Members) askSeeds(ctx context.Context) {
+	for len(m.seeds) > 0 && !m.Roster().Settled {
+		for _, address := range m.seeds {
+			m.askSeed(ctx, address)
+		}
+		if !sleep(ctx, listInterval) {
+			return
+		}
+	}
+}
+
+func (m *Members) askSeed(ctx context.Context, address string) {
+	callCtx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	answer, err := m.clients.For(address).Ping(callCtx, &peer.PingRequest{From: encodeVM(m.self), WantVms: true})
+	if err != nil {
+		return
+	}
+	m.inbox.Put(ctx, func(now time.Duration) {
+		for _, vm := range decodeVMs(answer.GetVms()) {
+			m.view.Learn(now, vm)
+		}
+		if !m.listed {
+			m.listed, m.listedAt = true, now
+		}
+	})
+}
+
 func (m *Members) publish(now time.Duration) {
 	live := m.view.Live(now)
 	next := &Roster{
-		VMs:    live,
-		ByID:   make(map[string]platform.VM, len(live)),
-		Groups: map[string]GroupKeepers{},
-		Leave:  m.leaving,
-		Listed: m.listed,
-		Gone:   map[ownership.VMRef]bool{},
+		VMs:     live,
+		ByID:    make(map[string]platform.VM, len(live)),
+		Groups:  map[string]GroupKeepers{},
+		Leave:   m.leaving,
+		Settled: m.settled(now),
+		Gone:    map[ownership.VMRef]bool{},
 	}
 	for _, vm := range live {
 		next.ByID[vm.ID] = vm
@@ -216,14 +245,6 @@
 	m.roster.Store(next)
 }
 
-// withKnownStart leaves out VMs that are only listed. Named in a row by the
-// platform's incarnation alone, such a VM would not know itself as standby.
-func withKnownStart(refs []ownership.VMRef) []ownership.VMRef {
-	return slices.DeleteFunc(refs, func(ref ownership.VMRef) bool {
-		return !strings.Contains(ref.Incarnation, startSeparator)
-	})
-}
-
 // sleep waits and reports whether ctx is still alive.
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/internal/daemon/peerservice.go
+++ b/internal/daemon/peerservice.go
@@ -15,12 +15,16 @@
 }
 
 // Ping implements peer.Peer.
-func (s *peerService) Ping(_ context.Context, _ *peer.PingRequest) (*peer.PingAnswer, error) {
-	return &peer.PingAnswer{
+func (s *peerService) Ping(_ context.Context, request *peer.PingRequest) (*peer.PingAnswer, error) {
+	answer := &peer.PingAnswer{
 		From:         encodeVM(s.daemon.self),
 		Stopping:     s.daemon.stopping.Load(),
 		ConfigDigest: s.daemon.store.Digest(),
-	}, nil
+	}
+	if request.GetWantVms() {
+		answer.Vms = encodeVMs(s.daemon.members.Roster().VMs)
+	}
+	return answer, nil
 }
 
 // Routes implements peer.Peer.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -19,7 +19,10 @@
 	Listen        string `json:"listen"`         // for callers
 	PeerListen    string `json:"peer_listen"`    // for other VMs and operators
 	Platform      string `json:"platform"`       // the platform's service
-	LogLevel      string `json:"log_level"`      // debug, info, warn or error
+	// Peers are other VMs' peer_listen addresses, asked for the VMs that run when
+	// the platform's list can't be read at the start. None are needed.
+	Peers    []string `json:"peers"`
+	LogLevel string   `json:"log_level"` // debug, info, warn or error
 
 	// ShutdownGraceMS bounds how long a planned stop waits for requests in flight.
 	ShutdownGraceMS int64 `json:"shutdown_grace_ms"`
@@ -79,6 +82,7 @@
 // defaults returns what a settings file may leave out.
 func defaults() *Settings {
 	return &Settings{
+		Peers:           []string{}, // conf refuses nil
 		LogLevel:        "info",
 		ShutdownGraceMS: DefaultShutdownGrace.Milliseconds(),
 		Timing:          fromOwnership(ownership.DefaultTiming),
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -31,6 +31,9 @@
 	c.address("listen", s.Listen)
 	c.address("peer_listen", s.PeerListen)
 	c.address("platform", s.Platform)
+	for i, peer := range s.Peers {
+		c.address(fmt.Sprintf("peers[%d]", i), peer)
+	}
 	c.distinct(s)
 	c.logLevel(s.LogLevel)
 	c.between("shutdown_grace_ms", s.ShutdownGraceMS, 0, maxGraceMS, "milliseconds")
