--- a/internal/bench/check_test.go
+++ b/internal/bench/check_test.go
@@ -144,3 +144,18 @@
 		t.Fatal("a broken line inside the file was read")
 	}
 }
+
+func FuzzParseLines(f *testing.F) {
+	f.Add(`{"server":"s1","number":1,"token":"1.0","has_slot":true}` + "\n" + `{"server":"s1","num`)
+	f.Add("\n")
+	f.Fuzz(func(t *testing.T, data string) {
+		runs, err := parseLines[standin.RunRecord](strings.NewReader(data))
+		if err != nil {
+			return
+		}
+		if lines := strings.Count(data, "\n"); len(runs) != lines {
+			t.Fatalf("%d records of %d lines", len(runs), lines)
+		}
+		Check(&History{Runs: foldRuns(runs)})
+	})
+}
--- a/internal/bench/load_test.go
+++ b/internal/bench/load_test.go
@@ -159,3 +159,13 @@
 		t.Fatalf("%d, %v", ticks, err)
 	}
 }
+
+func FuzzParseStat(f *testing.F) {
+	f.Add([]byte("7 (a) b)) S 1 7 7 0 -1 4194560 1 0 0 0 0 0 0 0 20 0 1 0 4711 0 0\n"))
+	f.Add([]byte(") Z"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if _, err := parseStat(data); err == nil && !strings.Contains(string(data), ")") {
+			t.Fatalf("%q was read", data)
+		}
+	})
+}
