bench: processor time and memory of the daemons in the report

Cause: requests a second a core and memory under load were asked for and could not be read off a run. Processor time does not depend on who else uses the machine, wall time does. Change: /proc of the daemons before and after the load; left out when a fault restarts daemons.

--- a/internal/bench/history.go
+++ b/internal/bench/history.go
@@ -76,6 +76,7 @@
 	StartNS  int64      `json:"start_ns"` // CLOCK_MONOTONIC, of the first moment of load
 	EndNS    int64      `json:"end_ns"`   // of the last answer
 	Servers  []Capacity `json:"servers,omitempty"`
+	Cost     *Cost      `json:"cost,omitempty"` // nil: not known, or daemons were restarted
 }
 
 // Capacity is a server that the cluster's records name.
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -158,6 +158,10 @@
 	prefix := fmt.Sprintf("b%x", standin.MonotonicNow())
 	plan := schedule(s, seed, len(targets), prefix)
 	slog.Info("bench: load starts", "scenario", s.Name, "seed", seed, "calls", len(plan), "targets", len(targets))
+	var before Usage
+	if cluster != nil {
+		before = cluster.vmUsage()
+	}
 	loader := newLoad(s, targets, prefix)
 	injected := make(chan []FaultRecord, 1)
 	go func() { injected <- inject(ctx, s.Faults, cluster, loader.start) }()
@@ -170,6 +174,10 @@
 	if cluster == nil {
 		return history, ctx.Err()
 	}
+	if !cluster.restarts(s.Faults) {
+		cost := costOf(before, cluster.vmUsage(), len(cluster.VMs), len(history.Calls))
+		history.Info.Cost = &cost
+	}
 	time.Sleep(settleTime)
 	history.Info.Servers = cluster.Capacities()
 	var err error
--- a/internal/bench/load_test.go
+++ b/internal/bench/load_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"os/exec"
 	"strings"
 	"syscall"
@@ -160,6 +161,17 @@
 	}
 }
 
+func TestUsageOfThisProcessIsRead(t *testing.T) {
+	usage, err := usageOf(os.Getpid())
+	if err != nil || usage.RSSMB <= 0 {
+		t.Fatalf("%+v, %v", usage, err)
+	}
+	line := "7 (a) S 1 7 7 0 -1 0 0 0 0 0 150 50 0 0 20 0 1 0 4711 0 256 0\n"
+	if got, err := parseUsage([]byte(line)); err != nil || got.CPUSeconds != 2 || got.RSSMB != 256*float64(os.Getpagesize())/(1<<20) {
+		t.Fatalf("%+v, %v", got, err)
+	}
+}
+
 func FuzzParseStat(f *testing.F) {
 	f.Add([]byte("7 (a) b)) S 1 7 7 0 -1 4194560 1 0 0 0 0 0 0 0 20 0 1 0 4711 0 0\n"))
 	f.Add([]byte(") Z"))
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -26,7 +26,8 @@
 	DurationS float64         `json:"duration_s"`
 	Targets   int             `json:"targets"`
 	Calls     int             `json:"calls"`
-	Skipped   int             `json:"skipped"` // calls that the bench could not send; above 0 the figures flatter
+	Skipped   int             `json:"skipped"`        // calls that the bench could not send; above 0 the figures flatter
+	Cost      *Cost           `json:"cost,omitempty"` // of the daemons; nil: not known
 	Services  []ServiceReport `json:"services"`
 	Faults    []FaultRecord   `json:"faults,omitempty"`
 }
@@ -94,6 +95,7 @@
 		DurationS: h.Info.Scenario.Duration().Seconds(),
 		Targets:   len(h.Info.Targets),
 		Calls:     len(h.Calls),
+		Cost:      h.Info.Cost,
 		Faults:    h.Faults,
 	}
 	byService := map[string][]Call{}
@@ -104,7 +106,12 @@
 		}
 		byService[call.Service] = append(byService[call.Service], call)
 	}
+	reported := map[string]bool{}
 	for _, traffic := range h.Info.Scenario.Services {
+		if reported[traffic.Service] {
+			continue // a service may have more than one kind of traffic
+		}
+		reported[traffic.Service] = true
 		report.Services = append(report.Services, serviceReport(h, traffic.Service, byService[traffic.Service]))
 	}
 	return report
--- a/internal/bench/table.go
+++ b/internal/bench/table.go
@@ -17,6 +17,10 @@
 	r.writeLatencies(w)
 	r.writeOutcomes(w)
 	r.writePolicy(w)
+	if c := r.Cost; c != nil {
+		_, _ = fmt.Fprintf(w, "daemons: %.2f s of processor, %.3f ms a call, %.0f calls a second a core, memory %.1f MB each before, %.1f MB after\n",
+			c.CPUSeconds, c.CPUMSPerCall, c.CallsPerCoreS, c.RSSMBBefore, c.RSSMBAfter)
+	}
 	for _, s := range r.Services {
 		if len(s.Refusals) > 0 {
 			_, _ = fmt.Fprintf(w, "refusals of %s: %s\n", s.Service, counts(s.Refusals))
