--- a/internal/config/slots.go
+++ b/internal/config/slots.go
@@ -28,8 +28,8 @@
 		return GroupID{}, fmt.Errorf("group %q: want service/domain/index", s)
 	}
 	index, err := strconv.Atoi(parts[2])
-	if err != nil || index < 0 {
-		return GroupID{}, fmt.Errorf("group %q: index %q is no number", s, parts[2])
+	if err != nil || index < 0 || strconv.Itoa(index) != parts[2] {
+		return GroupID{}, fmt.Errorf("group %q: index %q: want a number from 0 in its shortest form", s, parts[2])
 	}
 	return GroupID{Service: parts[0], Domain: parts[1], Index: index}, nil
 }
