--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -15,6 +15,7 @@
 	"sort"
 	"strconv"
 	"strings"
+	"sync"
 )
 
 // Problem is one mistake in a document.
@@ -276,8 +277,20 @@
 	return path + "." + name
 }
 
+// fieldsByType holds the fields of the struct types that were checked before.
+var fieldsByType sync.Map // reflect.Type -> map[string]reflect.Type
+
 // fieldsOf returns the JSON names of a struct's fields, embedded structs included.
 func fieldsOf(t reflect.Type) map[string]reflect.Type {
+	if fields, ok := fieldsByType.Load(t); ok {
+		return fields.(map[string]reflect.Type)
+	}
+	fields := readFields(t)
+	fieldsByType.Store(t, fields)
+	return fields
+}
+
+func readFields(t reflect.Type) map[string]reflect.Type {
 	fields := make(map[string]reflect.Type, t.NumField())
 	for i := range t.NumField() {
 		if t.Field(i).Anonymous {
