Work that can wait: 202 with a ticket, run later once, asked for by its ticket

Change: a rule with defer_ok lets a request that was refused for now, or that asks for it with Prefer: respond-async, become durable in the table before 202 is said; the keeper of the ticket's group runs it, with the ticket as request id and under the once-only claim; a re-sent request finds the ticket and then the server's own answer. Platform down: a truthful refusal. Ruled out: running it from the VM that accepted, which may be replaced. Tests: lands once after its servers return; refused truthfully in an outage.

--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -216,3 +216,54 @@
 		return err == nil && b.status == http.StatusOK && b.server != a.server
 	})
 }
+
+func TestDeferredWorkLandsOnceAfterItsServersReturn(t *testing.T) {
+	r := newRig(t, 2, func(s *config.Service) {
+		s.Rules = append([]config.Rule{{
+			Methods: []string{"POST"}, PathPrefix: "/refunds", KeyPrefix: "/refunds/",
+			NonIdempotent: true, Class: config.ClassDeferred, DeferOK: true,
+		}}, s.Rules...)
+	})
+	for _, server := range r.servers {
+		server.SetFaults(standin.ServerFaults{Draining: true})
+	}
+	const path = "/swapbay/refunds/7"
+	first, err := r.call(r.vms[0], http.MethodPost, path, routing.HeaderIdempotencyKey, "refund-7", routing.HeaderTimeout, "300")
+	if err != nil || first.status != http.StatusAccepted {
+		t.Fatalf("accepting: %+v, %v", first, err)
+	}
+	again, err := r.call(r.vms[1], http.MethodPost, path, routing.HeaderIdempotencyKey, "refund-7", routing.HeaderTimeout, "300")
+	if err != nil || again.status != http.StatusAccepted {
+		t.Fatalf("sent again while queued: %+v, %v", again, err)
+	}
+	if n := r.runs(withIdempotencyKey("refund-7")); n != 0 {
+		t.Fatalf("ran %d times at servers that refuse", n)
+	}
+	for _, server := range r.servers {
+		server.SetFaults(standin.ServerFaults{})
+	}
+	r.until("the refund to be done", func() bool {
+		a, err := r.call(r.vms[1], http.MethodPost, path, routing.HeaderIdempotencyKey, "refund-7")
+		return err == nil && a.status == http.StatusOK
+	})
+	if n := r.runs(withIdempotencyKey("refund-7")); n != 1 {
+		t.Fatalf("ran %d times", n)
+	}
+}
+
+func TestDeferralIsRefusedTruthfullyWhileThePlatformIsDown(t *testing.T) {
+	r := newRig(t, 1, func(s *config.Service) {
+		s.Rules = append([]config.Rule{{
+			Methods: []string{"POST"}, PathPrefix: "/refunds", KeyPrefix: "/refunds/",
+			NonIdempotent: true, Class: config.ClassDeferred, DeferOK: true,
+		}}, s.Rules...)
+	})
+	r.platform.SetFaults(standin.PlatformFaults{Down: true})
+	a, err := r.call(r.vms[0], http.MethodPost, "/swapbay/refunds/7", "Prefer", "respond-async", routing.HeaderIdempotencyKey, "refund-8")
+	if err != nil || a.refusal.Kind != fault.DeferralUnavailable || a.outcome != string(fault.NotRun) {
+		t.Fatalf("%+v, %v", a, err)
+	}
+	if n := r.runs(withIdempotencyKey("refund-8")); n != 0 {
+		t.Fatalf("ran %d times", n)
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -153,6 +153,7 @@
 		Quarantine: d.suspects,
 		Transport:  routing.NewTransportFrom(d.localIP, 0),
 		Canceler:   d.canceler,
+		Deferrals:  retry.NewDeferred(retry.DefaultDeferredSettings(), d.platform, d.self.ID),
 		Decisions:  d.decisions,
 		Registry:   d.registry,
 
@@ -188,6 +189,7 @@
 	go d.groups.Run(duties)
 	go d.canceler.run(duties)
 	go d.suspects.run(duties)
+	go d.newDeferredWorkers().loop(duties)
 	go func() { _ = d.syncer.Run(duties) }()
 	slog.Info("daemon: started", "vm", d.self.String(), "failure_domain", d.settings.FailureDomain,
 		"listen", d.settings.Listen, "peer_listen", d.settings.PeerListen)
@@ -200,6 +202,18 @@
 	}
 }
 
+func (d *Daemon) newDeferredWorkers() *deferredWorkers {
+	return &deferredWorkers{
+		self:     d.self,
+		settings: retry.DefaultDeferredSettings(),
+		table:    d.platform,
+		store:    d.store,
+		groups:   d.groups,
+		run:      d.handler.RunDeferred,
+		workers:  map[string]*retry.Worker{},
+	}
+}
+
 func listenAndServe(server *http.Server, failed chan<- error) error {
 	listener, err := net.Listen("tcp", server.Addr)
 	if err != nil {
--- a/internal/daemon/groups.go
+++ b/internal/daemon/groups.go
@@ -259,6 +259,21 @@
 	}
 }
 
+// Kept returns the groups of a service that this VM decides about now.
+func (g *Groups) Kept(ctx context.Context, service *config.Service) map[config.GroupID]bool {
+	kept := map[config.GroupID]bool{}
+	for _, id := range service.Groups() {
+		run, ok := g.find(id.String())
+		if !ok {
+			continue
+		}
+		if status, err := run.driver.Status(ctx); err == nil && status.Role == ownership.RoleKeeper {
+			kept[id] = true
+		}
+	}
+	return kept
+}
+
 func (g *Groups) find(group string) (*groupRun, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/routing/forward_test.go
+++ b/internal/routing/forward_test.go
@@ -66,6 +66,16 @@
 func (noClaim) Finished(context.Context) {}
 func (noClaim) NotRun(context.Context)   {}
 
+// noDeferrals knows no ticket and accepts none.
+type noDeferrals struct{}
+
+func (noDeferrals) Accept(context.Context, string, string, bool, retry.DeferredRequest) error {
+	return fault.New(fault.DeferralUnavailable, "none here")
+}
+func (noDeferrals) Status(context.Context, string, string) (retry.DeferredItem, error) {
+	return retry.DeferredItem{}, fault.New(fault.NotFound, "none here")
+}
+
 type noCancel struct{}
 
 func (noCancel) Cancel(string, string) {}
@@ -87,7 +97,7 @@
 	handler := NewHandler(Parts{
 		Services: oneService{service}, Resolver: resolver, Gate: openGate{}, Policy: policy,
 		Claimer: noClaims{}, Quarantine: retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now),
-		Transport: NewTransport(0), Canceler: noCancel{},
+		Transport: NewTransport(0), Canceler: noCancel{}, Deferrals: noDeferrals{},
 		Decisions: logging.NewDecisions(metrics.NewRegistry()), Registry: metrics.NewRegistry(),
 	})
 	front := httptest.NewServer(handler)
--- a/internal/routing/handler.go
+++ b/internal/routing/handler.go
@@ -5,9 +5,11 @@
 	"log/slog"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/rcrowley/go-metrics"
 
 	"kumquatcleat/internal/backend"
@@ -32,6 +34,7 @@
 	Quarantine retry.Quarantine
 	Transport  *Transport
 	Canceler   Canceler
+	Deferrals  Deferrals
 	Decisions  *logging.Decisions
 	Registry   metrics.Registry
 	// UncheckedDeadline bounds a request at a server that does not check grants:
@@ -71,16 +74,25 @@
 	if h.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	call, err := parseCall(r, h.Services)
-	if err == nil {
-		err = h.serve(w, r, call)
-	}
+	call, err := h.answer(w, r)
 	h.meters.answered(err, time.Since(began))
 	if err != nil {
 		h.refuse(w, r, call, err)
 	}
 }
 
+// answer serves a request, or returns why it did not. The call is never nil.
+func (h *Handler) answer(w http.ResponseWriter, r *http.Request) (*call, *fault.Error) {
+	if strings.HasPrefix(r.URL.Path, TicketPath) {
+		return &call{requestID: uuid.NewString()}, h.serveTicket(w, r)
+	}
+	call, err := parseCall(r, h.Services)
+	if err != nil {
+		return call, err
+	}
+	return call, h.serve(w, r, call)
+}
+
 // serve answers the caller, or returns why it did not. After an error nothing
 // was written to w, but for the kind AnswerCut.
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request, call *call) *fault.Error {
@@ -90,7 +102,22 @@
 	if err != nil {
 		return bodyFault(err, call)
 	}
-	once, ferr := h.claim(ctx, call)
+	if h.known(ctx, w, call) {
+		return nil
+	}
+	if call.deferOK && wantsDeferral(r) && body.stream == nil {
+		return h.accept(w, r, call, body)
+	}
+	ferr := h.serveNow(ctx, w, r, call, body)
+	if ferr != nil && mayDefer(call, body, ferr) {
+		return h.accept(w, r, call, body)
+	}
+	return ferr
+}
+
+// serveNow claims, sends and settles.
+func (h *Handler) serveNow(ctx context.Context, w http.ResponseWriter, r *http.Request, call *call, body *callerBody) *fault.Error {
+	once, ferr := h.claim(ctx, call, 0)
 	if ferr != nil {
 		return ferr
 	}
@@ -109,8 +136,9 @@
 }
 
 // claim makes the once-only claim of a non-idempotent request that carries an
-// idempotency key. A nil claim means that none is needed.
-func (h *Handler) claim(ctx context.Context, call *call) (retry.Claim, *fault.Error) {
+// idempotency key. A nil claim means that none is needed. Deferred work claims
+// anew at each attempt, counted from 1; a request served at once is attempt 0.
+func (h *Handler) claim(ctx context.Context, call *call, attempt int) (retry.Claim, *fault.Error) {
 	if call.idempotent || call.idempotencyKey == "" {
 		return nil, nil
 	}
@@ -120,7 +148,8 @@
 	}
 	group := call.service.GroupOf(call.service.SlotOf(name)).String()
 	scoped := call.service.Name + "\x00" + call.key + "\x00" + call.idempotencyKey
-	once, verdict, err := h.claimPatiently(ctx, group, scoped, call.requestID)
+	id := call.requestID + "/" + strconv.Itoa(attempt)
+	once, verdict, err := h.claimPatiently(ctx, group, scoped, id)
 	switch {
 	case verdict == retry.ClaimFirst:
 		return once, nil
