bench check: leaving servers and requests that crash their servers

Cause: two promises had no check on real histories: a leaving server gets no new work after 3 s, and a request takes two servers down at most. Each is shown to fail on a bad history.

--- a/internal/bench/actions.go
+++ b/internal/bench/actions.go
@@ -18,6 +18,8 @@
 	pollTimeout = time.Second // of one poll
 	// roleEntry is the role of entry VMs in the platform's list.
 	roleEntry = "entry"
+	// roleServer is the role of servers' VMs in the platform's list.
+	roleServer = "server"
 	// platformIncarnation is what the list says of VMs that were never replaced.
 	platformIncarnation = "1"
 )
@@ -65,6 +67,25 @@
 		}
 		return c.list(ctx, vm, state)
 	}
+	return c.changeServer(ctx, name, remove, state)
+}
+
+// changeServer changes the entry of a server's VM in the platform's list. A
+// server that is up and stays needs none.
+func (c *Cluster) changeServer(ctx context.Context, name string, remove bool, state platform.VMState) error {
+	for _, server := range c.servers() {
+		if server.ID != name {
+			continue
+		}
+		return c.postVM(ctx, standin.VMChange{Remove: remove, VM: platform.VM{
+			ID:            server.ID,
+			Incarnation:   platformIncarnation,
+			Role:          roleServer,
+			FailureDomain: server.FailureDomain,
+			Address:       server.Address,
+			State:         state,
+		}})
+	}
 	return fmt.Errorf("cluster: no VM %q", name)
 }
 
--- a/internal/bench/check.go
+++ b/internal/bench/check.go
@@ -17,11 +17,13 @@
 	RuleOnce       Rule = "once"        // a non-idempotent request ran at most once
 	RuleOneOwner   Rule = "one-owner"   // runs of a slot at two servers never overlap
 	RuleTokenOrder Rule = "token-order" // the tokens of a slot's runs never go back
+	RuleLeaving    Rule = "leaving"     // a leaving server gets no new work after 3 s
+	RuleCrashes    Rule = "crashes"     // a request takes two servers down at most
 )
 
 // Rules returns all rules, in the order of reports.
 func Rules() []Rule {
-	return []Rule{RuleOwnAnswer, RuleNotRun, RuleOnce, RuleOneOwner, RuleTokenOrder}
+	return []Rule{RuleOwnAnswer, RuleNotRun, RuleOnce, RuleOneOwner, RuleTokenOrder, RuleLeaving, RuleCrashes}
 }
 
 // Violation is one breach of a rule.
@@ -71,6 +73,8 @@
 	checkNotRun(h, result)
 	checkOnce(h, result)
 	checkOwners(h, result)
+	checkLeaving(h, result)
+	checkCrashes(h, result)
 	return result
 }
 
--- a/internal/bench/check_test.go
+++ b/internal/bench/check_test.go
@@ -25,17 +25,21 @@
 	once.NonIdempotent, once.IdempotencyKey = true, "k3"
 	again := Call{ID: "c4", ResendOf: "c3", NonIdempotent: true, IdempotencyKey: "k3", Outcome: CallUnknown, Refusal: fault.DuplicateRequest}
 	return &History{
-		Info: RunInfo{Servers: []Capacity{{ID: "s1", Checks: true}, {ID: "s2", Checks: true}}},
+		Info: RunInfo{EndNS: 2 * leavingGraceNS, Servers: []Capacity{{ID: "s1", Checks: true}, {ID: "s2", Checks: true}}},
 		Calls: []Call{
 			answered("c1", "s1"), answered("c2", "s1"), once, again,
 			{ID: "c5", Outcome: CallNotRun, Refusal: fault.Overloaded, AnsweredNS: 1000},
+			{ID: "c6", Kind: "poison", Crash: true, Outcome: CallUnknown},
 		},
 		Runs: []standin.RunRecord{
 			run("c1", "s1", "1.0", 10, 30),
 			run("c2", "s1", "1.0", 20, 40),
 			run("c3", "s2", "1.1", 50, 60),
 			{Server: "s1", Call: "c5", Outcome: standin.RunRefused, Reason: "shed", StartNS: 70, EndNS: 70},
+			{Server: "s3", Call: "c6", Outcome: standin.RunCrashed, StartNS: 70, EndNS: 71},
+			{Server: "s3", Call: "c6", Outcome: standin.RunCrashed, StartNS: 80, EndNS: 81},
 		},
+		Faults: []FaultRecord{{Fault: Fault{Process: "s1", Do: ActLeave}, AtNS: 100}},
 	}
 }
 
@@ -79,6 +83,17 @@
 		}, RuleOnce},
 		{"two owners at one moment", func(h *History) { h.Runs[2].StartNS = 39 }, RuleOneOwner},
 		{"owner whose run outlasts the next owner", func(h *History) { h.Runs[0].EndNS = 100 }, RuleOneOwner},
+		{"leaving server is sent work", func(h *History) {
+			late := h.Runs[3]
+			late.StartNS = 101 + leavingGraceNS
+			h.Runs = append(h.Runs, late)
+		}, RuleLeaving},
+		{"third server goes down", func(h *History) {
+			h.Calls = append(h.Calls, Call{ID: "c7", Kind: "poison", Crash: true, Outcome: CallLost})
+			third := h.Runs[4]
+			third.Call = "c7"
+			h.Runs = append(h.Runs, third)
+		}, RuleCrashes},
 		{"token goes back", func(h *History) { h.Runs[2].Token = "0.9" }, RuleTokenOrder},
 	}
 	for _, c := range cases {
@@ -110,6 +125,24 @@
 	}
 }
 
+func TestServerThatDrainsByItsOwnWordIsLeaving(t *testing.T) {
+	h := goodHistory()
+	h.Faults = []FaultRecord{
+		{Fault: Fault{Standin: "s2", Switches: []byte(`{"draining":true}`)}, AtNS: 100},
+		{Fault: Fault{Standin: "s2", Switches: []byte(`{}`)}, AtNS: 100 + leavingGraceNS + 50},
+	}
+	late := h.Runs[2]
+	late.Call, late.StartNS = "", 100+leavingGraceNS+60
+	h.Runs = append(h.Runs, late)
+	if result := Check(h); !result.OK() || result.Checked[RuleLeaving] != 1 {
+		t.Fatalf("a server that stayed again: %+v", result)
+	}
+	h.Runs[len(h.Runs)-1].StartNS -= 20
+	if result := Check(h); result.OK() {
+		t.Fatal("new work of a draining server was not found")
+	}
+}
+
 func TestOwnersThatTouchDoNotOverlap(t *testing.T) {
 	h := goodHistory()
 	h.Runs[2].StartNS = 40
--- a/internal/bench/history.go
+++ b/internal/bench/history.go
@@ -48,7 +48,8 @@
 	Method         string      `json:"method"`
 	NonIdempotent  bool        `json:"non_idempotent,omitempty"`
 	IdempotencyKey string      `json:"idempotency_key,omitempty"`
-	Target         string      `json:"target"` // VM's address
+	Crash          bool        `json:"crash,omitempty"` // carries the header that crashes servers
+	Target         string      `json:"target"`          // VM's address
 	IntendedNS     int64       `json:"intended_ns"`
 	SentNS         int64       `json:"sent_ns"`
 	AnsweredNS     int64       `json:"answered_ns"`
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -113,6 +113,7 @@
 		Method:         planned.kind.Method,
 		NonIdempotent:  planned.kind.NonIdempotent,
 		IdempotencyKey: planned.identity,
+		Crash:          planned.crash,
 		Target:         target,
 		IntendedNS:     l.start + int64(planned.at),
 	}
