--- a/internal/bench/actions.go
+++ b/internal/bench/actions.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"kumquatcleat/internal/platform"
+	"kumquatcleat/internal/routing"
 	"kumquatcleat/internal/standin"
 )
 
@@ -110,9 +111,14 @@
 
 // waitAnswer polls a URL until it answers 200.
 func waitAnswer(ctx context.Context, name, url string) error {
+	return waitServedKey(ctx, name, url, "")
+}
+
+// waitServedKey polls a URL for a key until it answers 200.
+func waitServedKey(ctx context.Context, name, url, key string) error {
 	var last error
 	for {
-		if last = poll(ctx, url); last == nil {
+		if last = poll(ctx, url, key); last == nil {
 			return nil
 		}
 		select {
@@ -125,13 +131,16 @@
 
 var errNotReady = errors.New("not ready")
 
-func poll(ctx context.Context, url string) error {
+func poll(ctx context.Context, url, key string) error {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
 	}
+	if key != "" {
+		req.Header.Set(routing.HeaderKey, key)
+	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return err
--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -273,10 +273,30 @@
 			return err
 		}
 	}
+	if err := c.waitServed(ctx); err != nil {
+		return err
+	}
 	slog.Info("bench: cluster ready", "size", c.Size, "vms", len(c.VMs), "servers", len(c.servers()), "platform", c.Platform)
 	return nil
 }
 
+// waitServed waits until every VM answers requests for keys of every service,
+// so that a run does not measure the first grants.
+func (c *Cluster) waitServed(ctx context.Context) error {
+	const keys = 24 // a few of each home domain
+	for _, vm := range c.VMs {
+		for _, service := range c.Services {
+			for i := range keys {
+				url := fmt.Sprintf("http://%s/%s/ready", vm.Listen, service.Name)
+				if err := waitServedKey(ctx, vm.ID, url, keyName(uint64(i))); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	return nil
+}
+
 // LoadCluster reads the cluster in a directory.
 func LoadCluster(dir string) (*Cluster, error) {
 	data, err := os.ReadFile(filepath.Join(dir, fileCluster))
