--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -102,7 +102,6 @@
 	}
 	view := membership.NewView(self, membership.DefaultSettings)
 	d.members = NewMembers(self, view, d.platform, d.clients, d.store, clock)
-	d.members.seeds = d.settings.Peers
 	d.directory = NewDirectory(d.self, d.members, d.clients)
 	d.claims = NewClaims(d.self, d.settings.Retry.Claims, d.directory)
 	env := ownership.Environment{
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -58,8 +58,6 @@
 	starts   map[string]string // by VM id: the incarnation that answered a ping last
 	listed   bool
 	platform atomic.Bool // the last read of the list succeeded
-	seeds    []string    // addresses to ask for the list while no list was read
-	lastList atomic.Pointer[knownList]
 }
 
 // startSeparator parts the platform's incarnation of a VM from the mark of one
@@ -158,19 +156,13 @@
 		slog.Info("membership: platform's VM list", "readable", up)
 	}
 	if err != nil {
-		m.askSeeds(ctx)
 		return
 	}
-	m.takeList(ctx, &knownList{vms: vms, asOf: sentAt - age})
-}
-
-// takeList brings a list into the view.
-func (m *Members) takeList(ctx context.Context, list *knownList) {
-	m.lastList.Store(list)
 	m.inbox.Put(ctx, func(now time.Duration) {
 		m.listed = true
-		m.leaving = leavingServers(list.vms)
-		m.view.ListRead(now, m.withStarts(list.vms), now-list.asOf)
+		m.leaving = leavingServers(vms)
+		// The list may be as old as the time since the question, too.
+		m.view.ListRead(now, m.withStarts(vms), age+now-sentAt)
 	})
 }
 
--- a/internal/daemon/peerservice.go
+++ b/internal/daemon/peerservice.go
@@ -66,11 +66,6 @@
 	return s.daemon.suspects.message(), nil
 }
 
-// VMList implements peer.Peer.
-func (s *peerService) VMList(context.Context, *peer.VMListRequest) (*peer.VMListAnswer, error) {
-	return s.daemon.members.answerList(), nil
-}
-
 func wireError(err error) error {
 	if err == nil {
 		return nil
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -21,10 +21,6 @@
 	Platform      string `json:"platform"`       // the platform's service
 	LogLevel      string `json:"log_level"`      // debug, info, warn or error
 
-	// Peers are peer_listen addresses of other VMs. A VM that starts while it
-	// can't reach the platform learns from them which VMs there are.
-	Peers []string `json:"peers"`
-
 	// ShutdownGraceMS bounds how long a planned stop waits for requests in flight.
 	ShutdownGraceMS int64 `json:"shutdown_grace_ms"`
 	// Embedded starts stand-ins of the platform and of servers in the process.
@@ -84,7 +80,6 @@
 func defaults() *Settings {
 	return &Settings{
 		LogLevel:        "info",
-		Peers:           []string{},
 		ShutdownGraceMS: DefaultShutdownGrace.Milliseconds(),
 		Timing:          fromOwnership(ownership.DefaultTiming),
 		Limits:          limits.DefaultSettings(),
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -32,9 +32,6 @@
 	c.address("peer_listen", s.PeerListen)
 	c.address("platform", s.Platform)
 	c.distinct(s)
-	for i, peer := range s.Peers {
-		c.address(fmt.Sprintf("peers[%d]", i), peer)
-	}
 	c.logLevel(s.LogLevel)
 	c.between("shutdown_grace_ms", s.ShutdownGraceMS, 0, maxGraceMS, "milliseconds")
 	c.timing(s.Timing)
