--- a/internal/bench/history.go
+++ b/internal/bench/history.go
@@ -48,7 +48,8 @@
 	Method         string      `json:"method"`
 	NonIdempotent  bool        `json:"non_idempotent,omitempty"`
 	IdempotencyKey string      `json:"idempotency_key,omitempty"`
-	Target         string      `json:"target"` // VM's address
+	Crash          bool        `json:"crash,omitempty"` // carries the header that crashes servers
+	Target         string      `json:"target"`          // VM's address
 	IntendedNS     int64       `json:"intended_ns"`
 	SentNS         int64       `json:"sent_ns"`
 	AnsweredNS     int64       `json:"answered_ns"`
@@ -76,6 +77,7 @@
 	StartNS  int64      `json:"start_ns"` // CLOCK_MONOTONIC, of the first moment of load
 	EndNS    int64      `json:"end_ns"`   // of the last answer
 	Servers  []Capacity `json:"servers,omitempty"`
+	Cost     *Cost      `json:"cost,omitempty"` // nil: not known, or daemons were restarted
 }
 
 // Capacity is a server that the cluster's records name.
--- a/internal/membership/pings.go
+++ b/internal/membership/pings.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -9,25 +10,31 @@
 )
 
 // PingTargets returns the VMs to ping now and schedules their next pings. Over
-// time it names at most Settings.MaxPingTargets VMs each Settings.PingInterval.
+// time it names at most Settings.MaxPingTargets VMs, each every
+// Settings.PingInterval or less often, and Settings.MaxPingsPerSecond in all.
 func (v *View) PingTargets(now time.Duration) []platform.VM {
 	v.Tick(now)
 	var due []platform.VM
-	for _, m := range v.watched() {
+	targets := v.watched()
+	interval := v.settings.pingInterval(len(targets))
+	for _, m := range targets {
 		if now >= m.nextPing {
-			m.nextPing = now + v.settings.PingInterval
+			m.nextPing = now + interval
 			due = append(due, m.vm)
 		}
 	}
 	return due
 }
 
-// watched returns the VMs that this one pings: co-keepers, then successors on
-// the hash ring, then VMs that the list does not name.
+// watched returns the VMs that this one pings. The successors on the hash ring
+// come first, so that every VM is pinged by some others however many co-keepers
+// there are; then co-keepers, VMs under whose ids rows name other incarnations,
+// and VMs that the list does not name.
 func (v *View) watched() []*member {
-	targets := v.coKeepers()
-	targets = v.appendNew(targets, v.successors())
-	targets = v.appendNew(targets, v.unlisted())
+	targets := v.successors()
+	targets = appendNew(targets, v.coKeepers())
+	targets = appendNew(targets, v.mentioned())
+	targets = appendNew(targets, v.unlisted())
 	return targets[:min(len(targets), v.settings.MaxPingTargets)]
 }
 
@@ -36,13 +43,30 @@
 	for id := range v.partners {
 		ids = append(ids, id)
 	}
-	slices.Sort(ids)
+	return v.othersByID(ids)
+}
+
+func (v *View) mentioned() []*member {
+	ids := make([]string, 0, len(v.mentions))
+	for ref := range v.mentions {
+		ids = append(ids, ref.ID)
+	}
+	return v.othersByID(ids)
+}
+
+// othersByID returns the members with the given ids, without this VM, in the
+// order in which they follow it on the hash ring. So when the bound on targets
+// cuts the list short, VMs with the same co-keepers ping different ones.
+func (v *View) othersByID(ids []string) []*member {
 	var found []*member
 	for _, id := range ids {
-		if m := v.members[id]; m != nil {
+		if m := v.members[id]; m != nil && m != v.self {
 			found = append(found, m)
 		}
 	}
+	slices.SortFunc(found, func(a, b *member) int {
+		return cmp.Or(cmp.Compare(a.hash-v.self.hash, b.hash-v.self.hash), cmp.Compare(a.vm.ID, b.vm.ID))
+	})
 	return found
 }
 
@@ -70,7 +94,7 @@
 }
 
 // appendNew appends the members that targets lacks.
-func (v *View) appendNew(targets, more []*member) []*member {
+func appendNew(targets, more []*member) []*member {
 	for _, m := range more {
 		if !slices.Contains(targets, m) {
 			targets = append(targets, m)
