Deferral's test waits for the ticket before it counts runs

Cause: with the look for a known ticket and the claim taken out, the test still passed: it counted before the worker's run. It now asks for the ticket first and sends the request again when it is done.

--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -243,9 +243,13 @@
 		server.SetFaults(standin.ServerFaults{})
 	}
 	r.until("the refund to be done", func() bool {
-		a, err := r.call(r.vms[1], http.MethodPost, path, routing.HeaderIdempotencyKey, "refund-7")
+		a, err := r.call(r.vms[1], http.MethodGet, routing.TicketPath+"swapbay/"+first.ticket)
 		return err == nil && a.status == http.StatusOK
 	})
+	late, err := r.call(r.vms[0], http.MethodPost, path, routing.HeaderIdempotencyKey, "refund-7")
+	if err != nil || late.status != http.StatusOK || late.ticket != first.ticket {
+		t.Fatalf("sent again when done: %+v, %v", late, err)
+	}
 	if n := r.runs(withIdempotencyKey("refund-7")); n != 1 {
 		t.Fatalf("ran %d times", n)
 	}
--- a/internal/daemon/rig_test.go
+++ b/internal/daemon/rig_test.go
@@ -169,6 +169,7 @@
 	status  int
 	outcome string
 	server  string
+	ticket  string
 	refusal routing.Refusal
 }
 
@@ -190,6 +191,7 @@
 		status:  resp.StatusCode,
 		outcome: resp.Header.Get(routing.HeaderOutcome),
 		server:  resp.Header.Get(backend.HeaderServer),
+		ticket:  resp.Header.Get(routing.HeaderTicket),
 	}
 	data, err := io.ReadAll(resp.Body)
 	if err == nil && a.outcome != "" {
