A VM that starts in an outage serves, and all VMs replaced at once keep the owners

Two daemons replaced at once, the platform's list telling so: every key at its old owner again. A VM that starts while the platform is down learns the VMs from a peer and serves.

--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -271,3 +271,38 @@
 		t.Fatalf("ran %d times", n)
 	}
 }
+
+func TestVMThatStartsWhileThePlatformIsDownServes(t *testing.T) {
+	r := newRig(t, 2)
+	r.platform.SetFaults(standin.PlatformFaults{Down: true})
+	late := r.startVM("vm-9", r.vms[0].settings.PeerListen)
+	r.until("the late VM to serve", func() bool {
+		return late.notReady() == "" && r.get(late, "/swapbay/listings/7") == http.StatusOK
+	})
+}
+
+func TestAllVMsReplacedAtOnceKeepTheAssignments(t *testing.T) {
+	r := newRig(t, 2)
+	owners := map[string]string{}
+	for i := range 32 {
+		path := fmt.Sprintf("/swapbay/listings/%d", i)
+		a, err := r.call(r.vms[0], http.MethodGet, path)
+		if err != nil || a.status != http.StatusOK {
+			t.Fatalf("%+v, %v", a, err)
+		}
+		owners[path] = a.server
+	}
+	for _, vm := range r.vms {
+		vm.kill()
+		r.platform.RemoveVM(vm.settings.ID)
+	}
+	next := []*rigVM{r.startVM("vm-8"), r.startVM("vm-9")}
+	for _, vm := range next {
+		for path, owner := range owners {
+			r.until(path+" at its owner "+owner, func() bool {
+				a, err := r.call(vm, http.MethodGet, path)
+				return err == nil && a.status == http.StatusOK && a.server == owner
+			})
+		}
+	}
+}
--- a/internal/daemon/rig_test.go
+++ b/internal/daemon/rig_test.go
@@ -127,10 +127,11 @@
 	}
 }
 
-func (r *rig) startVM(id string) *rigVM {
+func (r *rig) startVM(id string, peers ...string) *rigVM {
 	r.t.Helper()
 	s := settings.Default()
 	s.ID, s.Incarnation, s.Embedded = id, "p-"+id, false
+	s.Peers = peers
 	s.Listen, s.PeerListen, s.Platform = freeAddress(r.t), freeAddress(r.t), r.address
 	r.platform.SetVM(platform.VM{
 		ID: id, Incarnation: s.Incarnation, Role: "entry", FailureDomain: "a", Address: s.PeerListen, State: platform.VMLive,
