--- a/internal/daemon/rig_test.go
+++ b/internal/daemon/rig_test.go
@@ -127,10 +127,11 @@
 	}
 }
 
-func (r *rig) startVM(id string) *rigVM {
+func (r *rig) startVM(id string, peers ...string) *rigVM {
 	r.t.Helper()
 	s := settings.Default()
 	s.ID, s.Incarnation, s.Embedded = id, "p-"+id, false
+	s.Peers = peers
 	s.Listen, s.PeerListen, s.Platform = freeAddress(r.t), freeAddress(r.t), r.address
 	r.platform.SetVM(platform.VM{
 		ID: id, Incarnation: s.Incarnation, Role: "entry", FailureDomain: "a", Address: s.PeerListen, State: platform.VMLive,
@@ -169,6 +170,7 @@
 	status  int
 	outcome string
 	server  string
+	ticket  string
 	refusal routing.Refusal
 }
 
@@ -190,6 +192,7 @@
 		status:  resp.StatusCode,
 		outcome: resp.Header.Get(routing.HeaderOutcome),
 		server:  resp.Header.Get(backend.HeaderServer),
+		ticket:  resp.Header.Get(routing.HeaderTicket),
 	}
 	data, err := io.ReadAll(resp.Body)
 	if err == nil && a.outcome != "" {
