--- a/internal/bench/actions.go
+++ b/internal/bench/actions.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"kumquatcleat/internal/platform"
+	"kumquatcleat/internal/routing"
 	"kumquatcleat/internal/standin"
 )
 
@@ -18,6 +19,8 @@
 	pollTimeout = time.Second // of one poll
 	// roleEntry is the role of entry VMs in the platform's list.
 	roleEntry = "entry"
+	// roleServer is the role of servers' VMs in the platform's list.
+	roleServer = "server"
 	// platformIncarnation is what the list says of VMs that were never replaced.
 	platformIncarnation = "1"
 )
@@ -65,6 +68,25 @@
 		}
 		return c.list(ctx, vm, state)
 	}
+	return c.changeServer(ctx, name, remove, state)
+}
+
+// changeServer changes the entry of a server's VM in the platform's list. A
+// server that is up and stays needs none.
+func (c *Cluster) changeServer(ctx context.Context, name string, remove bool, state platform.VMState) error {
+	for _, server := range c.servers() {
+		if server.ID != name {
+			continue
+		}
+		return c.postVM(ctx, standin.VMChange{Remove: remove, VM: platform.VM{
+			ID:            server.ID,
+			Incarnation:   platformIncarnation,
+			Role:          roleServer,
+			FailureDomain: server.FailureDomain,
+			Address:       server.Address,
+			State:         state,
+		}})
+	}
 	return fmt.Errorf("cluster: no VM %q", name)
 }
 
@@ -89,9 +111,14 @@
 
 // waitAnswer polls a URL until it answers 200.
 func waitAnswer(ctx context.Context, name, url string) error {
+	return waitServedKey(ctx, name, url, "")
+}
+
+// waitServedKey polls a URL for a key until it answers 200.
+func waitServedKey(ctx context.Context, name, url, key string) error {
 	var last error
 	for {
-		if last = poll(ctx, url); last == nil {
+		if last = poll(ctx, url, key); last == nil {
 			return nil
 		}
 		select {
@@ -104,13 +131,16 @@
 
 var errNotReady = errors.New("not ready")
 
-func poll(ctx context.Context, url string) error {
+func poll(ctx context.Context, url, key string) error {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
 	}
+	if key != "" {
+		req.Header.Set(routing.HeaderKey, key)
+	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return err
--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -216,3 +216,93 @@
 		return err == nil && b.status == http.StatusOK && b.server != a.server
 	})
 }
+
+func TestDeferredWorkLandsOnceAfterItsServersReturn(t *testing.T) {
+	r := newRig(t, 2, func(s *config.Service) {
+		s.Rules = append([]config.Rule{{
+			Methods: []string{"POST"}, PathPrefix: "/refunds", KeyPrefix: "/refunds/",
+			NonIdempotent: true, Class: config.ClassDeferred, DeferOK: true,
+		}}, s.Rules...)
+	})
+	for _, server := range r.servers {
+		server.SetFaults(standin.ServerFaults{Draining: true})
+	}
+	const path = "/swapbay/refunds/7"
+	first, err := r.call(r.vms[0], http.MethodPost, path, routing.HeaderIdempotencyKey, "refund-7", routing.HeaderTimeout, "300")
+	if err != nil || first.status != http.StatusAccepted {
+		t.Fatalf("accepting: %+v, %v", first, err)
+	}
+	again, err := r.call(r.vms[1], http.MethodPost, path, routing.HeaderIdempotencyKey, "refund-7", routing.HeaderTimeout, "300")
+	if err != nil || again.status != http.StatusAccepted {
+		t.Fatalf("sent again while queued: %+v, %v", again, err)
+	}
+	if n := r.runs(withIdempotencyKey("refund-7")); n != 0 {
+		t.Fatalf("ran %d times at servers that refuse", n)
+	}
+	for _, server := range r.servers {
+		server.SetFaults(standin.ServerFaults{})
+	}
+	r.until("the refund to be done", func() bool {
+		a, err := r.call(r.vms[1], http.MethodGet, routing.TicketPath+"swapbay/"+first.ticket)
+		return err == nil && a.status == http.StatusOK
+	})
+	late, err := r.call(r.vms[0], http.MethodPost, path, routing.HeaderIdempotencyKey, "refund-7")
+	if err != nil || late.status != http.StatusOK || late.ticket != first.ticket {
+		t.Fatalf("sent again when done: %+v, %v", late, err)
+	}
+	if n := r.runs(withIdempotencyKey("refund-7")); n != 1 {
+		t.Fatalf("ran %d times", n)
+	}
+}
+
+func TestDeferralIsRefusedTruthfullyWhileThePlatformIsDown(t *testing.T) {
+	r := newRig(t, 1, func(s *config.Service) {
+		s.Rules = append([]config.Rule{{
+			Methods: []string{"POST"}, PathPrefix: "/refunds", KeyPrefix: "/refunds/",
+			NonIdempotent: true, Class: config.ClassDeferred, DeferOK: true,
+		}}, s.Rules...)
+	})
+	r.platform.SetFaults(standin.PlatformFaults{Down: true})
+	a, err := r.call(r.vms[0], http.MethodPost, "/swapbay/refunds/7", "Prefer", "respond-async", routing.HeaderIdempotencyKey, "refund-8")
+	if err != nil || a.refusal.Kind != fault.DeferralUnavailable || a.outcome != string(fault.NotRun) {
+		t.Fatalf("%+v, %v", a, err)
+	}
+	if n := r.runs(withIdempotencyKey("refund-8")); n != 0 {
+		t.Fatalf("ran %d times", n)
+	}
+}
+
+func TestVMThatStartsWhileThePlatformIsDownServes(t *testing.T) {
+	r := newRig(t, 2)
+	r.platform.SetFaults(standin.PlatformFaults{Down: true})
+	late := r.startVM("vm-9", r.vms[0].settings.PeerListen)
+	r.until("the late VM to serve", func() bool {
+		return late.notReady() == "" && r.get(late, "/swapbay/listings/7") == http.StatusOK
+	})
+}
+
+func TestAllVMsReplacedAtOnceKeepTheAssignments(t *testing.T) {
+	r := newRig(t, 2)
+	owners := map[string]string{}
+	for i := range 32 {
+		path := fmt.Sprintf("/swapbay/listings/%d", i)
+		a, err := r.call(r.vms[0], http.MethodGet, path)
+		if err != nil || a.status != http.StatusOK {
+			t.Fatalf("%+v, %v", a, err)
+		}
+		owners[path] = a.server
+	}
+	for _, vm := range r.vms {
+		vm.kill()
+		r.platform.RemoveVM(vm.settings.ID)
+	}
+	next := []*rigVM{r.startVM("vm-8"), r.startVM("vm-9")}
+	for _, vm := range next {
+		for path, owner := range owners {
+			r.until(path+" at its owner "+owner, func() bool {
+				a, err := r.call(vm, http.MethodGet, path)
+				return err == nil && a.status == http.StatusOK && a.server == owner
+			})
+		}
+	}
+}
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -3,10 +3,11 @@
 //
 // Two sources are combined. The platform's VM list names every VM but lags.
 // Pings are answered at once but reach few VMs: no VM pings all others. A VM
-// pings its co-keepers (the first candidates of the groups for which it is a
-// first candidate itself), the next VMs on the hash ring of its failure domain,
-// and VMs that answer but are not in the list, up to Settings.MaxPingTargets.
-// So its pings a second are bounded whatever the number of VMs.
+// pings the next VMs on the hash ring of its failure domain, its co-keepers (the
+// first candidates of the groups for which it is a first candidate itself), VMs
+// whose start is in doubt, and VMs that answer but are not in the list, up to
+// Settings.MaxPingTargets in this order. So its pings a second are bounded
+// whatever the number of VMs.
 //
 // Three states are told apart:
 //   - live: named by the list or heard of lately, and not suspected;
@@ -22,6 +23,10 @@
 // under way for PingTimeout and so proves nothing about the time of its arrival.
 // Where the order of two incarnations is open, nothing is concluded. A VM that
 // was never listed may be too young for the list: it gets ListGrace in addition.
+//
+// An incarnation is the platform's, and may go on after a dot with the mark of
+// one start of the daemon on that VM. The list knows nothing of the mark, so of
+// two starts on one VM only an answer can tell which has ended.
 package membership
 
 import (
@@ -61,9 +66,11 @@
 	mentions map[ownership.VMRef]time.Duration // refs in rows, not known to run: since when
 
 	listAsOf   time.Duration            // what the newest list read was the truth of
-	holders    map[string]string        // address: id of the VM heard there last
+	holders    map[string]string        // address: id of the VM that answered there last
 	partners   map[string]time.Duration // co-keepers by id: until when they are pinged
 	rosters    rosters
+	ranked     map[string]rankedGroup // by group
+	live       liveVMs
 	generation uint64
 }
 
@@ -78,6 +85,7 @@
 		listAsOf: never,
 		holders:  map[string]string{},
 		partners: map[string]time.Duration{},
+		ranked:   map[string]rankedGroup{},
 	}
 	v.self = v.add(0, platform.VM{
 		ID:            self.ID,
@@ -105,11 +113,7 @@
 			delete(v.doubtful, id)
 		}
 	}
-	for id, until := range v.partners {
-		if now >= until {
-			delete(v.partners, id)
-		}
-	}
+	v.expirePartners(now)
 }
 
 // review decides anew whether a doubtful member is suspected.
@@ -130,128 +134,6 @@
 	v.changed()
 }
 
-// ListRead takes in a reading of the VM list. sentAt is when the read was sent,
-// not when it was answered: the list may have been made at any time in between.
-// age is how old the platform says that it is. A read older than an earlier one
-// is ignored, and so is a read without any entry VM, which can only be wrong.
-func (v *View) ListRead(sentAt time.Duration, vms []platform.VM, age time.Duration) {
-	asOf := sentAt - max(0, age)
-	entries := entriesOf(vms)
-	if asOf < v.listAsOf || len(entries) == 0 {
-		return
-	}
-	v.listAsOf = asOf
-	for _, vm := range entries {
-		v.listNames(sentAt, asOf, vm)
-	}
-	for _, m := range v.members {
-		entry, named := entries[m.vm.ID]
-		if !named || entry.Incarnation != m.vm.Incarnation {
-			v.listLacks(asOf, m, named)
-		}
-	}
-	v.settleMentions(asOf, entries)
-}
-
-func entriesOf(vms []platform.VM) map[string]platform.VM {
-	entries := make(map[string]platform.VM, len(vms))
-	for _, vm := range vms {
-		if vm.Role == roleEntry {
-			entries[vm.ID] = vm
-		}
-	}
-	return entries
-}
-
-// listNames takes in one VM that the list names.
-func (v *View) listNames(now, asOf time.Duration, vm platform.VM) {
-	m := v.members[vm.ID]
-	if m != nil && m.vm.Incarnation != vm.Incarnation {
-		if !v.replaces(vm, asOf, m) {
-			return
-		}
-		v.remove(m)
-		m = nil
-	}
-	if m == nil {
-		if v.gone.has(refOf(vm)) {
-			return
-		}
-		m = v.add(now, vm)
-	}
-	if m == v.self {
-		// Its settings know this VM better than the list does, but for its end.
-		state := vm.State
-		vm = m.vm
-		vm.State = state
-	}
-	if !m.listed || m.vm != vm {
-		v.changed()
-	}
-	m.listed = true
-	m.listedAt = asOf
-	m.vm = vm
-}
-
-// replaces reports whether vm, which ran at a time, is a successor of m.
-func (v *View) replaces(vm platform.VM, at time.Duration, m *member) bool {
-	return m != v.self && !v.gone.has(refOf(vm)) && at > m.lastProof()
-}
-
-// listLacks takes in that the list does not name a member. If it names another
-// incarnation under the same id, that one is a known predecessor or their order
-// is open, so nothing is concluded.
-func (v *View) listLacks(asOf time.Duration, m *member, idNamed bool) {
-	if m == v.self {
-		return
-	}
-	if !idNamed && m.gone(asOf, v.settings) {
-		v.remove(m)
-		return
-	}
-	v.doubtful[m.vm.ID] = m
-	if m.listed {
-		m.listed = false
-		v.changed()
-	}
-}
-
-// Mention tells that a group row names a VM. If that VM is not known to run, the
-// next list reads decide whether it is gone.
-func (v *View) Mention(now time.Duration, ref ownership.VMRef) {
-	if ref.IsZero() || v.gone.has(ref) {
-		return
-	}
-	if m := v.members[ref.ID]; m != nil && m.vm.Incarnation == ref.Incarnation {
-		return
-	}
-	if _, ok := v.mentions[ref]; !ok {
-		v.mentions[ref] = now
-	}
-}
-
-// settleMentions decides about the VMs that rows name. A row is written by or
-// about VMs that ran before it was read, so the reading of the row is the last
-// time at which they may have run for all that is known.
-func (v *View) settleMentions(asOf time.Duration, entries map[string]platform.VM) {
-	for ref, since := range v.mentions {
-		entry, named := entries[ref.ID]
-		if named && entry.Incarnation == ref.Incarnation {
-			delete(v.mentions, ref)
-			continue
-		}
-		proof := since
-		if !named {
-			proof += v.settings.ListGrace
-		}
-		outdated := named && v.gone.has(refOf(entry))
-		if asOf > proof && !outdated {
-			delete(v.mentions, ref)
-			v.bury(ref)
-		}
-	}
-}
-
 // Learn adds a VM that another source names, such as a peer or the settings of
 // this process. It counts as live once it has answered.
 func (v *View) Learn(now time.Duration, vm platform.VM) {
@@ -282,6 +164,8 @@
 	}
 	m.answeredAt = now
 	v.hear(m, now)
+	v.holdAddress(m)
+	v.settleMentionsBy(m, now-v.settings.PingTimeout)
 }
 
 // answeredAnew handles an answer of another incarnation under a known id. It
@@ -312,15 +196,22 @@
 func (v *View) hear(m *member, at time.Duration) {
 	known := m.heardAt != never
 	m.heard(at)
-	if m.vm.Address != "" {
-		v.holders[m.vm.Address] = m.vm.ID
-	}
 	if !known || m.suspected && m.failures == 0 {
 		m.suspected = false
 		v.changed()
 	}
 }
 
+// holdAddress records that a member was the last to answer at its address.
+func (v *View) holdAddress(m *member) {
+	address := m.vm.Address
+	if address == "" || v.holders[address] == m.vm.ID {
+		return
+	}
+	v.holders[address] = m.vm.ID
+	v.changed()
+}
+
 // PingFailed takes in that a VM did not answer a ping in time.
 func (v *View) PingFailed(now time.Duration, id string) {
 	m := v.members[id]
@@ -332,20 +223,32 @@
 	v.Tick(now)
 }
 
+// liveVMs is the answer to Live, kept while the view stays as it is.
+type liveVMs struct {
+	generation uint64
+	vms        []platform.VM
+}
+
 // Live returns the VMs taken for running, this one among them, ordered by id.
+// The slice must not be changed: it is the same until Generation changes.
 func (v *View) Live(now time.Duration) []platform.VM {
 	v.Tick(now)
-	var live []platform.VM
-	for _, m := range v.rosters.all(v) {
+	if v.live.generation == v.generation {
+		return v.live.vms
+	}
+	members := v.rosters.all(v)
+	live := make([]platform.VM, 0, len(members))
+	for _, m := range members {
 		if v.isLive(m) {
 			live = append(live, m.vm)
 		}
 	}
+	v.live = liveVMs{v.generation, live}
 	return live
 }
 
 // isLive reports whether a member is taken for running. Of two VMs at one
-// address only the one heard there last is: the other was replaced.
+// address only the one that answered there last is: the other was replaced.
 func (v *View) isLive(m *member) bool {
 	if m == v.self {
 		return true
