A move from a server that does not check ends while VMs keep asking

Change: such a move ends one route lease and one request deadline after the routes were withdrawn, the predecessor's right ended and hold-over ended. The deadline at such servers is 5 s by default instead of 30: a moved key is dark for as long. Test: never ended before, ends now and not too early.

--- a/internal/ownership/moves.go
+++ b/internal/ownership/moves.go
@@ -143,21 +143,56 @@
 
 // moveEnded reports whether the old owner's right to the slot has ended.
 func (r *Replica) moveEnded(m Move) bool {
-	if r.checks(m.From.ID) {
-		if r.revokeEnded(m) {
-			return true
-		}
-		if r.answersAs(m.From) {
-			// Its lease goes on for its other slots, and with it the running work of
-			// this one. That holds also for a move by lapse whose old owner is back.
-			return false
-		}
-	}
-	renewalsEnd := r.renewalsEnd(m)
 	if !r.checks(m.From.ID) {
-		renewalsEnd += r.timing.RequestDeadline // a standby that holds over hands out route leases too
+		return r.uncheckedMoveEnded(m)
+	}
+	if r.revokeEnded(m) {
+		return true
+	}
+	if r.answersAs(m.From) {
+		// Its lease goes on for its other slots, and with it the running work of
+		// this one. That holds also for a move by lapse whose old owner is back.
+		return false
+	}
+	return r.lapsed(m.From) && r.now >= r.renewalsEnd(m)
+}
+
+// uncheckedMoveEnded reports whether no VM may send requests of the slot to a
+// server that does not check any more, and what was sent has met its deadline.
+//
+// Such a server runs whatever arrives, so neither its lease nor a revoke counts.
+// What counts are the route leases that named it as the owner: this keeper's,
+// none of which is handed out once the move is decided; its predecessor's, whose
+// right ended at actFrom; and those of a standby that held over. A later lease of
+// the group's other routes must not count, or the move would never end while VMs
+// go on asking.
+func (r *Replica) uncheckedMoveEnded(m Move) bool {
+	k := r.keeper
+	if r.plan.Servers[m.From.ID].Gone && !r.answers(k.servers[m.From.ID]) {
+		return true
+	}
+	lastHandedOut := max(k.withdrawnSince(m, r.now), k.actFrom, r.renewalsEnd(m))
+	return r.now >= lastHandedOut+r.stretch(r.timing.RouteLease+r.timing.RequestDeadline)
+}
+
+// withdrawnSince returns when the routes were first seen to show the move.
+func (k *keeperState) withdrawnSince(m Move, now Instant) Instant {
+	since, ok := k.withdrawn[m.Token]
+	if !ok {
+		since = now
+		k.withdrawn[m.Token] = now
+	}
+	return since
+}
+
+// forgetWithdrawn drops what is known of moves that have ended.
+func (k *keeperState) forgetWithdrawn() {
+	for token := range k.withdrawn {
+		underWay := slices.ContainsFunc(k.decided.Moves, func(m Move) bool { return m.Token == token })
+		if !underWay {
+			delete(k.withdrawn, token)
+		}
 	}
-	return r.lapsed(m.From) && r.now >= renewalsEnd
 }
 
 // revokeEnded reports whether the old owner acknowledged a revoke of this move.
--- a/internal/ownership/right.go
+++ b/internal/ownership/right.go
@@ -34,8 +34,10 @@
 	// sets are the slots of each server in decided, without those under a move.
 	sets map[ServerRef][]backend.SlotToken
 
-	routeLeases  Instant // every route lease handed out has ended by then
-	routeChanges uint64  // counts changes of the routes
+	routeLeases Instant // every route lease handed out has ended by then
+	// withdrawn is since when the routes show a move, by its token.
+	withdrawn    map[backend.Token]Instant
+	routeChanges uint64 // counts changes of the routes
 	nextCede     Instant
 }
 
@@ -46,6 +48,7 @@
 		decided:    row,
 		recovering: row.Recovering,
 		servers:    map[string]*serverRecord{},
+		withdrawn:  map[backend.Token]Instant{},
 		planDirty:  true,
 	}
 	k.indexSlots()
@@ -70,6 +73,7 @@
 	k.planDirty = true
 	k.routeChanges++
 	k.indexSlots()
+	k.forgetWithdrawn()
 }
 
 // token returns the token of the newest sure row.
--- a/internal/ownership/timing.go
+++ b/internal/ownership/timing.go
@@ -61,7 +61,7 @@
 	HoldOverSilence: 300 * time.Millisecond,
 	StandbySilence:  3 * time.Second,
 	Retry:           100 * time.Millisecond,
-	RequestDeadline: 30 * time.Second,
+	RequestDeadline: 5 * time.Second, // a moved key of a server that does not check is dark for as long
 	DriftPerMill:    10,
 }
 
--- /dev/null
+++ b/internal/ownership/unchecked_test.go
@@ -0,0 +1,45 @@
+package ownership
+
+import (
+	"testing"
+	"time"
+)
+
+// A server that does not check can't be made to refuse; while VMs go on asking
+// for the group's routes, a move away from it must still end.
+func TestMoveFromAServerThatDoesNotCheckEndsWhileVMsKeepAsking(t *testing.T) {
+	w := settledWorld(t, 3, 2)
+	for _, id := range []string{"x", "y"} {
+		w.server(id).checks = false
+		w.plan.Servers[id] = ServerPlan{}
+	}
+	w.plan.Servers["x"] = ServerPlan{Drain: true}
+	for i := range w.vms {
+		w.event(i, w.plan)
+	}
+	timing := DefaultTiming
+	earliest := timing.RouteLease + timing.RequestDeadline
+	asker := VMRef{ID: "asker", Incarnation: "1"}
+	began, withdrawn, moved := w.now, time.Duration(0), time.Duration(0)
+	for moved == 0 && w.now < began+earliest+3*time.Second {
+		w.run(unit)
+		keeper := w.vms[0].replica
+		for _, route := range keeper.Routes(w.vms[0].clock(w.now), asker).Slots {
+			if route.Slot != 0 {
+				continue
+			}
+			if withdrawn == 0 && route.Moving {
+				withdrawn = w.now
+			}
+			if withdrawn > 0 && !route.Moving && route.Server.ID == "y" {
+				moved = w.now
+			}
+		}
+	}
+	if moved == 0 {
+		fail(t, w, "the move never ended; withdrawn at %v", withdrawn)
+	}
+	if moved-withdrawn < earliest {
+		fail(t, w, "moved %v after the routes were withdrawn, a request may run for %v", moved-withdrawn, earliest)
+	}
+}
