Ownership: exhaustive exploration and shrinking change sequences

Cause: random walks say nothing of what they did not draw.

The seeded 'unanswered write forgotten' no longer loops without time passing.

--- a/internal/ownership/seeded_test.go
+++ b/internal/ownership/seeded_test.go
@@ -2,8 +2,9 @@
 
 import "testing"
 
-// Each SeededBug test sets one deliberate fault and fails unless the random walks
-// find it: only then does their silence on the real code say anything.
+// Each SeededBug test sets one deliberate fault and fails unless the random walks,
+// the exploration or the sequences find it: only then does their silence on the
+// real code say anything.
 
 // seededWalks bounds the walks that may go by before a seeded bug is found.
 const seededWalks = 300
@@ -50,3 +51,35 @@
 func TestSeededBugMovesKeepTheToken(t *testing.T) {
 	requireFound(t, walkOptions{flaws: flaws{movesKeepToken: true}})
 }
+
+// requireExplored fails unless the exploration finds the flaw within CI's bounds.
+func requireExplored(t *testing.T, f flaws, from start) {
+	t.Helper()
+	t.Parallel()
+	result := explore(startWorld(from, f, false), ciUnits, ciChanges)
+	if len(result.faults) == 0 {
+		t.Fatalf("not found in %d states", len(result.seen))
+	}
+	t.Logf("%d states, path %v: %v", len(result.seen), result.path, result.faults)
+}
+
+func TestSeededBugTakeoverWithoutWaitingIsExplored(t *testing.T) {
+	requireExplored(t, flaws{takeoverWithoutWait: true}, startServed)
+}
+
+func TestSeededBugLapseMoveWithoutTheStandbyIsExplored(t *testing.T) {
+	requireExplored(t, flaws{lapseWithoutStandby: true}, startOutage)
+}
+
+func TestSeededBugMovesKeepTheTokenIsExplored(t *testing.T) {
+	requireExplored(t, flaws{movesKeepToken: true}, startServed)
+}
+
+func TestSeededBugIsFoundBySequencesAndShrunk(t *testing.T) {
+	f := flaws{takeoverWithoutWait: true}
+	result := sequenceProperty(f, exploredWorld(f)).Check(sequenceParameters())
+	if result.Passed() {
+		t.Fatal("not found")
+	}
+	t.Logf("shrunk to %v", result.Args)
+}
--- a/internal/ownership/table.go
+++ b/internal/ownership/table.go
@@ -24,6 +24,7 @@
 	expect     uint64
 	purpose    writePurpose
 	nextSend   Instant
+	sent       bool // at least once
 	conflicted bool // a read has to tell what became of it
 }
 
@@ -99,9 +100,6 @@
 		r.table.nextRead = r.now
 	case WriteUnknown:
 		w.nextSend = min(w.nextSend, r.now+r.timing.Retry)
-		if r.flaws.forgetUnansweredOpen {
-			r.table.write = nil
-		}
 	}
 }
 
@@ -155,6 +153,11 @@
 	if w == nil || w.conflicted || r.now < w.nextSend {
 		return
 	}
+	if w.sent && r.flaws.forgetUnansweredOpen {
+		r.table.write = nil
+		return
+	}
+	w.sent = true
 	// An answer, also one that says 'unknown', brings the repeat forward.
 	w.nextSend = r.now + r.timing.Lease
 	r.do(WriteRow{Expect: w.expect, Row: w.row})
--- a/internal/ownership/world_test.go
+++ b/internal/ownership/world_test.go
@@ -41,7 +41,9 @@
 	servers []*fakeServer
 	table   fakeTable
 	flight  []*packet
-	network func(*packet) // decides what becomes of a packet; nil: it is in flight
+	held    []*packet       // kept back by the explorer
+	holding map[string]bool // kinds of packets that the explorer keeps back
+	network func(*packet)   // decides what becomes of a packet; nil: it is in flight
 	plan    PlanChanged
 
 	accepted map[uint32]SlotOwner // youngest accepted grant of each slot
