--- a/internal/ownership/explore_test.go
+++ b/internal/ownership/explore_test.go
@@ -50,6 +50,7 @@
 	holdPeers        // messages of vm0 to vm1 are late
 	holdAnswers      // messages of vm1 to vm0 are late
 	holdGrants       // grants to server x are late
+	holdRows         // rows that vm0 shows to vm1 are late
 	doubleHeld       // copies of what is held arrive now
 	moveSlot         // the plan names the other server
 	loseKeeper       // vm0, for good
@@ -74,9 +75,12 @@
 	startLate    start = "late grants" // grants to server x are under way
 	startMoving  start = "moving"      // late grants, and a move away from server x
 	startOrphans start = "hold-over"   // outage, the keeper is cut off from its standby
+	// startStale is a standby that missed a move by lapse, and the old owner back
+	// from a freeze.
+	startStale start = "stale standby"
 )
 
-var starts = []start{startServed, startOutage, startReturn, startLate, startMoving, startOrphans}
+var starts = []start{startServed, startOutage, startReturn, startLate, startMoving, startOrphans, startStale}
 
 // leadIn returns the changes that lead to a start.
 func (s start) leadIn() []change {
@@ -91,6 +95,9 @@
 		return []change{holdGrants, moveSlot}
 	case startOrphans:
 		return []change{tableDown, nothing, cutVMs, nothing}
+	case startStale:
+		lapse := slices.Repeat([]change{nothing}, 7)
+		return slices.Concat([]change{cutStandbyTable, freezeServer}, lapse, []change{cutKeeperServer, freezeServer, holdRows})
 	default:
 		return nil
 	}
@@ -146,12 +153,15 @@
 	heldPeers   = "peers"
 	heldAnswers = "answers"
 	heldGrants  = "grants"
+	heldRows    = "rows"
 )
 
 func (w *world) holds(p *packet) bool {
 	switch {
 	case p.kind == packetWrite:
 		return w.holding[heldWrites]
+	case p.kind == packetPeer && p.peer.Message.Kind == PeerMove && w.holding[heldRows]:
+		return true
 	case p.kind == packetPeer && p.vm == 1:
 		return w.holding[heldPeers]
 	case p.kind == packetPeer && p.vm == 0:
@@ -211,6 +221,8 @@
 		w.hold(heldAnswers)
 	case holdGrants:
 		w.hold(heldGrants)
+	case holdRows:
+		w.hold(heldRows)
 	case doubleHeld:
 		for _, p := range slices.Clone(w.held) {
 			w.deliver(p)
--- a/internal/ownership/seeded_test.go
+++ b/internal/ownership/seeded_test.go
@@ -75,6 +75,10 @@
 	requireExplored(t, flaws{movesKeepToken: true}, startServed)
 }
 
+func TestSeededBugHoldOverRenewsWhatTheRowNamesIsExplored(t *testing.T) {
+	requireExplored(t, flaws{holdOverFromRow: true}, startStale)
+}
+
 func TestSeededBugIsFoundBySequencesAndShrunk(t *testing.T) {
 	f := flaws{takeoverWithoutWait: true}
 	result := sequenceProperty(f, exploredWorld(f)).Check(sequenceParameters())
