Ownership: the fence of a recovering keeper ended moves that it did not name

Cause, found while reading the stand-in's revoke: a keeper that recovers raises every server's token with a revoke of no slots. Its answer, with nothing running, was noted like the acknowledgement of a revoke; a move that the row carried over then ended while its old owner still ran work of the slot. The walks missed it: it takes a move under way, keeper and standby gone, and a fresh lease at once.

Change: an answer to a fence ends no move, also when it comes late: recovery raises the token, and only younger answers count. TestFenceOfANewKeeperEndsNoMove failed with two owners before (60 phases), and passes.

Second finding of its trace: a VM without a role reads seldom, and kept that interval after its takeover, so that its right began up to 2 s late. The next read is brought forward when the role changes.

--- a/internal/ownership/grants.go
+++ b/internal/ownership/grants.go
@@ -198,7 +198,8 @@
 	}
 }
 
-// takeRevokeAnswer notes that no request of the revoked slots runs any more.
+// takeRevokeAnswer notes that no request of the revoked slots runs any more. The
+// fence of a recovering keeper names no slots, so that its answer ends no move.
 func (r *Replica) takeRevokeAnswer(s *serverRecord, ev ServerAnswered) {
 	k := r.keeper
 	if !ev.State.Accepted || ev.Token.Epoch != k.epoch {
@@ -206,6 +207,10 @@
 	}
 	if k.recovering {
 		r.takeFenceAnswer(s, ev)
+		return
+	}
+	if !k.fence.Less(ev.Token) {
+		return
 	}
 	if ev.State.Running == 0 && s.revoked.Less(ev.Token) {
 		s.revoked = ev.Token
--- a/internal/ownership/replica_test.go
+++ b/internal/ownership/replica_test.go
@@ -295,3 +295,22 @@
 	w.run(time.Second)
 	requireServed(t, w)
 }
+
+func TestFenceOfANewKeeperEndsNoMove(t *testing.T) {
+	for phase := range 60 {
+		w := settledWorld(t, 3, 2)
+		w.server("x").running[0] = true
+		w.wantOwner(0, "y")
+		w.run(200*time.Millisecond + Instant(phase)*unit)
+		if len(w.table.row.Moves) != 1 {
+			fail(t, w, "no move is under way: %+v", w.table.row)
+		}
+		w.vms[0].gone = true
+		w.vms[1].gone = true
+		w.event(2, MembersChanged{Candidates: w.candidates(), Gone: []VMRef{w.vms[0].ref, w.vms[1].ref}})
+		w.event(2, Tick{})
+		w.settle()
+		w.run(6 * time.Second)
+		requireSound(t, w)
+	}
+}
--- a/internal/ownership/right.go
+++ b/internal/ownership/right.go
@@ -22,6 +22,7 @@
 	// recovering says that servers still have to be asked for moves that their
 	// predecessors made and the row does not show.
 	recovering bool
+	fence      backend.Token // token of the fence; zero: none was sent
 
 	tableRight Instant // the row gives the right to decide before this
 	outage     outageLease
--- a/internal/ownership/table.go
+++ b/internal/ownership/table.go
@@ -118,6 +118,7 @@
 	}
 	r.dropKeeper()
 	r.adoptStandbyRole(row)
+	r.readSoon()
 }
 
 // settleWrite closes the open write if the row is past it, and returns it if it
@@ -142,6 +143,12 @@
 		return
 	}
 	r.becomeKeeper(row, settled)
+	r.readSoon()
+}
+
+// readSoon brings the next read forward to the interval of the present role.
+func (r *Replica) readSoon() {
+	r.table.nextRead = min(r.table.nextRead, r.now+r.readInterval())
 }
 
 // advanceWrite sends the open write when it is due, and begins the next one.
--- a/internal/ownership/takeover.go
+++ b/internal/ownership/takeover.go
@@ -161,7 +161,8 @@
 		return
 	}
 	s.nextRevoke = r.now + r.timing.Retry
-	r.do(SendRevoke{Server: id, Request: backend.RevokeRequest{Group: r.group, Token: r.keeper.token()}})
+	r.keeper.fence = r.keeper.token()
+	r.do(SendRevoke{Server: id, Request: backend.RevokeRequest{Group: r.group, Token: r.keeper.fence}})
 }
 
 // takeFenceAnswer notes what a server held when it took the fence.
@@ -175,6 +176,7 @@
 	k := r.keeper
 	d := &draft{base: k.decided}
 	d.edit().Recovering = false
+	d.raise() // a late answer to the fence is then told from one to a revoke
 	for _, id := range k.serverIDs {
 		s := k.servers[id]
 		for _, held := range s.held {
