--- a/internal/ownership/right.go
+++ b/internal/ownership/right.go
@@ -34,8 +34,10 @@
 	// sets are the slots of each server in decided, without those under a move.
 	sets map[ServerRef][]backend.SlotToken
 
-	routeLeases  Instant // every route lease handed out has ended by then
-	routeChanges uint64  // counts changes of the routes
+	routeLeases Instant // every route lease handed out has ended by then
+	// withdrawn is since when the routes show a move, by its token.
+	withdrawn    map[backend.Token]Instant
+	routeChanges uint64 // counts changes of the routes
 	nextCede     Instant
 }
 
@@ -46,6 +48,7 @@
 		decided:    row,
 		recovering: row.Recovering,
 		servers:    map[string]*serverRecord{},
+		withdrawn:  map[backend.Token]Instant{},
 		planDirty:  true,
 	}
 	k.indexSlots()
@@ -61,12 +64,16 @@
 
 // setDecided makes row the newest sure one.
 func (k *keeperState) setDecided(row *GroupRow) {
+	if row.Standby != k.decided.Standby {
+		k.outage.changeStandby()
+	}
 	k.decided = row
 	k.next = nil
 	k.recovering = row.Recovering
 	k.planDirty = true
 	k.routeChanges++
 	k.indexSlots()
+	k.forgetWithdrawn()
 }
 
 // token returns the token of the newest sure row.
