--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -91,4 +91,3 @@
 		v.changed()
 	}
 }
-
--- a/internal/membership/mentions.go
+++ b/internal/membership/mentions.go
@@ -68,4 +68,3 @@
 	part, _, _ := strings.Cut(incarnation, startSeparator)
 	return part
 }
-
--- a/internal/placement/compare/figures.go
+++ b/internal/placement/compare/figures.go
@@ -1,9 +1,6 @@
 package main
 
-import (
-	"fmt"
-	"slices"
-)
+import "slices"
 
 // figures are what one way came to.
 type figures struct {
@@ -20,13 +17,6 @@
 	f.minutes += o.minutes
 }
 
-// String returns mean and 95th percentile of the imbalance, then the share of
-// slots moved a minute, forced and free.
-func (f *figures) String() string {
-	return fmt.Sprintf("%.2f / %.2f; %.1f + %.1f %%", mean(f.imbalances), quantile(f.imbalances, 0.95),
-		100*f.forced/f.minutes, 100*f.free/f.minutes)
-}
-
 // result is the outcome of one way on one service.
 type result struct {
 	service service
--- a/internal/placement/compare/table.go
+++ b/internal/placement/compare/table.go
@@ -47,7 +47,17 @@
 	}
 	fmt.Fprintf(w, "| %s | %.1f |", name, skew)
 	for _, way := range ways {
-		fmt.Fprintf(w, " %s |", row[way.name])
+		fmt.Fprintf(w, " %s |", cell(way, row[way.name]))
 	}
 	fmt.Fprintln(w)
 }
+
+// cell returns the figures of one way. Moves of an ideal way are left out: it
+// places all slots anew each time.
+func cell(w way, f *figures) string {
+	imbalance := fmt.Sprintf("%.2f / %.2f", mean(f.imbalances), quantile(f.imbalances, 0.95))
+	if w.ideal {
+		return imbalance
+	}
+	return fmt.Sprintf("%s; %.1f + %.1f %%", imbalance, 100*f.forced/f.minutes, 100*f.free/f.minutes)
+}
--- a/internal/placement/settings.go
+++ b/internal/placement/settings.go
@@ -24,7 +24,7 @@
 
 // DefaultSettings are used where settings leave placement out.
 var DefaultSettings = Settings{
-	Tolerance:  0.1,  // below the noise of the load measurements slots move to and fro
+	Tolerance:  0.1,  // a lower one moves slots back and forth with the noise of the measurements
 	MinGain:    0.02, // 0 spends moves on differences that no caller notices
 	MoveBudget: 0.02, // each moved slot is without an owner for a moment
 	IdleWeight: 0.1,  // 0 lets one server collect all slots that are idle now
