--- a/internal/ownership/moves.go
+++ b/internal/ownership/moves.go
@@ -23,6 +23,7 @@
 	base   *GroupRow
 	row    *GroupRow // nil: nothing changed
 	raised bool      // the token was raised
+	keep   bool      // flaw: the token is never raised
 }
 
 // current returns the draft as it stands, to be read only.
@@ -44,7 +45,7 @@
 // raise returns the draft's token, raised once over the base's.
 func (d *draft) raise() backend.Token {
 	row := d.edit()
-	if !d.raised {
+	if !d.raised && !d.keep {
 		row.Seq++
 		d.raised = true
 	}
@@ -60,7 +61,7 @@
 	for _, s := range k.servers {
 		s.promised = 0
 	}
-	d := &draft{base: k.decided}
+	d := &draft{base: k.decided, keep: r.flaws.movesKeepToken}
 	r.endMoves(d)
 	if r.planDue() {
 		k.planDirty = false
@@ -72,6 +73,9 @@
 	}
 	d.row.WriteID = r.newWriteID()
 	k.next = d.row
+	if r.flaws.lapseWithoutStandby && r.now < k.outage.right {
+		k.setDecided(k.next)
+	}
 }
 
 // planDue reports whether something that the moves depend on may have changed:
@@ -139,15 +143,56 @@
 
 // moveEnded reports whether the old owner's right to the slot has ended.
 func (r *Replica) moveEnded(m Move) bool {
-	if m.Kind == MoveByConsent && r.checks(m.From.ID) {
-		if r.revokeEnded(m) {
-			return true
-		}
-		if r.answersAs(m.From) {
-			return false // its running work may take longer than a lease
+	if !r.checks(m.From.ID) {
+		return r.uncheckedMoveEnded(m)
+	}
+	if r.revokeEnded(m) {
+		return true
+	}
+	if r.answersAs(m.From) {
+		// Its lease goes on for its other slots, and with it the running work of
+		// this one. That holds also for a move by lapse whose old owner is back.
+		return false
+	}
+	return r.lapsed(m.From) && r.now >= r.renewalsEnd(m)
+}
+
+// uncheckedMoveEnded reports whether no VM may send requests of the slot to a
+// server that does not check any more, and what was sent has met its deadline.
+//
+// Such a server runs whatever arrives, so neither its lease nor a revoke counts.
+// What counts are the route leases that named it as the owner: this keeper's,
+// none of which is handed out once the move is decided; its predecessor's, whose
+// right ended at actFrom; and those of a standby that held over. A later lease of
+// the group's other routes must not count, or the move would never end while VMs
+// go on asking.
+func (r *Replica) uncheckedMoveEnded(m Move) bool {
+	k := r.keeper
+	if r.plan.Servers[m.From.ID].Gone && !r.answers(k.servers[m.From.ID]) {
+		return true
+	}
+	lastHandedOut := max(k.withdrawnSince(m, r.now), k.actFrom, r.renewalsEnd(m))
+	return r.now >= lastHandedOut+r.stretch(r.timing.RouteLease+r.timing.RequestDeadline)
+}
+
+// withdrawnSince returns when the routes were first seen to show the move.
+func (k *keeperState) withdrawnSince(m Move, now Instant) Instant {
+	since, ok := k.withdrawn[m.Token]
+	if !ok {
+		since = now
+		k.withdrawn[m.Token] = now
+	}
+	return since
+}
+
+// forgetWithdrawn drops what is known of moves that have ended.
+func (k *keeperState) forgetWithdrawn() {
+	for token := range k.withdrawn {
+		underWay := slices.ContainsFunc(k.decided.Moves, func(m Move) bool { return m.Token == token })
+		if !underWay {
+			delete(k.withdrawn, token)
 		}
 	}
-	return r.lapsed(m.From.ID) && r.now >= r.renewalsEnd(m)
 }
 
 // revokeEnded reports whether the old owner acknowledged a revoke of this move.
@@ -159,6 +204,9 @@
 	if s == nil || !s.heard || s.incarnation != m.From.Incarnation {
 		return false
 	}
+	if r.flaws.anyRevokeCounts {
+		return s.revoked != backend.Token{}
+	}
 	return s.revoked != backend.Token{} && !s.revoked.Less(m.Token)
 }
 
@@ -232,12 +280,12 @@
 func (r *Replica) takenForLost(owner ServerRef) bool {
 	s := r.keeper.servers[owner.ID]
 	if s == nil {
-		return r.lapsed(owner.ID)
+		return r.lapsed(owner)
 	}
 	if s.lost || s.heard && s.incarnation != owner.Incarnation {
 		return true
 	}
-	return r.now >= max(s.leaseEnd, r.keeper.oldLeases)
+	return r.now >= max(s.leaseEndOf(owner), r.keeper.oldLeases)
 }
 
 // plannedOwner returns the owner that the plan names, if it can own.
@@ -293,10 +341,13 @@
 	return ok && now == ref
 }
 
-// sendRevokes tells the old owners of moves by consent.
+// sendRevokes tells the old owners of moves.
 func (r *Replica) sendRevokes() {
 	k := r.keeper
-	slots := r.consentSlots()
+	if len(k.decided.Moves) == 0 {
+		return
+	}
+	slots := r.releasedSlots()
 	for _, id := range k.serverIDs {
 		s := k.servers[id]
 		if len(slots[id]) == 0 || r.now < s.nextRevoke {
@@ -307,11 +358,12 @@
 	}
 }
 
-// consentSlots returns the slots under moves by consent, by old owner.
-func (r *Replica) consentSlots() map[string][]uint32 {
+// releasedSlots returns the slots whose old owner answers and has not given them
+// up yet, by old owner.
+func (r *Replica) releasedSlots() map[string][]uint32 {
 	slots := map[string][]uint32{}
 	for _, m := range r.keeper.decided.Moves {
-		if m.Kind == MoveByConsent && !r.revokeEnded(m) {
+		if r.answersAs(m.From) && !r.revokeEnded(m) {
 			slots[m.From.ID] = append(slots[m.From.ID], m.Slot)
 		}
 	}
