--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -141,7 +141,8 @@
 }
 
 func inOrder(g operator.Group) bool {
-	return g.Mode == operator.ModeTable && g.Keeper != "" && g.Standby != "" && g.Unowned == 0
+	known := g.Mode == operator.ModeTable || g.Mode == operator.ModeElsewhere
+	return known && g.Keeper != "" && g.Standby != "" && g.Unowned == 0
 }
 
 func orNone(value string) string {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -153,7 +153,7 @@
 		Quarantine: d.suspects,
 		Transport:  routing.NewTransportFrom(d.localIP, 0),
 		Canceler:   d.canceler,
-		Deferrals:  retry.NewDeferred(retry.DefaultDeferredSettings(), d.platform, d.self.ID),
+		Deferrals:  retry.NewDeferred(d.settings.Retry.Deferred, d.platform, d.self.ID),
 		Decisions:  d.decisions,
 		Registry:   d.registry,
 
@@ -205,7 +205,7 @@
 func (d *Daemon) newDeferredWorkers() *deferredWorkers {
 	return &deferredWorkers{
 		self:     d.self,
-		settings: retry.DefaultDeferredSettings(),
+		settings: d.settings.Retry.Deferred,
 		table:    d.platform,
 		store:    d.store,
 		groups:   d.groups,
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -99,7 +99,7 @@
 	if run, ok := d.groups.find(id.String()); ok {
 		if st, err := run.driver.Status(ctx); err == nil {
 			group.Keeper, group.Standby = refText(st.Keeper), refText(st.Standby)
-			group.Mode = modeOf(st)
+			group.Mode = d.modeOf(st)
 		}
 	}
 	answer, err := d.directory.AskRoutes(ctx, id.String(), 0, nil)
@@ -108,6 +108,7 @@
 	}
 	if group.Keeper == "" {
 		group.Keeper = d.directory.hint(id.String())
+		group.Mode = operator.ModeElsewhere
 	}
 	group.Slots = len(answer.Slots)
 	for _, route := range answer.Slots {
@@ -132,8 +133,10 @@
 	return ref.String()
 }
 
-func modeOf(st ownership.Status) operator.Mode {
+func (d *Daemon) modeOf(st ownership.Status) operator.Mode {
 	switch {
+	case !st.Keeper.IsZero() && st.Keeper != d.self:
+		return operator.ModeElsewhere
 	case st.RightLeft <= 0:
 		return operator.ModeNone
 	case st.Outage:
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -18,6 +18,8 @@
 	ModeOutage Mode = "outage"
 	// ModeNone has no right to decide now.
 	ModeNone Mode = "none"
+	// ModeElsewhere is a group that another VM keeps; that VM knows its mode.
+	ModeElsewhere Mode = "elsewhere"
 )
 
 // Status is what one VM knows of the whole system.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -40,6 +40,7 @@
 	Budget     retry.BudgetSettings     `json:"budget"`
 	Claims     retry.ClaimSettings      `json:"claims"`
 	Quarantine retry.QuarantineSettings `json:"quarantine"`
+	Deferred   retry.DeferredSettings   `json:"deferred"`
 }
 
 // Timing holds the durations of the ownership protocol, in milliseconds. All VMs
@@ -91,6 +92,7 @@
 			Budget:     retry.DefaultBudgetSettings(),
 			Claims:     retry.DefaultClaimSettings(),
 			Quarantine: retry.DefaultQuarantineSettings(),
+			Deferred:   retry.DefaultDeferredSettings(),
 		},
 		Placement: placement.DefaultSettings,
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -54,6 +54,7 @@
 		{"doubled field", `{` + minimal + `,"id":"vm-2"}`, "id: given twice"},
 		{"missing address", `{"id":"vm-1"}`, "listen: missing: want IP:port"},
 		{"host name", `{` + strings.Replace(minimal, "10.0.0.9:80", "platform:80", 1) + `}`, `platform: "platform:80": want IP:port`},
+		{"peer by name", `{` + minimal + `,"peers":["10.0.0.2:81","vm-2:81"]}`, `peers[1]: "vm-2:81": want IP:port`},
 		{"no port", `{` + strings.Replace(minimal, "10.0.0.9:80", "10.0.0.9", 1) + `}`, `platform: "10.0.0.9"`},
 		{"negative duration", `{` + minimal + `,"shutdown_grace_ms":-1}`, "shutdown_grace_ms: -1: want 0 to 3600000 milliseconds"},
 		{"duration with a unit", `{` + minimal + `,"timing":{"lease_ms":"2s"}}`, `timing.lease_ms: "2s": want a whole number`},
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -42,6 +42,7 @@
 	c.section("retry.budget", s.Retry.Budget.Validate())
 	c.section("retry.claims", s.Retry.Claims.Validate())
 	c.section("retry.quarantine", s.Retry.Quarantine.Validate())
+	c.section("retry.deferred", s.Retry.Deferred.Validate())
 	c.section("placement", s.Placement.Validate())
 	return c.problems
 }
