--- a/internal/retry/deferred.go
+++ b/internal/retry/deferred.go
@@ -194,8 +194,25 @@
 	if ran {
 		item.State = DeferredDone
 	}
-	if _, err := d.store.put(ctx, item, row.version); err != nil {
+	_, err = d.store.put(ctx, item, row.version)
+	if errors.Is(err, platform.ErrConflict) {
 		return fault.Wrap(fault.ConfigConflict, err, "ticket %s changed meanwhile", ticket)
 	}
+	if err != nil {
+		return fault.Wrap(fault.PlatformUnavailable, err, "ticket %s may or may not be resolved; look at it again", ticket)
+	}
 	return nil
 }
+
+// List returns the deferred work of a service, done work included, and how many
+// rows can't be read.
+func (d *Deferred) List(ctx context.Context, service string) (items []DeferredItem, unreadable int, err error) {
+	rows, unreadable, err := d.store.list(ctx, service)
+	if err != nil {
+		return nil, 0, fault.Wrap(fault.PlatformUnavailable, err, "list the deferred work of %s", service)
+	}
+	for _, row := range rows {
+		items = append(items, row.item)
+	}
+	return items, unreadable, nil
+}
