Rosters are made when something changed; routing may ask VMs that never answered

Causes: the roster was made anew every 50 ms whatever happened, part of the idle cost; only VMs with a known start could be asked for routes, but a VM pings at most twelve others, so in a larger fleet some groups would have had nobody to ask. Servers that the list no longer names were worked out and then not published.

--- a/internal/daemon/directory.go
+++ b/internal/daemon/directory.go
@@ -135,7 +135,7 @@
 	d.mu.Lock()
 	ids := []string{d.hints[group]}
 	d.mu.Unlock()
-	for _, ref := range d.members.Roster().Groups[group].Candidates {
+	for _, ref := range d.members.Roster().Groups[group].Askable {
 		ids = append(ids, ref.ID)
 	}
 	return ids
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -33,36 +34,38 @@
 	Leave  map[string]bool         // servers that the platform's list calls leaving
 	// LostServers were named by the list and are no longer.
 	LostServers map[string]bool
-	Settled     bool                     // the VMs that run have had time to answer
-	Gone        map[ownership.VMRef]bool // VMs known to run no more
+	Settled     bool // the VMs that run have had time to answer
 }
 
 // GroupKeepers are the VMs that may keep one group.
 type GroupKeepers struct {
 	ID         config.GroupID
-	Candidates []ownership.VMRef // in order of preference
+	Candidates []ownership.VMRef // in order of preference, their starts known
+	Askable    []ownership.VMRef // the same, with VMs that are only listed
 	Gone       []ownership.VMRef
 }
 
 // Members runs the membership duty: it reads the VM list, pings peers and
 // publishes a Roster. Its goroutine owns the view.
 type Members struct {
-	self     ownership.VMRef
-	view     *membership.View
-	lister   platform.VMLister
-	clients  *peer.Clients
-	store    *config.Store
-	clock    func() time.Duration
-	inbox    *ring.Ring[func(now time.Duration)]
-	roster   atomic.Pointer[Roster]
-	leaving  map[string]bool
-	servers  map[string]bool // that any list named
-	lost     map[string]bool // of those, the ones that the last list lacks
-	starts   starts
-	seeds    []string      // peers' addresses from the settings
-	listed   bool          // VMs were learnt, from the list or from a seed
-	listedAt time.Duration // when that was first
-	platform atomic.Bool   // the last read of the list succeeded
+	self      ownership.VMRef
+	view      *membership.View
+	lister    platform.VMLister
+	clients   *peer.Clients
+	store     *config.Store
+	clock     func() time.Duration
+	inbox     *ring.Ring[func(now time.Duration)]
+	roster    atomic.Pointer[Roster]
+	leaving   map[string]bool
+	servers   map[string]bool // that any list named
+	lost      map[string]bool // of those, the ones that the last list lacks
+	starts    starts
+	seeds     []string      // peers' addresses from the settings
+	listed    bool          // VMs were learnt, from the list or from a seed
+	listedAt  time.Duration // when that was first
+	lists     int           // counts lists read
+	published published
+	platform  atomic.Bool // the last read of the list succeeded
 }
 
 // NewMembers returns the duty. Run starts it.
@@ -139,6 +142,7 @@
 		if !m.listed {
 			m.listed, m.listedAt = true, now
 		}
+		m.lists++
 		m.leaving = leavingServers(vms)
 		m.lost = m.lostServers(vms)
 		// The list may be as old as the time since the question, too.
@@ -240,15 +244,47 @@
 	})
 }
 
+// publishInterval bounds how old a roster may be: asking for candidates also
+// keeps the pings among the VMs of a group going.
+const publishInterval = 5 * time.Second
+
+// published tells what a roster was made from.
+type published struct {
+	at         time.Duration
+	generation uint64
+	configs    uint64
+	lists      int
+	settled    bool
+}
+
+// publish makes a new roster when what it is made from has changed.
 func (m *Members) publish(now time.Duration) {
+	made := published{
+		at:         now,
+		generation: m.view.Generation(),
+		configs:    m.store.Digest(),
+		lists:      m.lists,
+		settled:    m.settled(now),
+	}
+	last := m.published
+	last.at = now
+	if made == last && now-m.published.at < publishInterval {
+		return
+	}
+	m.roster.Store(m.makeRoster(now, made.settled))
+	made.generation = m.view.Generation() // asking for candidates may change it
+	m.published = made
+}
+
+func (m *Members) makeRoster(now time.Duration, settled bool) *Roster {
 	live := m.view.Live(now)
 	next := &Roster{
-		VMs:     live,
-		ByID:    make(map[string]platform.VM, len(live)),
-		Groups:  map[string]GroupKeepers{},
-		Leave:   m.leaving,
-		Settled: m.settled(now),
-		Gone:    map[ownership.VMRef]bool{},
+		VMs:         live,
+		ByID:        make(map[string]platform.VM, len(live)),
+		Groups:      map[string]GroupKeepers{},
+		Leave:       m.leaving,
+		LostServers: m.lost,
+		Settled:     settled,
 	}
 	for _, vm := range live {
 		next.ByID[vm.ID] = vm
@@ -256,13 +292,15 @@
 	for _, service := range m.store.Services() {
 		for _, id := range service.Groups() {
 			candidates, gone := m.view.Candidates(now, id.Domain, service.Isolation, id.String())
-			next.Groups[id.String()] = GroupKeepers{ID: id, Candidates: withKnownStart(candidates), Gone: gone}
-			for _, ref := range gone {
-				next.Gone[ref] = true
+			next.Groups[id.String()] = GroupKeepers{
+				ID:         id,
+				Askable:    slices.Clone(candidates),
+				Candidates: withKnownStart(candidates),
+				Gone:       gone,
 			}
 		}
 	}
-	m.roster.Store(next)
+	return next
 }
 
 // sleep waits and reports whether ctx is still alive.
