Ownership: moves away from servers that a new keeper never heard

A keeper that took over and never reached a server made no move of its slots: only records with a set were looked at, and a server that never answered has none (TestDomainCutOffLosesItsKeysToAnother: slot dark for good). And a move from a server that does not check waited RequestDeadline from the start of the process though no hold-over had ever been out (TestServerThatDoesNotCheckMovesAtOnceWhenTheListSaysGone).

Change: the owners of the row are looked at, heard or not; the wait follows only a hold-over that was; a server whose VM is gone has no lease.

--- /dev/null
+++ b/internal/ownership/faults_test.go
@@ -0,0 +1,163 @@
+package ownership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func TestKeysAreServedThroughALongOutage(t *testing.T) {
+	w := settledWorld(t, 3, 2)
+	w.table.down = true
+	for end := w.now + 3*DefaultTiming.OutageLease; w.now < end; {
+		w.advance(5 * unit)
+		w.settle()
+		requireServed(t, w)
+	}
+}
+
+func TestSlowTableIsNoOutageForTheKeys(t *testing.T) {
+	w := settledWorld(t, 3, 2)
+	const answerTime = 700 * time.Millisecond // past half of RowRight
+	w.network = func(p *packet) {
+		if p.kind == packetReadAnswer || p.kind == packetWriteAnswer {
+			p.due += answerTime
+		}
+		w.flight = append(w.flight, p)
+	}
+	for end := w.now + 30*time.Second; w.now < end; {
+		w.advance(unit)
+		w.deliverDue()
+		requireServed(t, w)
+	}
+}
+
+// replaceVM ends a VM and starts another under its name.
+func (w *world) replaceVM(i int, incarnation string) {
+	old := w.vms[i]
+	old.gone = true
+	fresh := &fakeVM{ref: VMRef{ID: old.ref.ID, Incarnation: incarnation}, rate: 1000, cut: map[string]bool{}}
+	fresh.replica = NewReplica(fresh.ref, "g", twoSlots, DefaultTiming, fresh.writeID)
+	w.vms[i] = fresh
+	w.goneRefs = append(w.goneRefs, old.ref)
+	for j := range w.vms {
+		w.event(j, MembersChanged{Candidates: w.candidates(), Gone: w.goneRefs})
+	}
+	w.event(i, w.plan)
+}
+
+// requireAssignments fails unless the slots have the owners of the start.
+func requireAssignments(t *testing.T, w *world) {
+	t.Helper()
+	requireServed(t, w)
+	if w.owner(0) != "x" || w.owner(1) != "y" {
+		fail(t, w, "owners %q %q", w.owner(0), w.owner(1))
+	}
+}
+
+func TestAssignmentsStandWhenVMsAreReplacedOneAfterAnother(t *testing.T) {
+	w := settledWorld(t, 3, 2)
+	for round := range 3 {
+		for i := range w.vms {
+			w.replaceVM(i, fmt.Sprint(round+2))
+			w.run(5 * time.Second)
+			requireAssignments(t, w)
+		}
+	}
+}
+
+func TestAssignmentsStandWhenAllVMsAreReplacedAtOnce(t *testing.T) {
+	w := settledWorld(t, 3, 2)
+	for i := range w.vms {
+		w.replaceVM(i, "2")
+	}
+	w.run(8 * time.Second)
+	requireAssignments(t, w)
+}
+
+func TestDomainCutOffKeepsItsOwnKeys(t *testing.T) {
+	w := settledWorld(t, 3, 2)
+	part(w, 0, "vm2", "table")
+	part(w, 1, "vm2", "table")
+	for range 100 {
+		w.run(time.Second)
+		requireServed(t, w)
+	}
+	for _, vm := range w.vms {
+		clear(vm.cut)
+	}
+	w.run(5 * time.Second)
+	requireAssignments(t, w)
+	if w.keeper() != 0 {
+		fail(t, w, "keeper %d", w.keeper())
+	}
+}
+
+func TestDomainCutOffLosesItsKeysToAnother(t *testing.T) {
+	w := settledWorld(t, 3, 2)
+	part(w, 0, "vm1", "vm2", "table", "y")
+	w.vms[1].cut["x"] = true
+	w.vms[2].cut["x"] = true
+	w.run(6 * time.Second)
+	requireSound(t, w)
+	if w.keeper() != 1 || w.owner(0) != "y" || w.owner(1) != "y" {
+		fail(t, w, "keeper %d, owners %q %q", w.keeper(), w.owner(0), w.owner(1))
+	}
+	for _, vm := range w.vms {
+		clear(vm.cut)
+	}
+	w.run(5 * time.Second)
+	requireAssignments(t, w)
+}
+
+func TestLeavingServerGetsNoNewWorkWithinThreeSeconds(t *testing.T) {
+	w := settledWorld(t, 3, 2)
+	w.server("x").running[0] = true
+	w.plan = PlanChanged{Servers: map[string]ServerPlan{"x": {Checks: true, Drain: true}, "y": {Checks: true}}, Owners: w.plan.Owners}
+	for i := range w.vms {
+		w.event(i, w.plan)
+	}
+	w.run(3 * time.Second)
+	if w.server("x").holds(w.now, 0) {
+		fail(t, w, "the leaving server still takes work")
+	}
+	w.run(time.Minute)
+	if !w.server("x").running[0] {
+		fail(t, w, "running work was cut")
+	}
+	requireSound(t, w)
+}
+
+func TestServerThatDoesNotCheckKeepsItsSlotUntilTheLastDeadline(t *testing.T) {
+	w := settledWorld(t, 3, 2)
+	w.plan = PlanChanged{Servers: map[string]ServerPlan{"x": {}, "y": {Checks: true}}, Owners: w.plan.Owners}
+	for i := range w.vms {
+		w.event(i, w.plan)
+	}
+	w.run(time.Second)
+	if routes := w.vms[0].replica.Routes(w.now, w.vms[2].ref); !routes.Keeper || routes.Slots[0].Moving {
+		fail(t, w, "no route: %+v", routes)
+	}
+	handedOut := w.now
+	w.server("x").down = true
+	deadline := handedOut + DefaultTiming.RouteLease + DefaultTiming.RequestDeadline
+	for w.now < deadline {
+		w.run(100 * time.Millisecond)
+		if w.now < deadline && w.owner(0) != "" {
+			fail(t, w, "moved %v before a request may end", deadline-w.now)
+		}
+	}
+	w.run(5 * time.Second)
+	requireServed(t, w)
+}
+
+func TestServerThatDoesNotCheckMovesAtOnceWhenTheListSaysGone(t *testing.T) {
+	w := settledWorld(t, 3, 2)
+	w.server("x").down = true
+	w.plan = PlanChanged{Servers: map[string]ServerPlan{"x": {Gone: true}, "y": {Checks: true}}, Owners: w.plan.Owners}
+	for i := range w.vms {
+		w.event(i, w.plan)
+	}
+	w.run(3 * time.Second)
+	requireServed(t, w)
+}
--- a/internal/ownership/grants.go
+++ b/internal/ownership/grants.go
@@ -324,7 +324,7 @@
 func (r *Replica) lapsed(ref ServerRef) bool {
 	k := r.keeper
 	s := k.servers[ref.ID]
-	if r.plan.Servers[ref.ID].Gone && !r.answers(s) {
+	if r.serverGone(ref.ID) {
 		return true
 	}
 	end := k.oldLeases
@@ -337,6 +337,11 @@
 	return r.now >= end
 }
 
+// serverGone reports whether a server's VM no longer exists.
+func (r *Replica) serverGone(id string) bool {
+	return r.plan.Servers[id].Gone && !r.answers(r.keeper.servers[id])
+}
+
 // leaseEndOf returns when every lease of a start of the server has surely ended.
 func (s *serverRecord) leaseEndOf(ref ServerRef) Instant {
 	if s.incarnation == ref.Incarnation {
--- a/internal/ownership/moves.go
+++ b/internal/ownership/moves.go
@@ -85,8 +85,8 @@
 	if k.planDirty || k.unowned {
 		return true
 	}
-	for _, s := range k.servers {
-		if len(s.set) > 0 && !r.answers(s) {
+	for owner := range k.sets {
+		if !r.answersAs(owner) {
 			return true
 		}
 	}
@@ -153,11 +153,7 @@
 			return false
 		}
 	}
-	renewalsEnd := r.renewalsEnd(m)
-	if !r.checks(m.From.ID) {
-		renewalsEnd += r.timing.RequestDeadline // a standby that holds over hands out route leases too
-	}
-	return r.lapsed(m.From) && r.now >= renewalsEnd
+	return r.serverGone(m.From.ID) || r.lapsed(m.From) && r.now >= r.renewalsEnd(m)
 }
 
 // revokeEnded reports whether the old owner acknowledged a revoke of this move.
--- a/internal/ownership/replica_test.go
+++ b/internal/ownership/replica_test.go
@@ -93,6 +93,7 @@
 }
 
 func TestKeysOfALostServerAreServedWithinThreeSeconds(t *testing.T) {
+	worst := time.Duration(0)
 	for phase := range 50 {
 		w := settledWorld(t, 3, 2)
 		w.run(Instant(phase) * unit)
@@ -100,12 +101,16 @@
 		w.server("x").expires = 0
 		if took := servedAgain(w); took > 3*time.Second {
 			fail(t, w, "phase %d: took %v", phase, took)
+		} else {
+			worst = max(worst, took)
 		}
 		requireSound(t, w)
 	}
+	t.Logf("worst of 50 phases: %v", worst)
 }
 
 func TestKeysOfALostKeeperAreServedWithinThreeSeconds(t *testing.T) {
+	worst := time.Duration(0)
 	for phase := range 50 {
 		w := settledWorld(t, 3, 2)
 		w.run(Instant(phase) * unit)
@@ -115,6 +120,8 @@
 		servedAgain(w)
 		if took := w.now - lost; took > 3*time.Second {
 			fail(t, w, "phase %d: took %v", phase, took)
+		} else {
+			worst = max(worst, took)
 		}
 		w.run(3 * time.Second)
 		requireServed(t, w)
@@ -122,6 +129,7 @@
 			fail(t, w, "keeper %d, row %+v", w.keeper(), w.table.row)
 		}
 	}
+	t.Logf("worst of 50 phases: %v", worst)
 }
 
 func TestFrozenServerThatReturnsHoldsNothingThatMoved(t *testing.T) {
@@ -242,7 +250,9 @@
 	w.run(10 * time.Second)
 	w.server("x").down = true
 	w.server("x").expires = 0
-	if took := servedAgain(w); took > 3*time.Second {
+	took := servedAgain(w)
+	t.Logf("took %v", took)
+	if took > 3*time.Second {
 		fail(t, w, "took %v", took)
 	}
 	w.table.down = false
