--- a/internal/ownership/clone_test.go
+++ b/internal/ownership/clone_test.go
@@ -34,6 +34,7 @@
 func (k *keeperState) clone() *keeperState {
 	c := *k
 	c.serverIDs = slices.Clone(k.serverIDs)
+	c.withdrawn = maps.Clone(k.withdrawn)
 	c.servers = map[string]*serverRecord{}
 	for id, s := range k.servers {
 		c.servers[id] = new(*s)
--- a/internal/ownership/moves.go
+++ b/internal/ownership/moves.go
@@ -85,8 +85,8 @@
 	if k.planDirty || k.unowned {
 		return true
 	}
-	for _, s := range k.servers {
-		if len(s.set) > 0 && !r.answers(s) {
+	for owner := range k.sets {
+		if !r.answersAs(owner) {
 			return true
 		}
 	}
@@ -154,7 +154,7 @@
 		// this one. That holds also for a move by lapse whose old owner is back.
 		return false
 	}
-	return r.lapsed(m.From) && r.now >= r.renewalsEnd(m)
+	return r.serverGone(m.From.ID) || r.lapsed(m.From) && r.now >= r.renewalsEnd(m)
 }
 
 // uncheckedMoveEnded reports whether no VM may send requests of the slot to a
@@ -168,7 +168,7 @@
 // go on asking.
 func (r *Replica) uncheckedMoveEnded(m Move) bool {
 	k := r.keeper
-	if r.plan.Servers[m.From.ID].Gone && !r.answers(k.servers[m.From.ID]) {
+	if r.serverGone(m.From.ID) {
 		return true
 	}
 	lastHandedOut := max(k.withdrawnSince(m, r.now), k.actFrom, r.renewalsEnd(m))
