Keepers outside the first candidates hand over; a new standby is told of its role

Change: once the order of candidates has stood for 10 s, the keeper names one of the first two as standby and cedes to it without ending. The ceded epoch is never decided under again; a cession lost with its standby is taken back by a compare-and-set. Weighed: ending the replica as in a planned stop, which leaves a group without a keeper when the cession is lost; letting the standby hold over as in a planned stop, which has no end that a take-back could reckon with. A keeper sends the row with its heartbeats until the standby answers.

--- a/internal/ownership/cede.go
+++ b/internal/ownership/cede.go
@@ -31,9 +31,16 @@
 		r.releaseRow()
 		return
 	}
+	r.sendCede(k.decided)
+}
+
+// sendCede tells the standby that this keeper has stopped for good. With the
+// newest row the standby may hold over until it takes over.
+func (r *Replica) sendCede(newest *GroupRow) {
+	k := r.keeper
 	if r.now >= k.nextCede {
 		k.nextCede = r.now + r.timing.Retry
-		r.sendToStandby(PeerMessage{Kind: PeerCede, Number: k.decided.Seq, Row: k.decided})
+		r.sendToStandby(PeerMessage{Kind: PeerCede, Number: k.decided.Seq, Row: newest})
 	}
 }
 
@@ -53,6 +60,8 @@
 func (r *Replica) takeCeded() {
 	if r.stopping {
 		r.stop()
+	} else if r.handOver.begun {
+		r.giveAway()
 	}
 }
 
@@ -67,6 +76,7 @@
 func (r *Replica) takeCede(m PeerMessage) {
 	if m.Row != nil {
 		r.keepNewest(m.Row)
+		r.standby.ended = true
 	}
 	r.standby.ceded = true
 	r.answerKeeper(PeerCeded, m.Number)
--- a/internal/ownership/holdover.go
+++ b/internal/ownership/holdover.go
@@ -25,7 +25,7 @@
 	if s == nil || r.stopping {
 		return false
 	}
-	if s.ceded {
+	if s.ended {
 		return true
 	}
 	p := &s.promise
--- a/internal/ownership/replica.go
+++ b/internal/ownership/replica.go
@@ -32,6 +32,8 @@
 	keeper  *keeperState  // nil: this VM is not the keeper
 	standby *standbyState // nil: this VM is not the standby
 
+	handOver handOver
+
 	flaws flaws
 }
 
@@ -45,6 +47,7 @@
 	doubledAskLengthens  bool // a doubled ask renews a promise
 	holdOverFromRow      bool // hold-over grants what the row names
 	forgetUnansweredOpen bool // an unanswered write is dropped
+	decidesAfterCession  bool // a keeper that handed over goes on deciding
 	returnEndsRenewals   bool // no lease is waited for after a return
 	anyRevokeCounts      bool // the acknowledgement of an earlier move counts
 	movesKeepToken       bool // a move does not raise the token
@@ -89,7 +92,7 @@
 	if k == nil || k.planDirty || k.unowned || k.recovering || k.next != nil {
 		return false
 	}
-	return len(k.decided.Moves) == 0 && !r.stopping
+	return len(k.decided.Moves) == 0 && r.deciding()
 }
 
 // take notes what the event tells.
@@ -123,6 +126,7 @@
 	r.readRowWhenDue()
 	r.advanceStandby()
 	r.advanceKeeper()
+	r.advanceHandOver()
 	r.advanceStop()
 	r.advanceWrite()
 }
--- a/internal/ownership/right.go
+++ b/internal/ownership/right.go
@@ -103,7 +103,7 @@
 // mayDecide reports whether this VM may decide and grant at this moment.
 func (r *Replica) mayDecide() bool {
 	k := r.keeper
-	if k == nil || r.stopping {
+	if k == nil || !r.deciding() {
 		return false
 	}
 	return r.now >= k.actFrom && r.now < r.rightUntil()
@@ -131,7 +131,7 @@
 
 // advanceKeeper does the keeper's work that is due.
 func (r *Replica) advanceKeeper() {
-	if r.keeper == nil || r.stopping {
+	if r.keeper == nil || !r.deciding() {
 		return
 	}
 	r.watchStandby()
--- a/internal/ownership/routes.go
+++ b/internal/ownership/routes.go
@@ -36,7 +36,7 @@
 	switch {
 	case r.stopped:
 		return RoleStopped
-	case r.stopping && r.keeper != nil:
+	case !r.deciding() && r.keeper != nil:
 		return RoleCeding
 	case r.mayDecide() && !r.keeper.recovering:
 		return RoleKeeper
--- a/internal/ownership/seeded_test.go
+++ b/internal/ownership/seeded_test.go
@@ -48,6 +48,10 @@
 	requireFound(t, walkOptions{flaws: flaws{anyRevokeCounts: true}})
 }
 
+func TestSeededBugKeeperDecidesAfterACession(t *testing.T) {
+	requireFound(t, walkOptions{flaws: flaws{decidesAfterCession: true}, reorder: true})
+}
+
 func TestSeededBugMovesKeepTheToken(t *testing.T) {
 	requireFound(t, walkOptions{flaws: flaws{movesKeepToken: true}})
 }
--- a/internal/ownership/standby.go
+++ b/internal/ownership/standby.go
@@ -10,6 +10,7 @@
 	promise outagePromise
 	newest  *GroupRow // newest row that the keeper sent; nil: none
 	ceded   bool      // the keeper has stopped for good
+	ended   bool      // and its VM is about to: nobody will take the group back
 
 	holdOver map[string]*holdOverRecord
 }
@@ -18,6 +19,8 @@
 type standbyWatch struct {
 	heardAt  Instant // last message of the standby, or since when it is the standby
 	nextBeat Instant
+	answered bool // it knows that it is the standby
+	namedAt  Instant
 }
 
 // adoptStandbyRole takes or leaves the role of standby as the row says.
@@ -72,7 +75,11 @@
 		return
 	}
 	k.standby.nextBeat = r.now + r.timing.Heartbeat
-	r.sendToStandby(PeerMessage{Kind: PeerReturn, Number: k.outage.returned})
+	m := PeerMessage{Kind: PeerReturn, Number: k.outage.returned}
+	if !k.standby.answered {
+		m.Row = k.decided
+	}
+	r.sendToStandby(m)
 }
 
 func (r *Replica) sendToStandby(m PeerMessage) {
@@ -89,11 +96,16 @@
 		return
 	}
 	next := r.nextCandidate(current)
+	if better, ok := r.betterStandby(); ok {
+		next = better
+	}
 	if next == current || next.IsZero() && !r.isGone(current) {
 		return
 	}
 	d.edit().Standby = next
 	k.standby.heardAt = r.now
+	k.standby.answered = false
+	k.standby.namedAt = r.now
 	r.do(LogDecision{What: "standby " + next.String(), Slot: -1, Token: k.token()})
 }
 
@@ -104,11 +116,15 @@
 	if current.IsZero() || r.isGone(current) {
 		return true
 	}
+	if _, better := r.betterStandby(); better {
+		return true
+	}
 	return r.now >= k.standby.heardAt+r.timing.StandbySilence
 }
 
 // takePeerMessage notes a message of the keeper or of the standby.
 func (r *Replica) takePeerMessage(ev PeerReceived) {
+	r.learnStandbyRole(ev)
 	if s := r.standby; s != nil && ev.From == s.keeper && ev.Message.Epoch == s.epoch {
 		s.heardAt = r.now
 		r.takeKeeperMessage(ev.Message)
@@ -117,6 +133,7 @@
 	k := r.keeper
 	if k != nil && ev.From == k.decided.Standby && ev.Message.Epoch == k.epoch {
 		k.standby.heardAt = r.now
+		k.standby.answered = true
 		r.takeStandbyMessage(ev.Message)
 	}
 }
--- a/internal/ownership/table.go
+++ b/internal/ownership/table.go
@@ -142,6 +142,9 @@
 		k.tabled(row)
 		return
 	}
+	if r.gaveAway(row) {
+		return
+	}
 	r.becomeKeeper(row, settled)
 	r.readSoon()
 }
--- a/internal/ownership/takeover.go
+++ b/internal/ownership/takeover.go
@@ -78,6 +78,9 @@
 	if r.forcedBy != "" {
 		return true
 	}
+	if r.gaveAway(row) {
+		return r.mayTakeBack()
+	}
 	if row.Standby == r.self {
 		return r.standbyMayTakeOver()
 	}
--- a/internal/ownership/walk_test.go
+++ b/internal/ownership/walk_test.go
@@ -16,6 +16,7 @@
 	deaf     bool // the servers compare no tokens
 	stopping bool // VMs are asked to stop
 	losing   bool // VMs are lost and replaced
+	reorder  bool // the order of the candidates changes, so that roles are handed over
 	// outage turns to platform outages, partitions and late peer messages, with
 	// clocks that run alike, so that the standby's steps are reached often.
 	outage bool
@@ -166,6 +167,10 @@
 			w.event(i, ServerLost{Server: w.servers[0].id})
 		}
 	}
+	if w.opts.reorder && w.chance(80) {
+		w.note("candidates reordered")
+		reorder(w.world, w.rng.Perm(len(w.vms))...)
+	}
 	if w.opts.stopping && w.chance(100) {
 		w.stop(w.rng.IntN(len(w.vms)))
 	}
@@ -371,6 +376,7 @@
 		"stopping": {units: 400, stopping: true},
 		"losing":   {units: 400, losing: true},
 		"outage":   {units: 400, outage: true},
+		"reorder":  {units: 400, reorder: true, losing: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
