--- a/internal/ownership/grants.go
+++ b/internal/ownership/grants.go
@@ -161,7 +161,7 @@
 func (r *Replica) hear(s *serverRecord, ev ServerAnswered) {
 	k := r.keeper
 	restarted := s.heard && s.incarnation != ev.State.Incarnation
-	if restarted || !s.heard || s.lost || r.now >= s.heardAt+r.timing.Lease {
+	if restarted || !s.heard || s.lost || r.now >= s.heardAt+r.silence() {
 		k.planDirty = true
 	}
 	first := !s.heard
@@ -231,7 +231,18 @@
 
 // answers reports whether a server answered lately.
 func (r *Replica) answers(s *serverRecord) bool {
-	return s != nil && s.heard && !s.lost && r.now < s.heardAt+r.timing.Lease
+	return s != nil && s.heard && !s.lost && r.now < s.heardAt+r.silence()
+}
+
+// silence returns how long a server may be silent before its slots move. While a
+// standby may hold over, a move by lapse waits one lease more after the standby
+// has it; so it begins before the lease has lapsed. One lost renewal leaves a gap
+// of two thirds of a lease, which is still shorter.
+func (r *Replica) silence() time.Duration {
+	if r.keeper.outage.holdOverOut {
+		return r.timing.Lease * 3 / 4
+	}
+	return r.timing.Lease
 }
 
 // answersAs reports whether a start of a server answered lately.
--- a/internal/ownership/holdover.go
+++ b/internal/ownership/holdover.go
@@ -52,30 +52,59 @@
 	}
 }
 
-// takeHoldOverAnswer renews what a server said that it holds.
+// takeHoldOverAnswer renews what a server said that it holds. A server that is
+// giving slots up has to answer the revoke of the keeper's move first: a renewal
+// for its other slots would let running work of the moving ones go on, though the
+// keeper, once the standby has the move, waits for one lease alone.
 func (r *Replica) takeHoldOverAnswer(ev ServerAnswered) {
-	if ev.Call != CallState || !r.holdsOver() {
+	if !r.holdsOver() || ev.Call == CallGrant {
 		return
 	}
 	row := r.standby.newestRow(r.table.row)
 	owner := ServerRef{ID: ev.Server, Incarnation: ev.State.Incarnation}
-	request := backend.GrantRequest{
-		Group:       r.group,
-		Token:       ev.State.Highest,
-		Incarnation: ev.State.Incarnation,
-		ExpiresAt:   ev.State.Clock + r.timing.Lease.Milliseconds(),
-		Renew:       true,
+	if r.flaws.holdOverFromRow && ev.Call == CallState {
+		r.sendHoldOverGrant(ev, backend.GrantRequest{Token: row.Token(), Slots: namedSlots(row, owner)})
+		return
+	}
+	if len(ev.State.Slots) == 0 || !rowGives(row, owner, ev.State) {
+		return
 	}
-	if r.flaws.holdOverFromRow {
-		request.Token = row.Token()
-		request.Renew = false
-		request.Slots = namedSlots(row, owner)
-	} else if len(ev.State.Slots) == 0 || !rowGives(row, owner, ev.State) {
+	giving := slotsFrom(row, owner)
+	ended := ev.Call == CallRevoke && ev.Token == row.Token() && ev.State.Accepted && ev.State.Running == 0
+	if len(giving) > 0 && !ended && !r.flaws.holdOverDuringMove {
+		r.repeatRevoke(ev, row, giving)
 		return
 	}
+	r.sendHoldOverGrant(ev, backend.GrantRequest{Token: ev.State.Highest, Renew: true})
+}
+
+// sendHoldOverGrant sends a grant that runs from the clock in an answer.
+func (r *Replica) sendHoldOverGrant(ev ServerAnswered, request backend.GrantRequest) {
+	request.Group = r.group
+	request.Incarnation = ev.State.Incarnation
+	request.ExpiresAt = ev.State.Clock + r.timing.Lease.Milliseconds()
 	r.do(SendGrant{Server: ev.Server, Request: request})
 }
 
+// repeatRevoke repeats the revoke of the keeper's moves. The answer to it is not
+// answered with another one; the next question follows at its interval.
+func (r *Replica) repeatRevoke(ev ServerAnswered, row *GroupRow, slots []uint32) {
+	if ev.Call == CallState {
+		r.do(SendRevoke{Server: ev.Server, Request: backend.RevokeRequest{Group: r.group, Token: row.Token(), Slots: slots}})
+	}
+}
+
+// slotsFrom returns the slots under a move whose old owner is owner.
+func slotsFrom(row *GroupRow, owner ServerRef) []uint32 {
+	var slots []uint32
+	for _, m := range row.Moves {
+		if m.From == owner {
+			slots = append(slots, m.Slot)
+		}
+	}
+	return slots
+}
+
 // rowGives reports whether row gives owner every slot that it says it holds.
 func rowGives(row *GroupRow, owner ServerRef, state backend.ServerState) bool {
 	if row.Token().Less(state.Highest) {
--- a/internal/ownership/moves.go
+++ b/internal/ownership/moves.go
@@ -236,7 +236,7 @@
 	return r.chooseOwner(so.Slot)
 }
 
-// takenForLost reports whether the owner of a slot has lost its lease, was
+// takenForLost reports whether the silent owner of a slot has lost its lease, was
 // reported lost, or started anew.
 func (r *Replica) takenForLost(owner ServerRef) bool {
 	s := r.keeper.servers[owner.ID]
@@ -246,6 +246,9 @@
 	if s.lost || s.heard && s.incarnation != owner.Incarnation {
 		return true
 	}
+	if r.keeper.outage.holdOverOut && s.heard {
+		return true // silent: the move has to be shown to the standby in time
+	}
 	return r.now >= max(s.leaseEndOf(owner), r.keeper.oldLeases)
 }
 
--- a/internal/ownership/replica.go
+++ b/internal/ownership/replica.go
@@ -48,6 +48,7 @@
 	returnEndsRenewals   bool // no lease is waited for after a return
 	anyRevokeCounts      bool // the acknowledgement of an earlier move counts
 	movesKeepToken       bool // a move does not raise the token
+	holdOverDuringMove   bool // hold-over renews while work of a moving slot runs
 }
 
 // NewReplica returns a Replica that holds no role. slots are the slots of the
--- a/internal/ownership/replica_test.go
+++ b/internal/ownership/replica_test.go
@@ -1,7 +1,6 @@
 package ownership
 
 import (
-	"fmt"
 	"testing"
 	"time"
 )
@@ -245,22 +244,26 @@
 }
 
 func TestLostServerInAnOutageIsServedWithinThreeSeconds(t *testing.T) {
-	w := settledWorld(t, 3, 2)
-	w.table.down = true
-	w.run(10 * time.Second)
-	w.server("x").down = true
-	w.server("x").expires = 0
-	took := servedAgain(w)
-	t.Logf("took %v", took)
-	if took > 3*time.Second {
-		fail(t, w, "took %v", took)
-	}
-	w.table.down = false
-	w.run(5 * time.Second)
-	requireServed(t, w)
-	if got := fmt.Sprint(w.table.row.Slots[0].Owner.ID); got != "y" {
-		fail(t, w, "the move is not in the row: %+v", w.table.row)
+	worst := time.Duration(0)
+	for phase := range 50 {
+		w := settledWorld(t, 3, 2)
+		w.table.down = true
+		w.run(10*time.Second + Instant(phase)*unit)
+		w.server("x").down = true
+		w.server("x").expires = 0
+		took := servedAgain(w)
+		worst = max(worst, took)
+		if took > 3*time.Second {
+			fail(t, w, "phase %d: took %v", phase, took)
+		}
+		w.table.down = false
+		w.run(5 * time.Second)
+		requireServed(t, w)
+		if got := w.table.row.Slots[0].Owner.ID; got != "y" {
+			fail(t, w, "the move is not in the row: %+v", w.table.row)
+		}
 	}
+	t.Logf("worst of 50 phases: %v", worst)
 }
 
 func TestPlannedStopHandsOver(t *testing.T) {
--- a/internal/ownership/timing.go
+++ b/internal/ownership/timing.go
@@ -41,6 +41,12 @@
 // the servers during the wait, and renews what they hold (2.57 s). The leases of
 // the servers ran out between 1 s and 1.5 s.
 //
+// Loss of a server in outage mode. Its move begins after 3/4 x Lease = 1.125 s of
+// silence (1.175 s with the tick), the standby has it at 1.28 s, and one lease more
+// lapses at 2.79 s (2.84 s with the tick). The end of the move is shown and the
+// slots are granted in 0.1 s together, being messages between VMs and servers
+// alone: 2.94 s.
+//
 // Loss of the keeper's VM in outage mode. A renewal carries the clock of the
 // answer before it, so that a lease has at least Lease/3 = 0.5 s left when the
 // next renewal is due, and the keeper may be lost just then. Hold-over begins
