--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -18,6 +18,9 @@
 	BadRequest Kind = "bad_request"
 	// BodyTooLarge is a request body over the limit of its service.
 	BodyTooLarge Kind = "body_too_large"
+	// BodyCut is a body of unstated length that passed the limit, or broke off,
+	// after its first part was sent to a server.
+	BodyCut Kind = "body_cut"
 	// UnknownService is a path that names no configured service.
 	UnknownService Kind = "unknown_service"
 	// KeyRequired is a request without a key for a service divided by key.
@@ -40,6 +43,9 @@
 	ConnectionLost Kind = "connection_lost"
 	// ServerTimeout is a deadline that passed after the request was sent.
 	ServerTimeout Kind = "server_timeout"
+	// AnswerCut is an answer that broke off after its first bytes went to the
+	// caller, whose connection is closed instead of an answer.
+	AnswerCut Kind = "answer_cut"
 	// Quarantined is a request whose fingerprint crashed its servers before.
 	Quarantined Kind = "quarantined"
 	// ClaimUnavailable is a once-only claim that could not be made.
@@ -48,8 +54,12 @@
 	DuplicateRequest Kind = "duplicate_request"
 	// Stopping is a VM that is shutting down and takes no new requests.
 	Stopping Kind = "stopping"
+	// Starting is a VM that does not know the configuration in force yet.
+	Starting Kind = "starting"
 	// DeferralUnavailable is deferred work that could not be made durable.
 	DeferralUnavailable Kind = "deferral_unavailable"
+	// DeferralUnconfirmed is deferred work whose durability was not confirmed.
+	DeferralUnconfirmed Kind = "deferral_unconfirmed"
 	// CallerGone is a caller that closed its connection before the answer.
 	CallerGone Kind = "caller_gone"
 	// ConfigConflict is a configuration write that lost a race.
@@ -84,6 +94,7 @@
 var answers = map[Kind]Answer{
 	BadRequest:          {http.StatusBadRequest, NotRun, 0},
 	BodyTooLarge:        {http.StatusRequestEntityTooLarge, NotRun, 0},
+	BodyCut:             {http.StatusRequestEntityTooLarge, Unknown, 0},
 	UnknownService:      {http.StatusNotFound, NotRun, 0},
 	KeyRequired:         {http.StatusBadRequest, NotRun, 0},
 	NoOwner:             {http.StatusServiceUnavailable, NotRun, time.Second},
@@ -95,11 +106,14 @@
 	NotOwner:            {http.StatusServiceUnavailable, NotRun, time.Second},
 	ConnectionLost:      {http.StatusBadGateway, Unknown, 0},
 	ServerTimeout:       {http.StatusGatewayTimeout, Unknown, 0},
+	AnswerCut:           {http.StatusBadGateway, Unknown, 0},
 	Quarantined:         {http.StatusUnprocessableEntity, NotRun, time.Minute},
 	ClaimUnavailable:    {http.StatusServiceUnavailable, NotRun, time.Second},
 	DuplicateRequest:    {http.StatusConflict, Unknown, 0},
 	Stopping:            {http.StatusServiceUnavailable, NotRun, time.Second},
+	Starting:            {http.StatusServiceUnavailable, NotRun, time.Second},
 	DeferralUnavailable: {http.StatusServiceUnavailable, NotRun, 5 * time.Second},
+	DeferralUnconfirmed: {http.StatusGatewayTimeout, Unknown, 0},
 	CallerGone:          {http.StatusBadGateway, Unknown, 0},
 	ConfigConflict:      {http.StatusConflict, NotRun, 0},
 	ConfigInvalid:       {http.StatusBadRequest, NotRun, 0},
