Stand-in server refuses a grant for another start; one wait fewer for others

Cause: GrantRequest.Incarnation was sent and not compared: a delayed grant of an earlier start took effect (TestGrantForAnotherStartHasNoEffect failed before).

Change: the stand-in compares the start, and tells the number of held slots.

--- a/internal/ownership/clone_test.go
+++ b/internal/ownership/clone_test.go
@@ -33,6 +33,7 @@
 
 func (k *keeperState) clone() *keeperState {
 	c := *k
+	c.withdrawn = maps.Clone(k.withdrawn)
 	c.serverIDs = slices.Clone(k.serverIDs)
 	c.withdrawn = maps.Clone(k.withdrawn)
 	c.servers = map[string]*serverRecord{}
--- a/internal/ownership/outage.go
+++ b/internal/ownership/outage.go
@@ -260,19 +260,8 @@
 }
 
 // renewalsEnd returns when the leases that a standby may have renewed for the
-// slot of a move have surely ended, and the last request has that a VM may have
-// sent to a server that does not check under the standby's routes.
-func (r *Replica) renewalsEnd(m Move) Instant {
-	end := r.heldOverUntil(m)
-	if end == 0 || r.checks(m.From.ID) {
-		return end
-	}
-	return end + r.timing.RequestDeadline
-}
-
-// heldOverUntil returns when the leases that a standby may have renewed for the
 // slot of a move have surely ended; zero: it never could.
-func (r *Replica) heldOverUntil(m Move) Instant {
+func (r *Replica) renewalsEnd(m Move) Instant {
 	o := &r.keeper.outage
 	if !o.holdOverOut || r.flaws.lapseWithoutStandby {
 		return o.oldRenewals
--- a/internal/standin/grants.go
+++ b/internal/standin/grants.go
@@ -67,6 +67,8 @@
 		return ""
 	}
 	switch {
+	case req.Incarnation != "" && req.Incarnation != s.incarnation:
+		return "grant is for another start of the server"
 	case req.Token.Less(g.highest):
 		return "token is lower than the highest seen"
 	case req.ExpiresAt <= now:
@@ -122,6 +124,7 @@
 	state.Highest = g.highest
 	if !g.lapsed(now) {
 		state.Slots = heldSlots(g)
+		state.Held = len(state.Slots)
 	}
 	state.Running = s.countRunning(group, nil)
 	return state
--- a/internal/standin/server_test.go
+++ b/internal/standin/server_test.go
@@ -347,6 +347,22 @@
 	}
 }
 
+func TestGrantForAnotherStartHasNoEffect(t *testing.T) {
+	s := startServer(t, ServerSettings{Slots: 1, Checks: true})
+	token := backend.Token{Epoch: 1, Seq: 1}
+	grant := backend.GrantRequest{
+		Group: testGroup, Token: token, Incarnation: "an earlier start",
+		Slots: []backend.SlotToken{{Slot: 3, Token: token}}, ExpiresAt: clockMS() + leaseMS,
+	}
+	if state := s.Grant(grant); state.Accepted || state.Held != 0 {
+		t.Fatalf("taken: %+v", state)
+	}
+	grant.Incarnation = s.State(testGroup).Incarnation
+	if state := s.Grant(grant); !state.Accepted || state.Held != 1 {
+		t.Fatalf("refused: %+v", state)
+	}
+}
+
 func TestLostGrantAnswerLeavesTheGrantInEffect(t *testing.T) {
 	s := startServer(t, ServerSettings{Checks: true, Faults: ServerFaults{LoseGrantAnswers: true}})
 	token := backend.Token{Epoch: 1}
