A planned stop finishes the deferred attempt under way

Cause: the end of the worker's context cut the attempt and the write that records it, so every planned stop of a VM parked an item that may have run, at servers that honour no ids.

Change: once an item is taken, its attempt and the record of it (up to 10 s) run on after the context ended; no further item is begun. Shown: TestPlannedStopFinishesTheAttemptUnderWay fails with the attempt bound to the context again ('parked, cut by the stop'). The random model now also loses workers at any unanswered write.

--- a/internal/retry/deferred_test.go
+++ b/internal/retry/deferred_test.go
@@ -251,8 +251,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	m.table.giveUp = func() {
-		if m.draw(3) == 0 {
+		switch m.draw(6) {
+		case 0:
 			cancel()
+		case 1:
+			panic(processLost{})
 		}
 	}
 	_, _ = w.Step(ctx, func(string) bool { return true })
@@ -368,6 +371,21 @@
 	expectState(t, d, DeferredDone)
 }
 
+func TestPlannedStopFinishesTheAttemptUnderWay(t *testing.T) {
+	table, d := acceptedOne(t)
+	ctx, stop := context.WithCancel(context.Background())
+	run := func(ctx context.Context, _ DeferredItem) (DeferredAnswer, error) {
+		stop()
+		if ctx.Err() != nil {
+			return DeferredAnswer{}, fault.New(fault.ConnectionLost, "cut by the stop")
+		}
+		return DeferredAnswer{Status: 200}, nil
+	}
+	w := NewWorker(fastDeferred(), table, "settlement", "vm1#1", run, newClock().now)
+	_, _ = w.Step(ctx, every)
+	expectState(t, d, DeferredDone)
+}
+
 func TestItemIsLeftToItsWorkerForALease(t *testing.T) {
 	table, d := acceptedOne(t)
 	c := newClock()
--- a/internal/retry/deferredworker.go
+++ b/internal/retry/deferredworker.go
@@ -74,7 +74,8 @@
 )
 
 // Step looks once at the items that mine names and runs those that are due, one
-// after another. It returns how many it ran, and the error of the platform, if any.
+// after another, until ctx ends; an attempt under way then is finished first, which
+// takes up to Run and some seconds. It returns how many it ran, and the error of the platform, if any.
 func (w *Worker) Step(ctx context.Context, mine func(ticket string) bool) (int, error) {
 	rows, unreadable, err := w.store.list(ctx, w.service)
 	if err != nil {
@@ -86,6 +87,9 @@
 	w.forget(rows)
 	ran := 0
 	for _, row := range rows {
+		if ctx.Err() != nil {
+			return ran, ctx.Err()
+		}
 		if !mine(row.item.Ticket) {
 			continue
 		}
@@ -141,7 +145,13 @@
 	maps.DeleteFunc(w.retryAt, func(ticket string, _ time.Time) bool { return states[ticket] != DeferredQueued })
 }
 
-// attempt takes the item, sends it, and records what became of it.
+// recordTime bounds how long a worker that is told to stop tries to write down how
+// its attempt ended. With less, an outage of the platform parks the item.
+const recordTime = 10 * time.Second
+
+// attempt takes the item, sends it, and records what became of it. Once the item is
+// taken, the end of ctx no longer stops it: a planned stop would otherwise leave an
+// item that may have run.
 func (w *Worker) attempt(ctx context.Context, row deferredRow) {
 	started := w.now()
 	item := row.item
@@ -157,10 +167,12 @@
 		w.requeue(ctx, taken, "taking it took too long")
 		return
 	}
-	runCtx, cancel := context.WithTimeout(ctx, left)
+	runCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), left)
+	defer cancel()
 	answer, err := w.run(runCtx, taken.item)
-	cancel()
-	w.record(ctx, taken, answer, err)
+	recordCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTime)
+	defer cancel()
+	w.record(recordCtx, taken, answer, err)
 }
 
 // record writes down how an attempt ended.
