A book of claims that followed another keeper waits or takes a copy before it judges

Cause: a VM that led a group, lost it, and becomes keeper again lacks the claims that others granted in between. Its book judged at once, so a re-sent request could run twice.

Change: Follow makes the book refuse new claims for a window unless Restore brings the new keeper's copy. Seeded bug: a Follow without that is found by the model.

--- a/internal/retry/claimbook.go
+++ b/internal/retry/claimbook.go
@@ -100,6 +100,7 @@
 
 	lock     sync.Mutex // owns all below
 	leads    bool
+	behind   bool      // another keeper may have granted claims since; sets blind
 	blind    time.Time // until then, claims may exist that this book doesn't know
 	keys     map[string]*claimedKey
 	expiries expiryList
@@ -121,11 +122,14 @@
 	b.leads = true
 }
 
-// Follow makes this the standby's book. Begin refuses from now on.
+// Follow makes this the standby's book, also when its VM was outside the pair
+// meanwhile. Begin refuses from now on. The new keeper may have granted claims
+// before it sent any here: until Restore the book can't judge for a window.
 func (b *ClaimBook) Follow() {
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	b.leads = false
+	b.behind = true
 }
 
 // Begin claims a key for a request. A repeat by the same request id, whose first
@@ -137,7 +141,7 @@
 	if !b.leads {
 		return refused("this VM does not keep the group")
 	}
-	b.expire(now)
+	b.advance(now)
 	known := b.keys[key]
 	if known == nil {
 		return b.beginNew(key, requestID, now)
@@ -187,7 +191,7 @@
 	if b.leads {
 		return false
 	}
-	b.expire(now)
+	b.advance(now)
 	return b.record(key, requestID, stateOpen, now)
 }
 
@@ -196,7 +200,7 @@
 func (b *ClaimBook) Finish(key, requestID string, now time.Time) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	b.expire(now)
+	b.advance(now)
 	b.record(key, requestID, stateFinished, now)
 }
 
@@ -205,7 +209,7 @@
 func (b *ClaimBook) NotRun(key, requestID string, now time.Time) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	b.expire(now)
+	b.advance(now)
 	b.record(key, requestID, stateFreed, now)
 }
 
@@ -220,6 +224,7 @@
 func (b *ClaimBook) Blind(now time.Time) time.Duration {
 	b.lock.Lock()
 	defer b.lock.Unlock()
+	b.advance(now)
 	return max(b.blind.Sub(now), 0)
 }
 
@@ -267,6 +272,15 @@
 	}
 }
 
+// advance brings the book to the present.
+func (b *ClaimBook) advance(now time.Time) {
+	if b.behind {
+		b.behind = false
+		b.blind = now.Add(b.settings.Window.Duration())
+	}
+	b.expire(now)
+}
+
 // expire forgets the keys whose window ended.
 func (b *ClaimBook) expire(now time.Time) {
 	for {
--- a/internal/retry/claimsnapshot.go
+++ b/internal/retry/claimsnapshot.go
@@ -29,7 +29,7 @@
 func (b *ClaimBook) Snapshot(now time.Time) ([]byte, error) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	b.expire(now)
+	b.advance(now)
 	s := claimSnapshot{BlindFor: max(b.blind.Sub(now), 0)}
 	for e := b.expiries.order.Front(); e != nil; e = e.Next() {
 		queued := e.Value.(queuedKey)
@@ -51,7 +51,9 @@
 }
 
 // Restore joins a snapshot into the book. From then on the book can judge what
-// the snapshot's book could. An error leaves the book blind as it was.
+// the snapshot's book could. An error leaves the book blind as it was. The caller
+// makes sure that the snapshot is of the present keeper's term: one that was delayed
+// since an earlier term lacks the claims between, which the book would not wait for.
 func (b *ClaimBook) Restore(data []byte, now time.Time) error {
 	var s claimSnapshot
 	if err := json.Unmarshal(data, &s); err != nil {
@@ -59,7 +61,7 @@
 	}
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	b.expire(now)
+	b.advance(now)
 	for _, k := range s.Keys {
 		if err := b.restoreKey(k, now); err != nil {
 			return err
