--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -12,6 +12,7 @@
 	"kumquatcleat/internal/fault"
 	"kumquatcleat/internal/operator"
 	"kumquatcleat/internal/ownership"
+	"kumquatcleat/internal/routing"
 	"kumquatcleat/internal/telemetry"
 )
 
@@ -99,15 +100,16 @@
 	if run, ok := d.groups.find(id.String()); ok {
 		if st, err := run.driver.Status(ctx); err == nil {
 			group.Keeper, group.Standby = refText(st.Keeper), refText(st.Standby)
-			group.Mode = modeOf(st)
+			group.Mode = d.modeOf(st)
 		}
 	}
-	answer, err := d.directory.AskRoutes(ctx, id.String(), 0, nil)
+	answer, err := d.directory.AskRoutes(ctx, routing.RouteQuestion{Group: id.String()})
 	if err != nil {
 		return group
 	}
 	if group.Keeper == "" {
 		group.Keeper = d.directory.hint(id.String())
+		group.Mode = operator.ModeElsewhere
 	}
 	group.Slots = len(answer.Slots)
 	for _, route := range answer.Slots {
@@ -132,8 +134,10 @@
 	return ref.String()
 }
 
-func modeOf(st ownership.Status) operator.Mode {
+func (d *Daemon) modeOf(st ownership.Status) operator.Mode {
 	switch {
+	case !st.Keeper.IsZero() && st.Keeper != d.self:
+		return operator.ModeElsewhere
 	case st.RightLeft <= 0:
 		return operator.ModeNone
 	case st.Outage:
@@ -172,7 +176,7 @@
 	slot := service.SlotOf(key)
 	id := service.GroupOf(slot)
 	explain := operator.Explain{Service: name, Key: key, Slot: slot, Group: id.String()}
-	answer, err := d.directory.AskRoutes(ctx, id.String(), 0, nil)
+	answer, err := d.directory.AskRoutes(ctx, routing.RouteQuestion{Group: id.String()})
 	if err != nil {
 		explain.Why = "No VM keeps the group now, so nobody is known to own the slot."
 		writeJSON(w, http.StatusOK, explain)
--- a/internal/ownership/replica_test.go
+++ b/internal/ownership/replica_test.go
@@ -93,6 +93,7 @@
 }
 
 func TestKeysOfALostServerAreServedWithinThreeSeconds(t *testing.T) {
+	worst := time.Duration(0)
 	for phase := range 50 {
 		w := settledWorld(t, 3, 2)
 		w.run(Instant(phase) * unit)
@@ -100,12 +101,16 @@
 		w.server("x").expires = 0
 		if took := servedAgain(w); took > 3*time.Second {
 			fail(t, w, "phase %d: took %v", phase, took)
+		} else {
+			worst = max(worst, took)
 		}
 		requireSound(t, w)
 	}
+	t.Logf("worst of 50 phases: %v", worst)
 }
 
 func TestKeysOfALostKeeperAreServedWithinThreeSeconds(t *testing.T) {
+	worst := time.Duration(0)
 	for phase := range 50 {
 		w := settledWorld(t, 3, 2)
 		w.run(Instant(phase) * unit)
@@ -115,6 +120,8 @@
 		servedAgain(w)
 		if took := w.now - lost; took > 3*time.Second {
 			fail(t, w, "phase %d: took %v", phase, took)
+		} else {
+			worst = max(worst, took)
 		}
 		w.run(3 * time.Second)
 		requireServed(t, w)
@@ -122,6 +129,7 @@
 			fail(t, w, "keeper %d, row %+v", w.keeper(), w.table.row)
 		}
 	}
+	t.Logf("worst of 50 phases: %v", worst)
 }
 
 func TestFrozenServerThatReturnsHoldsNothingThatMoved(t *testing.T) {
@@ -242,7 +250,9 @@
 	w.run(10 * time.Second)
 	w.server("x").down = true
 	w.server("x").expires = 0
-	if took := servedAgain(w); took > 3*time.Second {
+	took := servedAgain(w)
+	t.Logf("took %v", took)
+	if took > 3*time.Second {
 		fail(t, w, "took %v", took)
 	}
 	w.table.down = false
@@ -295,3 +305,22 @@
 	w.run(time.Second)
 	requireServed(t, w)
 }
+
+func TestFenceOfANewKeeperEndsNoMove(t *testing.T) {
+	for phase := range 60 {
+		w := settledWorld(t, 3, 2)
+		w.server("x").running[0] = true
+		w.wantOwner(0, "y")
+		w.run(200*time.Millisecond + Instant(phase)*unit)
+		if len(w.table.row.Moves) != 1 {
+			fail(t, w, "no move is under way: %+v", w.table.row)
+		}
+		w.vms[0].gone = true
+		w.vms[1].gone = true
+		w.event(2, MembersChanged{Candidates: w.candidates(), Gone: []VMRef{w.vms[0].ref, w.vms[1].ref}})
+		w.event(2, Tick{})
+		w.settle()
+		w.run(6 * time.Second)
+		requireSound(t, w)
+	}
+}
