bench: imbalance floor of the hottest key, bench report

Change: the report gives the imbalance of the hottest key alone; bench report works figures out again from a recorded history.

--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -45,8 +45,11 @@
 
 	// Imbalance is the runs of the most loaded server over the mean of all
 	// servers, each divided by the server's slots. 0: no runs were recorded.
-	Imbalance float64        `json:"imbalance"`
-	Runs      map[string]int `json:"runs"` // by server
+	Imbalance float64 `json:"imbalance"`
+	// Floor is the least imbalance that any placement could reach: that of the
+	// hottest key alone, which has one owner.
+	Floor float64        `json:"imbalance_floor"`
+	Runs  map[string]int `json:"runs"` // by server
 	// Changes counts, over all slots, how often successive runs of a slot were at
 	// different servers; ChangedSlots is the share of slots with any change.
 	Changes      int     `json:"ownership_changes"`
@@ -197,6 +200,7 @@
 	}
 	var started []standin.RunRecord
 	tries := 0
+	byKey := map[string]int{}
 	for _, run := range h.Runs {
 		if slots[run.Server] == 0 || run.StartNS < h.Info.StartNS {
 			continue
@@ -204,6 +208,7 @@
 		tries++
 		if run.Outcome != standin.RunRefused {
 			r.Runs[run.Server]++
+			byKey[run.Key]++
 			started = append(started, run)
 		}
 	}
@@ -211,6 +216,7 @@
 		r.Tries = float64(tries) / float64(requests)
 	}
 	r.Imbalance = imbalance(r.Runs, slots)
+	r.Floor = imbalanceFloor(byKey, r.Runs, slots)
 	r.countChanges(started)
 }
 
@@ -228,6 +234,26 @@
 	return highest / (total / float64(len(runs)))
 }
 
+// imbalanceFloor returns what the hottest key's runs are, at a server with the
+// most slots, over the mean of all servers; at least 1.
+func imbalanceFloor(byKey, runs, slots map[string]int) float64 {
+	hottest, mostSlots, total := 0, 0, 0.0
+	for key, count := range byKey {
+		if key != "" {
+			hottest = max(hottest, count)
+		}
+	}
+	for server, count := range runs {
+		mostSlots = max(mostSlots, slots[server])
+		total += float64(count) / float64(slots[server])
+	}
+	if total == 0 {
+		return 0
+	}
+	mean := total / float64(len(runs))
+	return max(1, float64(hottest)/float64(mostSlots)/mean)
+}
+
 func (r *ServiceReport) countChanges(started []standin.RunRecord) {
 	changed := 0
 	bySlot := runsBySlot(started)
--- a/internal/bench/report_test.go
+++ b/internal/bench/report_test.go
@@ -67,7 +67,7 @@
 
 func TestReportCountsChangesImbalanceAndTries(t *testing.T) {
 	run := func(server string, start int64, outcome standin.RunOutcome) standin.RunRecord {
-		return standin.RunRecord{Server: server, Group: "g", HasSlot: true, Slot: 1, Token: "1.0", StartNS: start, EndNS: start + 1, Outcome: outcome}
+		return standin.RunRecord{Server: server, Key: "k1", Group: "g", HasSlot: true, Slot: 1, Token: "1.0", StartNS: start, EndNS: start + 1, Outcome: outcome}
 	}
 	info := testInfo()
 	info.Servers = []Capacity{{ID: "a", Service: "s", Slots: 2}, {ID: "b", Service: "s", Slots: 1}}
@@ -88,6 +88,9 @@
 	if got.Imbalance != 1.5 { // per slot: a 1, b 3, mean 2
 		t.Errorf("imbalance %v", got.Imbalance)
 	}
+	if got.Floor != 1.25 { // k1 has 5 runs at best on 2 slots: 2.5 over the mean of 2
+		t.Errorf("floor %v", got.Floor)
+	}
 	if got.Tries != 1.5 { // 6 runs and refusals of 4 calls
 		t.Errorf("tries %v", got.Tries)
 	}
--- a/internal/bench/table.go
+++ b/internal/bench/table.go
@@ -65,10 +65,10 @@
 }
 
 func (r *Report) writePolicy(w io.Writer) {
-	table := newTable(w, "service\timbalance\tchanges\tslots changed\ttries\tunavailable key-s\tshare\tlongest ms\tprobes key-s\tshare\tlongest ms")
+	table := newTable(w, "service\timbalance\tfloor\tchanges\tslots changed\ttries\tunavailable key-s\tshare\tlongest ms\tprobes key-s\tshare\tlongest ms")
 	for _, s := range r.Services {
-		_, _ = fmt.Fprintf(table, "%s\t%.3f\t%d\t%.1f%%\t%.3f\t%.2f\t%.3f%%\t%.0f\t%.2f\t%.3f%%\t%.0f\n",
-			s.Service, s.Imbalance, s.Changes, 100*s.ChangedSlots, s.Tries,
+		_, _ = fmt.Fprintf(table, "%s\t%.3f\t%.3f\t%d\t%.1f%%\t%.3f\t%.2f\t%.3f%%\t%.0f\t%.2f\t%.3f%%\t%.0f\n",
+			s.Service, s.Imbalance, s.Floor, s.Changes, 100*s.ChangedSlots, s.Tries,
 			s.Unavailable.KeySeconds, 100*s.Unavailable.Share, s.Unavailable.LongestMS,
 			s.Probes.KeySeconds, 100*s.Probes.Share, s.Probes.LongestMS)
 	}
--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -21,7 +21,7 @@
 		// The platform client's library logs every call by default.
 		PersistentPreRun: func(*cobra.Command, []string) { logx.Disable() },
 	}
-	command.AddCommand(benchRunCommand(), benchCheckCommand(), benchClusterCommand())
+	command.AddCommand(benchRunCommand(), benchReportCommand(), benchCheckCommand(), benchClusterCommand())
 	return command
 }
 
@@ -111,6 +111,29 @@
 	return cluster, cluster.Targets(), nil
 }
 
+func benchReportCommand() *cobra.Command {
+	var asJSON bool
+	command := &cobra.Command{
+		Use:   "report DIR",
+		Short: "Work the figures of a recorded history out again",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			history, err := bench.LoadHistory(args[0])
+			if err != nil {
+				return usageError(err)
+			}
+			report := bench.MakeReport(history)
+			if asJSON {
+				return failure(json.NewEncoder(cmd.OutOrStdout()).Encode(report))
+			}
+			report.Write(cmd.OutOrStdout())
+			return nil
+		},
+	}
+	command.Flags().BoolVar(&asJSON, "json", false, "print the report as JSON")
+	return command
+}
+
 func benchCheckCommand() *cobra.Command {
 	var asJSON bool
 	command := &cobra.Command{
