--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -46,8 +46,8 @@
 	// Imbalance is the runs of the most loaded server over the mean of all
 	// servers, each divided by the server's slots. 0: no runs were recorded.
 	Imbalance float64 `json:"imbalance"`
-	// Floor is the least imbalance that any placement could reach: that of the
-	// hottest key alone, which has one owner.
+	// Floor is the imbalance of the hottest key alone, which has one owner: no
+	// placement goes below it unless the key moves during the run.
 	Floor float64        `json:"imbalance_floor"`
 	Runs  map[string]int `json:"runs"` // by server
 	// Changes counts, over all slots, how often successive runs of a slot were at
