A slot under a move is planned as its new owner's

Cause: the planner took a slot under a move for its old owner's, wanted it there, and the keeper moved the slot back the moment the move ended, then forth again.

Ruled out: the wait for route leases and request deadlines, which ended each move after 5.6 s as it should; the move back was begun 1 to 4 ms later.

Change: Current of a moving slot is the move's target.

--- a/internal/daemon/groups.go
+++ b/internal/daemon/groups.go
@@ -192,6 +192,7 @@
 	input := placementInput(service, run.id, routes, run.rates.total(now))
 	draining := run.rates.draining(now)
 	maps.Copy(draining, roster.Leave)
+	countMoves(input, status.Moves)
 	markServers(input.Servers, status, draining)
 	event := ownership.PlanChanged{Servers: make(map[string]ownership.ServerPlan, len(input.Servers))}
 	if mayPlan(status) {
@@ -246,6 +247,14 @@
 	return input
 }
 
+// countMoves counts each slot under a move as its new owner's. A plan that took it
+// for the old owner's would move the slot back as soon as the move has ended.
+func countMoves(input placement.Input, moves []ownership.Move) {
+	for _, move := range moves {
+		input.Current[move.Slot] = move.To.ID
+	}
+}
+
 // markServers marks the servers that are draining and those that the keeper gets
 // no answer from.
 func markServers(servers []placement.Server, status ownership.Status, draining map[string]bool) {
