A poller that does not answer is not asked twice in a row

Ruled out: asking all pollers in turn, which keeps a connection from every VM to every poller of its domain, 777 for each at the full size.

Change: a VM that did not answer becomes the last choice.

Test: TestALostPollerIsNotAskedTwiceInARow fails on the version before.

--- a/internal/config/schedule.go
+++ b/internal/config/schedule.go
@@ -117,7 +117,6 @@
 	sources sources
 
 	number         uint64 // of the round, from 1
-	skip           uint64 // preferred pollers passed over because they did not answer
 	quiet          int    // rounds in a row without any answer
 	platformFailed bool   // at the last try
 	synced         bool   // ready to serve
@@ -170,7 +169,7 @@
 		r.Peers = append(pick(s.sources.near, s.number, startSample-2), pick(s.sources.elsewhere, s.number, 2)...)
 	case !s.sources.poller:
 		// Two preferred pollers in turn: one that is stale delays by one round.
-		r.Peers = pick(s.sources.near, s.skip+s.number%2, 1)
+		r.Peers = pick(s.sources.near, s.number%2, 1)
 		if len(r.Peers) == 0 {
 			r.Platform = true
 		}
@@ -201,8 +200,9 @@
 	if res.PlatformRead || len(res.Answered) > 0 {
 		s.quiet = 0
 	}
-	if len(res.Failed) > 0 {
-		s.skip++
+	for _, id := range res.Failed {
+		moveToEnd(s.sources.near, id)
+		moveToEnd(s.sources.elsewhere, id)
 	}
 	if s.synced {
 		return false
@@ -226,6 +226,17 @@
 	return len(s.sample) > 0 && len(s.sample) >= want
 }
 
+// moveToEnd makes a VM that did not answer the last choice, so that the next
+// round asks another one.
+func moveToEnd(list []string, id string) {
+	i := slices.Index(list, id)
+	if i < 0 {
+		return
+	}
+	copy(list[i:], list[i+1:])
+	list[len(list)-1] = id
+}
+
 // pick returns up to n of a list, from an offset on, wrapping around.
 func pick(list []string, offset uint64, n int) []string {
 	var out []string
--- a/internal/config/syncer_test.go
+++ b/internal/config/syncer_test.go
@@ -242,6 +242,36 @@
 	}
 }
 
+// TestALostPollerIsNotAskedTwiceInARow loses each poller in turn, in each round:
+// asked twice, it would cost two rounds, which is past the bound.
+func TestALostPollerIsNotAskedTwiceInARow(t *testing.T) {
+	var members []Member
+	for i := range 60 {
+		members = append(members, Member{ID: fmt.Sprintf("vm-%d", i), FailureDomain: "d"})
+	}
+	for _, lost := range Pollers(members, "d") {
+		for _, m := range members {
+			s := schedule{self: m, synced: true}
+			before := ""
+			for range 6 {
+				r := s.next(members)
+				if len(r.Peers) == 1 && r.Peers[0] == lost && before == lost {
+					t.Fatalf("%s asks the lost %s in two rounds in a row", m.ID, lost)
+				}
+				before = ""
+				if len(r.Peers) == 1 {
+					before = r.Peers[0]
+				}
+				res := result{Answered: r.Peers}
+				if before == lost {
+					res = result{Failed: r.Peers}
+				}
+				s.finished(r, res)
+			}
+		}
+	}
+}
+
 func TestPollsOfThePlatformStayBoundedAtFullSize(t *testing.T) {
 	const perDomain, domains, readsGiven = 811, 9, 2000
 	f := newFleet(1, 1)
@@ -499,6 +529,11 @@
 				f.vms[m.ID].offline = m.FailureDomain == "d4"
 			}
 		}},
+		{"a domain that loses the platform at the commit", 9, 20, 300 * time.Millisecond, 2 * PollInterval, func(f *fleet) {
+			for _, m := range f.members {
+				f.vms[m.ID].offline = m.FailureDomain == "d4"
+			}
+		}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
