--- a/internal/cli/validate.go
+++ b/internal/cli/validate.go
@@ -10,6 +10,7 @@
 
 	"kumquatcleat/internal/config"
 	"kumquatcleat/internal/fault"
+	"kumquatcleat/internal/strictjson"
 )
 
 // maxFileBytes bounds a record file; a larger one is no record.
@@ -17,19 +18,12 @@
 
 // fileCheck is what validate prints of one file.
 type fileCheck struct {
-	File     string    `json:"file"`
-	Name     string    `json:"name,omitempty"`
-	Version  uint64    `json:"version,omitempty"`
-	Schema   int       `json:"schema,omitempty"`
-	Valid    bool      `json:"valid"`
-	Problems []problem `json:"problems,omitempty"`
-}
-
-// problem is one mistake of a file.
-type problem struct {
-	Field string `json:"field,omitempty"`
-	Value string `json:"value,omitempty"`
-	Want  string `json:"want"`
+	File     string               `json:"file"`
+	Name     string               `json:"name,omitempty"`
+	Version  uint64               `json:"version,omitempty"`
+	Schema   int                  `json:"schema,omitempty"`
+	Valid    bool                 `json:"valid"`
+	Problems []strictjson.Problem `json:"problems,omitempty"`
 }
 
 func validateCommand() *cobra.Command {
@@ -84,9 +78,7 @@
 		return check, err
 	}
 	check.Name = wrong.Record
-	for _, p := range wrong.Problems {
-		check.Problems = append(check.Problems, problem{Field: p.Field, Value: p.Value, Want: p.Want})
-	}
+	check.Problems = wrong.Problems
 	return check, nil
 }
 
@@ -106,18 +98,6 @@
 	return nil
 }
 
-// String names the field, the value and what is allowed.
-func (p problem) String() string {
-	field := p.Field
-	if field == "" {
-		field = "document"
-	}
-	if p.Value == "" {
-		return field + ": want " + p.Want
-	}
-	return field + ": " + p.Value + ": want " + p.Want
-}
-
 // readFile reads a record file; - is standard input.
 func readFile(cmd *cobra.Command, file string) ([]byte, error) {
 	in := cmd.InOrStdin()
--- a/internal/config/rows.go
+++ b/internal/config/rows.go
@@ -1,13 +1,12 @@
 package config
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"strconv"
 
-	"context"
-
 	"kumquatcleat/internal/platform"
 )
 
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -20,9 +20,9 @@
 
 // Problem is one mistake in a document.
 type Problem struct {
-	Field string // path such as servers[2].address; empty: the document as a whole
-	Value string // as written, shortened
-	Want  string // what is allowed; empty: Value says it
+	Field string `json:"field,omitempty"` // path such as servers[2].address; empty: the document as a whole
+	Value string `json:"value,omitempty"` // as written, shortened
+	Want  string `json:"want,omitempty"`  // what is allowed; empty: Value says it
 }
 
 // String names the field, the value and what is allowed.
