--- a/internal/ownership/table.go
+++ b/internal/ownership/table.go
@@ -24,6 +24,7 @@
 	expect     uint64
 	purpose    writePurpose
 	nextSend   Instant
+	sent       bool // at least once
 	conflicted bool // a read has to tell what became of it
 }
 
@@ -99,9 +100,6 @@
 		r.table.nextRead = r.now
 	case WriteUnknown:
 		w.nextSend = min(w.nextSend, r.now+r.timing.Retry)
-		if r.flaws.forgetUnansweredOpen {
-			r.table.write = nil
-		}
 	}
 }
 
@@ -120,6 +118,7 @@
 	}
 	r.dropKeeper()
 	r.adoptStandbyRole(row)
+	r.readSoon()
 }
 
 // settleWrite closes the open write if the row is past it, and returns it if it
@@ -144,6 +143,12 @@
 		return
 	}
 	r.becomeKeeper(row, settled)
+	r.readSoon()
+}
+
+// readSoon brings the next read forward to the interval of the present role.
+func (r *Replica) readSoon() {
+	r.table.nextRead = min(r.table.nextRead, r.now+r.readInterval())
 }
 
 // advanceWrite sends the open write when it is due, and begins the next one.
@@ -155,6 +160,11 @@
 	if w == nil || w.conflicted || r.now < w.nextSend {
 		return
 	}
+	if w.sent && r.flaws.forgetUnansweredOpen {
+		r.table.write = nil
+		return
+	}
+	w.sent = true
 	// An answer, also one that says 'unknown', brings the repeat forward.
 	w.nextSend = r.now + r.timing.Lease
 	r.do(WriteRow{Expect: w.expect, Row: w.row})
