status shows which VMs are behind with the configuration

Change: the digest of a ping's answer counts for 2 s; a VM that is not pinged has none and is not counted.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -260,6 +260,16 @@
 	}
 }
 
+func TestStatusCountsVMsThatAreBehindAndNotThoseThatAreUnknown(t *testing.T) {
+	status := operator.Status{VMs: []operator.VM{
+		{ID: "vm-1", FailureDomain: "a", Alive: true, ConfigDigest: 7},
+		{ID: "vm-2", FailureDomain: "a", Alive: true, ConfigDigest: 7},
+		{ID: "vm-3", FailureDomain: "a", Alive: true, ConfigDigest: 6},
+		{ID: "vm-4", FailureDomain: "a", Alive: true},
+	}}
+	run("", "status", "--vm", startVM(t, status, operator.Explain{})).want(t, ExitOK, "a       4    4      1")
+}
+
 func TestAVMThatDoesNotAnswerIsNamed(t *testing.T) {
 	server := httptest.NewServer(http.NotFoundHandler())
 	addr := strings.TrimPrefix(server.URL, "http://")
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -94,7 +94,7 @@
 		if vm.Alive {
 			c.alive++
 		}
-		if vm.Alive && vm.ConfigDigest != newest {
+		if vm.Alive && vm.ConfigDigest != 0 && vm.ConfigDigest != newest {
 			c.behind++
 		}
 	}
@@ -111,7 +111,7 @@
 	votes := make(map[uint64]int)
 	var best uint64
 	for _, vm := range vms {
-		if !vm.Alive {
+		if !vm.Alive || vm.ConfigDigest == 0 {
 			continue
 		}
 		votes[vm.ConfigDigest]++
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -59,6 +59,7 @@
 	servers  map[string]bool // that any list named
 	lost     map[string]bool // of those, the ones that the last list lacks
 	starts   starts
+	digests  peerDigests
 	seeds    []string      // peers' addresses from the settings
 	listed   bool          // VMs were learnt, from the list or from a seed
 	listedAt time.Duration // when that was first
@@ -173,6 +174,9 @@
 	callCtx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
 	answer, err := m.clients.For(vm.Address).Ping(callCtx, &peer.PingRequest{From: encodeVM(m.self)})
+	if err == nil {
+		m.digests.heard(vm.ID, answer.GetConfigDigest(), m.clock())
+	}
 	m.inbox.Put(ctx, func(now time.Duration) {
 		if err != nil {
 			m.view.PingFailed(now, vm.ID)
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -78,8 +78,13 @@
 
 func (d *Daemon) addVMs(status *operator.Status) {
 	for _, vm := range d.members.Roster().VMs {
+		digest := d.members.digests.of(vm.ID, d.members.clock())
+		if vm.ID == d.settings.ID {
+			digest = d.store.Digest()
+		}
 		status.VMs = append(status.VMs, operator.VM{
-			ID: vm.ID, Incarnation: vm.Incarnation, FailureDomain: vm.FailureDomain, Address: vm.Address, Alive: true,
+			ID: vm.ID, Incarnation: vm.Incarnation, FailureDomain: vm.FailureDomain, Address: vm.Address,
+			Alive: true, ConfigDigest: digest,
 		})
 	}
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -40,7 +40,7 @@
 	Address       string `json:"address"`
 	Alive         bool   `json:"alive"` // answers its peers
 	Stopping      bool   `json:"stopping"`
-	ConfigDigest  uint64 `json:"config_digest"` // of the records in force there
+	ConfigDigest  uint64 `json:"config_digest"` // of the records in force there; 0: not known, as this VM does not ping it
 }
 
 // Group is one group of slots and the VMs that decide about it.
