Claims hold to one keeper's term; a book outside the pair is forgotten

Change: the standby is read after the claim is in the book; books outside the pair are dropped; messages carry the keeper's epoch and must come from the keeper that the standby knows. The rig tries other ports when another process takes one.

--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -35,6 +35,7 @@
 	leads   bool
 	keeper  ownership.VMRef
 	standby ownership.VMRef
+	epoch   uint64          // of the keeper's term; messages of another are refused
 	copied  ownership.VMRef // the standby that got a copy of the book
 }
 
@@ -47,19 +48,25 @@
 func (c *Claims) Follow(ctx context.Context, group string, status ownership.Status) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if status.Keeper != c.self && status.Standby != c.self {
+		// Outside the pair the book goes stale: back in it, this VM must not judge
+		// by what it held before.
+		delete(c.books, group)
+		return
+	}
 	known, ok := c.books[group]
+	if ok && known.epoch > status.Token.Epoch {
+		return // an older look at the row
+	}
 	if !ok {
-		if status.Keeper != c.self && status.Standby != c.self {
-			return
-		}
 		known = &groupBook{book: retry.NewClaimBook(c.settings, originOf(status, c.self), time.Now())}
 		c.books[group] = known
 	}
-	known.keeper, known.standby = status.Keeper, status.Standby
+	known.keeper, known.standby, known.epoch = status.Keeper, status.Standby, status.Token.Epoch
 	c.changeRole(group, known, status.Keeper == c.self)
 	if known.leads && !known.standby.IsZero() && known.copied != known.standby {
 		known.copied = known.standby
-		go c.copyTo(ctx, group, known.standby, known.book)
+		go c.copyTo(ctx, group, *known)
 	}
 }
 
@@ -88,58 +95,81 @@
 
 // copyTo gives a standby the whole book; until that is done the standby's book
 // holds new claims but can't judge old ones.
-func (c *Claims) copyTo(ctx context.Context, group string, to ownership.VMRef, book *retry.ClaimBook) {
-	err := c.sendCopy(ctx, group, to, book)
+func (c *Claims) copyTo(ctx context.Context, group string, state groupBook) {
+	err := c.sendCopy(ctx, group, state)
 	if err == nil {
 		return
 	}
-	slog.Debug("claims: copy not taken", "group", group, "vm", to.String(), "error", err.Error())
+	slog.Debug("claims: copy not taken", "group", group, "vm", state.standby.String(), "error", err.Error())
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if known := c.books[group]; known != nil && known.copied == to {
+	if known := c.books[group]; known != nil && known.copied == state.standby {
 		known.copied = ownership.VMRef{} // Follow tries again
 	}
 }
 
-func (c *Claims) sendCopy(ctx context.Context, group string, to ownership.VMRef, book *retry.ClaimBook) error {
-	data, err := book.Snapshot(time.Now())
+func (c *Claims) sendCopy(ctx context.Context, group string, state groupBook) error {
+	data, err := state.book.Snapshot(time.Now())
 	if err != nil {
 		return fmt.Errorf("claims: %w", err)
 	}
-	client, err := c.directory.client(to.ID)
+	client, err := c.directory.client(state.standby.ID)
 	if err != nil {
 		return err
 	}
-	_, err = client.CopyClaims(ctx, &peer.ClaimsCopy{From: encodeVM(c.self), To: encodeVM(to), Group: group, Book: data})
+	_, err = client.CopyClaims(ctx, &peer.ClaimsCopy{
+		From: encodeVM(c.self), To: encodeVM(state.standby), Group: group, Epoch: state.epoch, Book: data,
+	})
 	return err
 }
 
 // TakeCopy joins a keeper's copy into this VM's book.
 func (c *Claims) TakeCopy(in *peer.ClaimsCopy) error {
-	known, err := c.bookFor(in.GetGroup(), decodeVM(in.GetTo()))
+	known, err := c.bookFor(in)
 	if err != nil {
 		return err
 	}
-	if decodeVM(in.GetFrom()) != known.keeper {
-		return fmt.Errorf("claims: %s does not keep group %q", decodeVM(in.GetFrom()), in.GetGroup())
-	}
 	return known.book.Restore(in.GetBook(), time.Now())
 }
 
-// bookFor returns a copy of the group's state, so that it can be read unlocked.
-func (c *Claims) bookFor(group string, to ownership.VMRef) (groupBook, error) {
-	if to != c.self {
+// keeperMessage is a message from a group's keeper to its standby.
+type keeperMessage interface {
+	GetFrom() *peer.VMRef
+	GetTo() *peer.VMRef
+	GetGroup() string
+	GetEpoch() uint64
+}
+
+// bookFor returns a copy of the group's state for a message of its present
+// keeper's present term. Anything else is late: joined into the book, it could
+// make the standby judge claims of a term that it did not follow.
+func (c *Claims) bookFor(in keeperMessage) (groupBook, error) {
+	if to := decodeVM(in.GetTo()); to != c.self {
 		return groupBook{}, fmt.Errorf("claims: meant for VM %s", to)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	known, ok := c.books[group]
+	known, ok := c.books[in.GetGroup()]
 	if !ok {
-		return groupBook{}, fmt.Errorf("claims: group %q has no book here", group)
+		return groupBook{}, fmt.Errorf("claims: group %q has no book here", in.GetGroup())
+	}
+	if from := decodeVM(in.GetFrom()); from != known.keeper || in.GetEpoch() != known.epoch {
+		return groupBook{}, fmt.Errorf("claims: group %q is not kept by %s under epoch %d", in.GetGroup(), from, in.GetEpoch())
 	}
 	return *known, nil
 }
 
+// pairOf returns the keeper's newest state of a group, if this VM still leads.
+func (c *Claims) pairOf(group string, epoch uint64) (groupBook, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known, ok := c.books[group]
+	if !ok || !known.leads || known.epoch != epoch {
+		return groupBook{}, false
+	}
+	return *known, true
+}
+
 // Answer answers a claim message of another VM, or of this one.
 func (c *Claims) Answer(ctx context.Context, in *peer.ClaimRequest) (*peer.ClaimAnswer, error) {
 	if in.GetReplica() {
@@ -177,7 +207,7 @@
 			return answer
 		}
 	}
-	err := c.replicate(ctx, in, state.standby)
+	err := c.replicate(ctx, in, state.epoch)
 	if err != nil && in.GetStep() == peer.ClaimRequest_BEGIN {
 		answer.Verdict = peer.ClaimAnswer_UNAVAILABLE
 		answer.Reason = err.Error()
@@ -185,33 +215,39 @@
 	return answer
 }
 
-// replicate passes a step to the standby. Without a standby nothing is owed: a
-// VM that takes over without a copy refuses claims until the window has passed.
-func (c *Claims) replicate(ctx context.Context, in *peer.ClaimRequest, standby ownership.VMRef) error {
-	if standby.IsZero() {
+// replicate passes a step to the standby. The standby is looked up after the step
+// is in the book: one that is named later gets it with its copy of the book.
+// Without a standby nothing is owed: a VM that takes over without a copy refuses
+// claims until the window has passed.
+func (c *Claims) replicate(ctx context.Context, in *peer.ClaimRequest, epoch uint64) error {
+	state, ok := c.pairOf(in.GetGroup(), epoch)
+	if !ok {
+		return fmt.Errorf("claims: group %q changed its keeper", in.GetGroup())
+	}
+	if state.standby.IsZero() {
 		return nil
 	}
-	client, err := c.directory.client(standby.ID)
+	client, err := c.directory.client(state.standby.ID)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	answer, err := client.Claim(ctx, &peer.ClaimRequest{
-		From: encodeVM(c.self), To: encodeVM(standby), Group: in.GetGroup(), Replica: true,
+		From: encodeVM(c.self), To: encodeVM(state.standby), Group: in.GetGroup(), Epoch: epoch, Replica: true,
 		IdempotencyKey: in.GetIdempotencyKey(), RequestId: in.GetRequestId(), Step: in.GetStep(),
 	})
 	if err != nil {
-		return fmt.Errorf("claims: standby %s: %w", standby, err)
+		return fmt.Errorf("claims: standby %s: %w", state.standby, err)
 	}
 	if answer.GetVerdict() != peer.ClaimAnswer_FIRST {
-		return fmt.Errorf("claims: standby %s refused: %s", standby, answer.GetReason())
+		return fmt.Errorf("claims: standby %s refused: %s", state.standby, answer.GetReason())
 	}
 	return nil
 }
 
 func (c *Claims) answerReplica(in *peer.ClaimRequest) (*peer.ClaimAnswer, error) {
-	known, err := c.bookFor(in.GetGroup(), decodeVM(in.GetTo()))
+	known, err := c.bookFor(in)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/daemon/rig_test.go
+++ b/internal/daemon/rig_test.go
@@ -134,7 +134,23 @@
 	}
 }
 
+// startVM starts a daemon and waits until it listens. Another process may take a
+// free port before the daemon does; then other ports are tried.
 func (r *rig) startVM(id string, peers ...string) *rigVM {
+	r.t.Helper()
+	const tries = 10
+	for range tries {
+		vm := r.tryVM(id, peers)
+		if vm.listens() {
+			r.vms = append(r.vms, vm)
+			return vm
+		}
+	}
+	r.t.Fatalf("%s found no free ports", id)
+	return nil
+}
+
+func (r *rig) tryVM(id string, peers []string) *rigVM {
 	r.t.Helper()
 	s := settings.Default()
 	s.ID, s.Incarnation, s.Embedded = id, "p-"+id, false
@@ -158,10 +174,25 @@
 		}
 		stop()
 	})
-	r.vms = append(r.vms, vm)
 	return vm
 }
 
+// listens waits until the daemon listens, and reports whether it does.
+func (v *rigVM) listens() bool {
+	for {
+		select {
+		case <-v.ended:
+			return false
+		case <-time.After(10 * time.Millisecond):
+		}
+		conn, err := net.Dial("tcp", v.settings.Listen)
+		if err == nil {
+			_ = conn.Close()
+			return true
+		}
+	}
+}
+
 // until waits for a condition that must come.
 func (r *rig) until(what string, holds func() bool) {
 	r.t.Helper()
