--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -148,7 +147,8 @@
 		Services:   &effectiveServices{store: d.store, members: d.members, synced: d.syncer.Synced},
 		Resolver:   routing.NewRouteTable(ctx, d.directory),
 		Gate:       d.gates,
-		Policy:     retry.NewBudgetPolicy(d.settings.Retry.Budget, rand.Float64),
+		Policies:   &servicePolicies{settings: d.settings.Retry.Budget},
+		Prober:     &prober{clients: backend.NewControlClientsFrom(d.localIP)},
 		Claimer:    d.claims,
 		Quarantine: d.suspects,
 		Transport:  routing.NewTransportFrom(d.localIP, 0),
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -33,7 +33,8 @@
 	// Acquire waits for a permit at a server until ctx ends. It fails with a
 	// *fault.Error of kind Overloaded or QueueTimeout; nothing was sent then.
 	Acquire(ctx context.Context, server config.Server, class config.Class) (Permit, error)
-	// InFlight returns how many permits of a server are out, for the choice
-	// of the less loaded of two.
+	// InFlight returns how many permits of a server are out.
 	InFlight(server string) int
+	// Load returns how loaded a server is, for the choice of the less loaded of two.
+	Load(server string) float64
 }
--- a/internal/routing/forward_test.go
+++ b/internal/routing/forward_test.go
@@ -30,6 +30,17 @@
 	return openPermit{}, nil
 }
 func (openGate) InFlight(string) int { return 0 }
+func (openGate) Load(string) float64 { return 0 }
+
+// onePolicy is the policy of every service.
+type onePolicy struct{ retry.Policy }
+
+func (p onePolicy) For(string) retry.Policy { return p.Policy }
+
+// noProber takes no server for lost.
+type noProber struct{}
+
+func (noProber) Lost(Target) bool { return false }
 
 type openPermit struct{}
 
@@ -96,7 +107,7 @@
 	}
 	resolver := &fixedResolver{server: server}
 	handler := NewHandler(Parts{
-		Services: oneService{service}, Resolver: resolver, Gate: openGate{}, Policy: policy,
+		Services: oneService{service}, Resolver: resolver, Gate: openGate{}, Policies: onePolicy{policy}, Prober: noProber{},
 		Claimer: noClaims{}, Quarantine: retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now),
 		Transport: NewTransport(0), Canceler: noCancel{}, Deferrals: noDeferrals{},
 		Decisions: logging.NewDecisions(metrics.NewRegistry()), Registry: metrics.NewRegistry(),
--- a/internal/routing/handler.go
+++ b/internal/routing/handler.go
@@ -24,12 +24,25 @@
 	Cancel(address, requestID string)
 }
 
+// Policies gives the retry policy of a service: one service's outage must not
+// spend the budget of another.
+type Policies interface {
+	For(service string) retry.Policy
+}
+
+// Prober tells whether a server whose connection broke is down, or came back as
+// another start, rather than having closed a connection.
+type Prober interface {
+	Lost(target Target) bool
+}
+
 // Parts are what a Handler works with. All are needed.
 type Parts struct {
 	Services   Services
 	Resolver   Resolver
 	Gate       limits.Gate
-	Policy     retry.Policy
+	Policies   Policies
+	Prober     Prober
 	Claimer    retry.Claimer
 	Quarantine retry.Quarantine
 	Transport  *Transport
--- a/internal/routing/run.go
+++ b/internal/routing/run.go
@@ -25,8 +25,10 @@
 	request     *http.Request
 	writer      http.ResponseWriter
 	fingerprint uint64
-	maybeSent   bool   // an earlier attempt may have run
-	refusal     string // why the last server that refused did not start the request
+	maybeSent   bool      // an earlier attempt may have run
+	sentAt      time.Time // of the last attempt
+	headAt      time.Time // when its answer began, or failed
+	refusal     string    // why the last server that refused did not start the request
 }
 
 func (r *run) computeFingerprint() uint64 {
@@ -40,7 +42,7 @@
 	for number := 1; ; number++ {
 		err := r.attempt(ctx, number)
 		if err == nil {
-			r.handler.Policy.Succeeded()
+			r.handler.Policies.For(r.call.service.Name).Succeeded()
 			return nil
 		}
 		if fault.AnswerFor(err.Kind).Outcome == fault.Unknown {
@@ -65,8 +67,11 @@
 	if err.Kind == fault.AnswerCut {
 		return false // the caller has the beginning of this answer
 	}
+	if err.Kind == fault.Overloaded && r.call.key != "" {
+		return false // the owner's queue is full here; another try would only join it again
+	}
 	deadline, _ := ctx.Deadline()
-	again, wait := r.handler.Policy.Next(retry.Attempt{
+	again, wait := r.handler.Policies.For(r.call.service.Name).Next(retry.Attempt{
 		Number:     number,
 		Idempotent: r.call.idempotent,
 		Kind:       err.Kind,
@@ -103,12 +108,21 @@
 	began := time.Now()
 	err = r.sendBounded(ctx, target)
 	took := time.Since(began)
-	permit.Done(limitResult(err), took)
+	permit.Done(limitResult(err), r.serverTook(took))
 	r.logAttempt(number, target, err, took)
 	r.learn(target, err)
 	return err
 }
 
+// serverTook returns the time until the answer began: what follows depends on the
+// answer's length and on how fast the caller reads.
+func (r *run) serverTook(whole time.Duration) time.Duration {
+	if r.headAt.IsZero() {
+		return whole
+	}
+	return r.headAt.Sub(r.sentAt)
+}
+
 func (r *run) target(ctx context.Context) (Target, *fault.Error) {
 	if r.call.key == "" {
 		return r.handler.chooser.choose(r.call.service)
@@ -143,7 +157,9 @@
 	guard := func() bool {
 		return ctx.Err() == nil && (!target.HasKey || r.handler.Resolver.Confirm(target))
 	}
+	r.sentAt, r.headAt = time.Now(), time.Time{}
 	resp, sent, err := r.handler.Transport.send(req, guard)
+	r.headAt = time.Now()
 	if err != nil {
 		return r.sendFault(ctx, target, sent, err)
 	}
@@ -224,7 +240,9 @@
 	case fault.ConnectionLost, fault.AnswerCut:
 		start := r.handler.chooser.startOf(target)
 		r.handler.chooser.failed(target.Server.ID)
-		r.handler.Quarantine.ServerLost(r.call.service.Name, r.fingerprint, start)
+		if r.handler.Prober.Lost(target) {
+			r.handler.Quarantine.ServerLost(r.call.service.Name, r.fingerprint, start)
+		}
 	}
 }
 
@@ -268,8 +286,8 @@
 	return fault.Wrap(fault.Internal, err, "unexpected error before the send")
 }
 
-// chooser picks a server for requests without a key: the one with fewer of
-// this VM's requests out, of two picked at random.
+// chooser picks a server for requests without a key: the less loaded, as this VM
+// sees it, of two picked at random.
 type chooser struct {
 	gate   limits.Gate
 	health *healthTracker
@@ -305,7 +323,7 @@
 	}
 	a := usable[rand.IntN(len(usable))]
 	b := usable[rand.IntN(len(usable))]
-	if c.gate.InFlight(b.ID)*a.Slots < c.gate.InFlight(a.ID)*b.Slots {
+	if c.gate.Load(b.ID) < c.gate.Load(a.ID) {
 		a = b
 	}
 	return Target{Server: a}, nil
