Idle cost: route leases only where needed, suspects by turns each 2 s, fewer ticks

Cause: profiles of six idle daemons (small cluster, 6 groups of 80 slots): small HTTP calls and wakeups. Every VM renewed a 500 ms route lease of every group, also of servers that check, which need none; suspects were exchanged five times a second although losses are pushed at once.

--- a/internal/daemon/groups.go
+++ b/internal/daemon/groups.go
@@ -24,7 +24,7 @@
 
 const (
 	keepersPerGroup = 3                      // keeper, standby, and the one that follows them
-	manageInterval  = 100 * time.Millisecond // how late a change of VMs or records reaches the groups
+	manageInterval  = 250 * time.Millisecond // how late a change of VMs or records reaches the groups
 	planInterval    = time.Second            // of placement decisions
 )
 
@@ -213,12 +213,17 @@
 // sake of balance is worth that.
 func (g *Groups) settingsFor(service *config.Service) placement.Settings {
 	settings := g.placement
-	if slices.ContainsFunc(service.Servers, func(s config.Server) bool { return !s.Checks }) {
+	if hasUnchecked(service) {
 		settings.MoveBudget = 0
 	}
 	return settings
 }
 
+// hasUnchecked reports whether a service has a server that does not check grants.
+func hasUnchecked(service *config.Service) bool {
+	return slices.ContainsFunc(service.Servers, func(s config.Server) bool { return !s.Checks })
+}
+
 // mayPlan reports whether wanted owners can be worked out here: by the keeper,
 // who knows the present ones, or for a group that has none yet. A plan made
 // without the present owners would move most slots after a change of keeper.
@@ -324,6 +329,9 @@
 		run.rates.report(g.env.Clock(), from.ID, request.GetLoads())
 		run.rates.reportDraining(g.env.Clock(), request.GetDraining())
 	}
+	if service, ok := g.store.Service(run.id.Service); ok && !hasUnchecked(service) {
+		routes.Lease = 0 // nobody needs it, and a VM would renew it all the time
+	}
 	return encodeRoutes(routes, request.GetKnownVersion()), nil
 }
 
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/spf13/cobra"
@@ -22,6 +23,11 @@
 	exitUsage  = 2 // wrong arguments or settings
 )
 
+const (
+	gcPercent        = 400
+	memoryLimitBytes = 100 << 20 // soft: beyond it the collector runs as often as needed
+)
+
 // Main runs the daemon's command line and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
 	code := exitOK
@@ -76,6 +82,10 @@
 func run(s *settings.Settings, stdout, stderr io.Writer) int {
 	var level slog.Level
 	_ = level.UnmarshalText([]byte(s.LogLevel)) // validated with the settings
+	// A small heap is collected too often at the default; the limit keeps the
+	// process below the 128 MB that a VM may spend on control.
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(memoryLimitBytes)
 	flush := logging.Setup(stdout, level)
 	defer flush()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	memberTick       = 50 * time.Millisecond // granularity of pings and suspicion
-	listInterval     = time.Second           // of reads of the platform's VM list
+	memberTick       = 100 * time.Millisecond // granularity of pings and suspicion
+	listInterval     = time.Second            // of reads of the platform's VM list
 	listTimeout      = 2 * time.Second
 	pingTimeout      = 250 * time.Millisecond
 	memberInboxItems = 4096
--- a/internal/daemon/suspects.go
+++ b/internal/daemon/suspects.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// suspectsInterval is how often a VM exchanges suspects with one other.
-	suspectsInterval = 200 * time.Millisecond
+	// suspectsInterval is how often a VM exchanges suspects with one other, for
+	// those that a loss was not told to at once.
+	suspectsInterval = 2 * time.Second
 	// suspectsPush is how many VMs are told at once when a server was lost. With
 	// as many VMs as a region of today has, all of them: the caller may send its
 	// request again through any.
