Empty bodies are neither probed nor chunked

Cause: the allocation profile of the path; an empty body that must not be NoBody made net/http probe it on a goroutine of its own and send an empty POST as chunked. Change: identity encoding for empty bodies.

--- a/internal/routing/forward_test.go
+++ b/internal/routing/forward_test.go
@@ -357,3 +357,22 @@
 		t.Errorf("caller saw %v", resp.Header)
 	}
 }
+
+func TestEmptyBodyIsNotSentAsChunked(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		var encodings []string
+		address, _ := rawServer(t, func(conn net.Conn, req *http.Request, _ int64) bool {
+			encodings = req.TransferEncoding
+			answerOK(conn, "ran")
+			return true
+		})
+		r := newRig(t, address, retry.NoRetry{})
+		resp, body, err := r.do(t, method, "/shop/x", "")
+		if err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatalf("%s: %v, %v: %s", method, resp, err, body)
+		}
+		if len(encodings) > 0 {
+			t.Errorf("%s: the server read transfer encoding %v", method, encodings)
+		}
+	}
+}
--- a/internal/routing/run.go
+++ b/internal/routing/run.go
@@ -184,6 +184,11 @@
 	}
 	req.GetBody = nil // see Transport
 	req.ContentLength = r.body.length
+	if r.body.length == 0 {
+		// Keeps net/http from probing the body for a first byte on a goroutine of
+		// its own, and from sending an empty POST as chunked.
+		req.TransferEncoding = []string{"identity"}
+	}
 	req.Header = requestHeader(r.request.Header, r.call, target, time.Until(deadline))
 	req.Host = r.request.Host
 	return req, nil
