--- a/internal/routing/routes.go
+++ b/internal/routing/routes.go
@@ -84,15 +84,14 @@
 			found.target.Group = name
 			return found.target, nil
 		}
-		group.waiting.Add(1)
 		if found.state == routeOutdated {
 			group.kick()
+		} else {
+			group.awaitMove()
 		}
 		select {
 		case <-changed:
-			group.waiting.Add(-1)
 		case <-ctx.Done():
-			group.waiting.Add(-1)
 			return Target{}, fault.New(fault.NoOwner, "slot %d of service %q has no owner now: send the request again", slot, service.Name)
 		}
 	}
@@ -165,9 +164,9 @@
 	name       string
 	source     RouteSource
 	snapshot   atomic.Pointer[routeSnapshot]
-	kicks      chan struct{}
-	used       atomic.Int64 // Unix nanoseconds of the last use
-	waiting    atomic.Int64 // requests that wait for a route
+	kicks      chan struct{} // ask at once
+	moves      chan struct{} // a request waits for a slot's new owner
+	used       atomic.Int64  // Unix nanoseconds of the last use
 	mu         sync.Mutex
 	changed    chan struct{}        // closed when a refresh ends
 	distrusted map[uint32]time.Time // a server refused the route at that time
@@ -181,6 +180,7 @@
 		name:       name,
 		source:     source,
 		kicks:      make(chan struct{}, 1),
+		moves:      make(chan struct{}, 1),
 		changed:    make(chan struct{}),
 		distrusted: map[uint32]time.Time{},
 		counts:     map[uint32]int{},
@@ -256,18 +256,25 @@
 	}
 }
 
+// awaitMove has the keeper asked again soon.
+func (g *groupRoutes) awaitMove() {
+	select {
+	case g.moves <- struct{}{}:
+	default:
+	}
+}
+
 func (g *groupRoutes) refreshWhileUsed(ctx context.Context) {
 	for {
 		wait := g.refresh(ctx)
-		if g.waiting.Load() > 0 {
-			wait = min(wait, movingRefresh)
-		}
 		if !pauseFor(ctx, minRefreshInterval) {
 			return
 		}
 		timer := time.NewTimer(wait)
 		select {
 		case <-g.kicks:
+		case <-g.moves:
+			pauseFor(ctx, movingRefresh)
 		case <-timer.C:
 		case <-ctx.Done():
 		}
