--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"kumquatcleat/internal/standin"
+	"kumquatcleat/internal/wait"
 )
 
 // load sends a schedule's calls at their times, whether or not earlier ones were
@@ -131,14 +132,7 @@
 	if left <= 0 {
 		return ctx.Err() == nil
 	}
-	timer := time.NewTimer(left)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.For(ctx, left)
 }
 
 // settleTime lets runs that servers still hold reach their records.
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"kumquatcleat/internal/wait"
 	"net"
 	"net/http"
 	"sync"
@@ -113,7 +114,7 @@
 	_ = c.listener.Close()
 	defer func() { _ = c.server.Close() }()
 	for c.busy(time.Now()) {
-		if !sleep(ctx, finishPoll) {
+		if !wait.For(ctx, finishPoll) {
 			return ctx.Err()
 		}
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"kumquatcleat/internal/retry"
 	"kumquatcleat/internal/routing"
 	"kumquatcleat/internal/settings"
+	"kumquatcleat/internal/wait"
 )
 
 const (
@@ -228,7 +229,7 @@
 }
 
 func (d *Daemon) announceReady(ctx context.Context) {
-	for sleep(ctx, memberTick) {
+	for wait.For(ctx, memberTick) {
 		if d.notReady() == "" {
 			slog.Info("daemon: ready", "vm", d.self.String())
 			return
@@ -244,7 +245,7 @@
 	slog.Info("daemon: stopping", "in_flight", d.handler.InFlight())
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.ShutdownGrace())
 	defer cancel()
-	_ = sleep(ctx, min(noticeTime, d.settings.ShutdownGrace()))
+	_ = wait.For(ctx, min(noticeTime, d.settings.ShutdownGrace()))
 	d.handOver(ctx)
 	err := d.callers.finish(ctx)
 	if err != nil {
--- a/internal/daemon/deferrals.go
+++ b/internal/daemon/deferrals.go
@@ -9,6 +9,7 @@
 	"kumquatcleat/internal/ownership"
 	"kumquatcleat/internal/platform"
 	"kumquatcleat/internal/retry"
+	"kumquatcleat/internal/wait"
 )
 
 // deferredInterval is how late deferred work starts after it was accepted; each
@@ -29,7 +30,7 @@
 }
 
 func (d *deferredWorkers) loop(ctx context.Context) {
-	for sleep(ctx, deferredInterval) {
+	for wait.For(ctx, deferredInterval) {
 		for _, service := range d.store.Services() {
 			if defers(service) {
 				d.step(ctx, service)
--- a/internal/daemon/groups.go
+++ b/internal/daemon/groups.go
@@ -20,6 +20,7 @@
 	"kumquatcleat/internal/ownership"
 	"kumquatcleat/internal/peer"
 	"kumquatcleat/internal/placement"
+	"kumquatcleat/internal/wait"
 )
 
 const (
@@ -88,7 +89,7 @@
 
 // Run starts and stops drivers until ctx ends.
 func (g *Groups) Run(ctx context.Context) {
-	for sleep(ctx, manageInterval) {
+	for wait.For(ctx, manageInterval) {
 		roster := g.members.Roster()
 		g.startWanted(ctx, roster)
 		for _, run := range g.runs() {
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -14,6 +14,7 @@
 	"kumquatcleat/internal/peer"
 	"kumquatcleat/internal/platform"
 	"kumquatcleat/internal/ring"
+	"kumquatcleat/internal/wait"
 )
 
 const (
@@ -121,7 +122,7 @@
 func (m *Members) readListForever(ctx context.Context) {
 	for {
 		m.readList(ctx)
-		if !sleep(ctx, listInterval) {
+		if !wait.For(ctx, listInterval) {
 			return
 		}
 	}
@@ -225,7 +226,7 @@
 		for _, address := range m.seeds {
 			m.askSeed(ctx, address)
 		}
-		if !sleep(ctx, listInterval) {
+		if !wait.For(ctx, listInterval) {
 			return
 		}
 	}
@@ -306,15 +307,3 @@
 	}
 	return next
 }
-
-// sleep waits and reports whether ctx is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/routing/handler.go
+++ b/internal/routing/handler.go
@@ -17,6 +17,7 @@
 	"kumquatcleat/internal/limits"
 	"kumquatcleat/internal/logging"
 	"kumquatcleat/internal/retry"
+	"kumquatcleat/internal/wait"
 )
 
 // Canceler tells a server that nobody waits for a request any more.
@@ -186,7 +187,7 @@
 	for number := 1; ; number++ {
 		id := requestID + "/" + strconv.Itoa(number)
 		once, verdict, err := h.Claimer.Claim(ctx, group, key, id)
-		if verdict != retry.ClaimRefused || number == claimTries || !pauseFor(ctx, claimPause) {
+		if verdict != retry.ClaimRefused || number == claimTries || !wait.For(ctx, claimPause) {
 			return once, verdict, err
 		}
 	}
--- a/internal/routing/routes.go
+++ b/internal/routing/routes.go
@@ -11,6 +11,7 @@
 	"kumquatcleat/internal/backend"
 	"kumquatcleat/internal/config"
 	"kumquatcleat/internal/fault"
+	"kumquatcleat/internal/wait"
 )
 
 const (
@@ -266,15 +267,15 @@
 
 func (g *groupRoutes) refreshWhileUsed(ctx context.Context) {
 	for {
-		wait := g.refresh(ctx)
-		if !pauseFor(ctx, minRefreshInterval) {
+		due := g.refresh(ctx)
+		if !wait.For(ctx, minRefreshInterval) {
 			return
 		}
-		timer := time.NewTimer(wait)
+		timer := time.NewTimer(due)
 		select {
 		case <-g.kicks:
 		case <-g.moves:
-			pauseFor(ctx, movingRefresh)
+			wait.For(ctx, movingRefresh)
 		case <-timer.C:
 		case <-ctx.Done():
 		}
@@ -286,17 +287,6 @@
 	}
 }
 
-func pauseFor(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // refresh asks the keeper once and returns how long the answer is good for.
 func (g *groupRoutes) refresh(ctx context.Context) time.Duration {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
