Groups are started by the VMs that should keep them

Cause: 19 s after the start of the Fellowship's cluster, 4 of 12 groups were kept outside their home domain, and stayed so: a VM knew the starts of few others, took itself for the first candidate of every group, and never met the ones to hand over to. At 7,300 VMs every VM would have run every group. Change: whether a VM runs a group is decided on all listed VMs; a keeper has the first candidates pinged whose starts it does not know.

--- a/internal/daemon/groups.go
+++ b/internal/daemon/groups.go
@@ -113,7 +113,9 @@
 		return
 	}
 	for name, keepers := range roster.Groups {
-		if !isCandidate(keepers.Candidates, g.self) {
+		// All listed VMs count here: one that knows few of the others' starts
+		// would otherwise take itself for the first in every group.
+		if !isCandidate(keepers.Askable, g.self) {
 			continue
 		}
 		g.mu.Lock()
@@ -155,6 +157,9 @@
 	if status, err := run.driver.Status(ctx); err == nil {
 		g.claims.Follow(ctx, run.id.String(), status)
 		g.mention(ctx, status, roster)
+		if status.Keeper == g.self {
+			g.members.Meet(ctx, keepers.Askable[:min(keepersPerGroup, len(keepers.Askable))])
+		}
 	}
 	now := g.env.Clock()
 	if run.planned != 0 && now-run.planned < planInterval {
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -211,6 +212,16 @@
 	})
 }
 
+// Meet has the VMs pinged whose starts are not known: a keeper can hand its role
+// only to a VM whose start it knows.
+func (m *Members) Meet(ctx context.Context, refs []ownership.VMRef) {
+	for _, ref := range refs {
+		if !strings.Contains(ref.Incarnation, startSeparator) {
+			m.inbox.Put(ctx, func(time.Duration) { go m.pingListed(ctx, ref.ID) })
+		}
+	}
+}
+
 // pingListed pings a VM that the list names, to learn its start.
 func (m *Members) pingListed(ctx context.Context, id string) {
 	address, ok := m.starts.address(id)
