The outage lease is given back once the table has settled

Cause: with a slow table the keeper gave the lease back at each read in time and asked again at the next late one, every 0.4 s; after each return a move by lapse waits one lease more, so that moves by lapse did not end. Ruled out: the row's writes, which took a second at most; leaving out that lease, which a seeded bug shows to give two owners. The tests' worlds return at once, as before, so that their histories show the same seeded bugs. Also: the last decision lines are written before the process ends.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -85,10 +86,9 @@
 	d.decisions = logging.NewDecisions(d.registry)
 	d.clients = peer.NewClients(host)
 	d.provisionOwnership()
-	if err := d.provisionRequestPath(); err != nil {
-		return nil, err
-	}
-	return d, d.provisionServers()
+	d.provisionRequestPath()
+	d.provisionServers()
+	return d, nil
 }
 
 func (d *Daemon) provisionOwnership() {
@@ -125,21 +125,19 @@
 	d.directory.claims = d.claims
 }
 
-func (d *Daemon) provisionRequestPath() error {
+func (d *Daemon) provisionRequestPath() {
 	vms := func() int { return max(1, len(d.members.Roster().VMs)) }
 	d.gates = limits.New(d.settings.Limits, vms, time.Now)
 	d.suspects = newSuspects(d.self, retry.NewQuarantine(d.settings.Retry.Quarantine, time.Now), d.members, d.clients)
 	d.canceler = newCanceler(backend.NewControlClientsFrom(d.localIP))
-	return nil
 }
 
-func (d *Daemon) provisionServers() error {
+func (d *Daemon) provisionServers() {
 	mux := http.NewServeMux()
 	d.operatorRoutes(mux)
 	mux.Handle(peer.PeerPathPrefix, peer.NewPeerServer(&peerService{daemon: d}))
 	d.peers = &http.Server{Addr: d.settings.PeerListen, Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
 	d.callers = newCallerServer(d.settings.Listen)
-	return nil
 }
 
 // serveCallers builds the request path, whose goroutines end with ctx.
@@ -174,7 +172,11 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	duties, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
-	defer cancel()
+	var decisions sync.WaitGroup
+	defer func() {
+		cancel()
+		decisions.Wait() // the last lines are written before the process ends
+	}()
 	if err := d.serveCallers(duties); err != nil {
 		return err
 	}
@@ -185,7 +187,7 @@
 	if err := d.callers.start(failed); err != nil {
 		return err
 	}
-	go d.decisions.Run(duties)
+	decisions.Go(func() { d.decisions.Run(duties) })
 	go d.members.Run(duties)
 	go d.groups.Run(duties)
 	go d.canceler.run(duties)
--- a/internal/ownership/explore_test.go
+++ b/internal/ownership/explore_test.go
@@ -22,6 +22,7 @@
 	RowRead:         unit,
 	Promise:         2 * unit,
 	OutageLease:     6 * unit,
+	TableSettled:    -1, // every return comes as early as it can
 	RouteLease:      unit,
 	Heartbeat:       unit,
 	KeeperSilence:   2 * unit,
--- a/internal/ownership/outage.go
+++ b/internal/ownership/outage.go
@@ -32,6 +32,8 @@
 	stepSince Instant // when its ask, or its first confirm, was sent
 	nextSend  Instant
 
+	freshSince Instant // since when the table has answered in time
+
 	right Instant // the standby gives the right to decide before this
 
 	confirmed    uint64  // highest number of a confirm sent
@@ -57,11 +59,15 @@
 func (r *Replica) advanceOutage() {
 	o := &r.keeper.outage
 	r.endHoldOverByTime()
-	if r.tableFresh() {
+	fresh := r.tableFresh()
+	if !fresh {
+		o.freshSince = r.now
+	}
+	if fresh && r.now >= o.freshSince+r.timing.TableSettled {
 		r.returnOutageLease()
 		return
 	}
-	if r.canAsk() {
+	if !fresh && r.canAsk() {
 		r.advanceExchange(o)
 	}
 	if o.holdOverOut {
--- a/internal/ownership/timing.go
+++ b/internal/ownership/timing.go
@@ -5,11 +5,16 @@
 // Timing holds the durations of the ownership protocol. A zero field stands for
 // the value in DefaultTiming.
 type Timing struct {
-	Lease         time.Duration // a server's lease
-	RowRight      time.Duration // how long a read of the row gives the keeper its right (L)
-	RowRead       time.Duration // interval of the keeper's and the standby's reads
-	Promise       time.Duration // a standby's short promise
-	OutageLease   time.Duration // a confirmed outage lease
+	Lease       time.Duration // a server's lease
+	RowRight    time.Duration // how long a read of the row gives the keeper its right (L)
+	RowRead     time.Duration // interval of the keeper's and the standby's reads
+	Promise     time.Duration // a standby's short promise
+	OutageLease time.Duration // a confirmed outage lease
+	// TableSettled is how long the table must answer in time before an outage lease
+	// is given back. After each return a move by lapse waits one lease more: with a
+	// table that is merely slow, a lease given back at each answer in time and asked
+	// for again at the next would hold such moves up for as long as that lasts.
+	TableSettled  time.Duration
 	RouteLease    time.Duration // right of a VM to send to servers that do not check
 	Heartbeat     time.Duration // interval of the keeper's messages to its standby
 	KeeperSilence time.Duration // silence after which the standby takes the keeper for lost
@@ -61,6 +66,7 @@
 	RowRead:         400 * time.Millisecond,
 	Promise:         400 * time.Millisecond,
 	OutageLease:     3 * time.Minute,
+	TableSettled:    3 * time.Second,
 	RouteLease:      500 * time.Millisecond,
 	Heartbeat:       200 * time.Millisecond,
 	KeeperSilence:   time.Second,
@@ -83,6 +89,7 @@
 		{&t.RowRead, d.RowRead},
 		{&t.Promise, d.Promise},
 		{&t.OutageLease, d.OutageLease},
+		{&t.TableSettled, d.TableSettled},
 		{&t.RouteLease, d.RouteLease},
 		{&t.Heartbeat, d.Heartbeat},
 		{&t.KeeperSilence, d.KeeperSilence},
--- a/internal/ownership/world_test.go
+++ b/internal/ownership/world_test.go
@@ -20,6 +20,7 @@
 	RowRead:         unit,
 	Promise:         3 * unit,
 	OutageLease:     14 * unit,
+	TableSettled:    -1, // every return comes as early as it can
 	RouteLease:      2 * unit,
 	Heartbeat:       unit,
 	KeeperSilence:   4 * unit,
