The wait for a settled table is a setting like the other durations

Cause: the settings' test compares every duration of the ownership protocol with its default and found the new one at zero; the protocol then used its default.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -51,7 +51,10 @@
 	RowReadMS     int64 `json:"row_read_ms"`
 	PromiseMS     int64 `json:"promise_ms"`
 	OutageLeaseMS int64 `json:"outage_lease_ms"`
-	RouteLeaseMS  int64 `json:"route_lease_ms"`
+	// TableSettledMS is how long the table must answer in time before a keeper
+	// gives its outage lease back.
+	TableSettledMS int64 `json:"table_settled_ms"`
+	RouteLeaseMS   int64 `json:"route_lease_ms"`
 	// HeartbeatMS is the interval of a keeper's messages to its standby.
 	HeartbeatMS int64 `json:"heartbeat_ms"`
 	// KeeperSilenceMS is the silence after which a standby takes its keeper for lost.
@@ -110,6 +113,7 @@
 		RowRead:         milliseconds(t.RowReadMS),
 		Promise:         milliseconds(t.PromiseMS),
 		OutageLease:     milliseconds(t.OutageLeaseMS),
+		TableSettled:    milliseconds(t.TableSettledMS),
 		RouteLease:      milliseconds(t.RouteLeaseMS),
 		Heartbeat:       milliseconds(t.HeartbeatMS),
 		KeeperSilence:   milliseconds(t.KeeperSilenceMS),
@@ -128,6 +132,7 @@
 		RowReadMS:         t.RowRead.Milliseconds(),
 		PromiseMS:         t.Promise.Milliseconds(),
 		OutageLeaseMS:     t.OutageLease.Milliseconds(),
+		TableSettledMS:    t.TableSettled.Milliseconds(),
 		RouteLeaseMS:      t.RouteLease.Milliseconds(),
 		HeartbeatMS:       t.Heartbeat.Milliseconds(),
 		KeeperSilenceMS:   t.KeeperSilence.Milliseconds(),
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -113,6 +113,7 @@
 	c.between("timing.row_read_ms", t.RowReadMS, minTimingMS, maxTimingMS, "milliseconds")
 	c.between("timing.promise_ms", t.PromiseMS, minTimingMS, maxTimingMS, "milliseconds")
 	c.between("timing.outage_lease_ms", t.OutageLeaseMS, minTimingMS, maxTimingMS, "milliseconds")
+	c.between("timing.table_settled_ms", t.TableSettledMS, minTimingMS, maxTimingMS, "milliseconds")
 	c.between("timing.route_lease_ms", t.RouteLeaseMS, minTimingMS, maxTimingMS, "milliseconds")
 	c.between("timing.heartbeat_ms", t.HeartbeatMS, minTimingMS, maxTimingMS, "milliseconds")
 	c.between("timing.keeper_silence_ms", t.KeeperSilenceMS, t.HeartbeatMS, maxTimingMS, "milliseconds (the lower bound is timing.heartbeat_ms)")
