Servers are ranked by the worth that their answers are expected to have

Change: a server's rank is the expected loss of worth: the probability that its answer comes after the route's objective, which is now read from the configuration, the cost of another domain, and failures. A request leaves its domain where the near answer would probably be late.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -15,9 +15,9 @@
 // Settings of a balancer.
 type Settings struct {
 	FailureDomain string
-	// CrossDomainPenalty is the expected time that a server of another failure
-	// domain has to save before it is preferred: its answer's bytes are paid for.
-	CrossDomainPenalty time.Duration
+	// CrossDomainCost is the share of a request's worth that its bytes between
+	// failure domains cost.
+	CrossDomainCost float64
 	// InitialService is the service time taken for a service without answers yet.
 	InitialService time.Duration
 	// MaxQueue is how many requests a slot of a server, counted over all VMs, may
@@ -92,8 +92,9 @@
 	Full     bool          // it would probably reject the request
 }
 
-// Choose returns the best of a few servers, or false when there is none.
-func (b *Balancer) Choose(now time.Time, servers []*registry.Server, excluded func(*registry.Server) bool) (Choice, bool) {
+// Choose returns the best of a few servers for a request whose answer should come
+// within its objective, or false when there is none.
+func (b *Balancer) Choose(now time.Time, servers []*registry.Server, objective time.Duration, excluded func(*registry.Server) bool) (Choice, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var near, far []*registry.Server
@@ -108,14 +109,14 @@
 		}
 	}
 	best, score, found := Choice{}, math.Inf(1), false
-	consider := func(list []*registry.Server, most int, penalty time.Duration) {
+	consider := func(list []*registry.Server, most int, cost float64) {
 		for range min(most, len(list)) {
 			i := rand.IntN(len(list))
 			s := list[i]
 			list[i] = list[len(list)-1]
 			list = list[:len(list)-1]
 			c := b.judge(now, s)
-			rank := (c.Expected + penalty).Seconds() + b.doubt(now, s)
+			rank := cost + expectedLoss(c.Expected, objective) + b.doubt(now, s)
 			if c.Full {
 				rank += fullRank
 			}
@@ -126,31 +127,57 @@
 	}
 	consider(near, choices, 0)
 	farChoices := choices - 1
-	if len(near) == 0 || best.Full || b.doubt(now, best.Server) >= pausedDoubt {
+	if len(near) == 0 || best.Full || b.doubt(now, best.Server) >= pausedLoss {
 		farChoices = len(far)
 	}
-	consider(far, farChoices, b.settings.CrossDomainPenalty)
+	consider(far, farChoices, b.settings.CrossDomainCost)
 	return best, found
 }
 
+// Losses are shares of a request's worth.
 const (
-	fullRank    = 60.0 // seconds: behind every server that is not full
-	pausedDoubt = 30.0 // seconds: behind every server that connections reach
+	fullRank    = 60.0 // behind every server that is not full
+	pausedLoss  = 30.0 // behind every server that connections reach
 	forgiven    = 0.02 // share of failures that no longer counts
-	failureCost = 0.5  // seconds that a failed attempt costs a caller
+	failureLoss = 0.7  // of a failed attempt: some of them are repeated in time
+	lateLoss    = 0.7  // of an answer after its objective: late ones earn 0.3
+	// hasteLoss prefers the faster of two servers that both answer in time.
+	hasteLoss = 0.05
+	// workSpread is the standard deviation of the logarithm of answers' times, where
+	// the users' kinds of work have 0.5 to 0.8.
+	workSpread = 0.6
 )
 
-// doubt is the time that failures of a server are expected to cost, in seconds.
+// expectedLoss is what lateness is expected to cost of an answer whose time is
+// log-normal about its mean.
+func expectedLoss(mean, objective time.Duration) float64 {
+	if objective <= 0 {
+		objective = defaultObjective
+	}
+	ratio := mean.Seconds() / objective.Seconds()
+	if ratio <= 0 {
+		return 0
+	}
+	// The median lies below the mean by half of the variance, in logarithms.
+	deviation := (math.Log(ratio) - workSpread*workSpread/2) / workSpread
+	late := math.Erfc(-deviation/math.Sqrt2) / 2
+	return lateLoss*late + hasteLoss*ratio
+}
+
+// defaultObjective stands in where a route tells none.
+const defaultObjective = 500 * time.Millisecond
+
+// doubt is what failures of a server are expected to cost.
 func (b *Balancer) doubt(now time.Time, s *registry.Server) float64 {
 	st := b.stats(s)
 	if now.Before(st.pausedUntil) {
-		return pausedDoubt
+		return pausedLoss
 	}
 	failing := st.failing * math.Exp(-now.Sub(st.failingAt).Seconds()/failureMemory.Seconds())
 	if failing < forgiven {
 		return 0
 	}
-	return failureCost * failing
+	return failureLoss * failing
 }
 
 // Judge returns what is expected of one server.
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -12,10 +12,12 @@
 
 var start = time.Unix(1000, 0)
 
+const testObjective = 300 * time.Millisecond
+
 func none(*registry.Server) bool { return false }
 
 func newTest() *Balancer {
-	return New(Settings{FailureDomain: "a", CrossDomainPenalty: 30 * time.Millisecond, InitialService: 100 * time.Millisecond, MaxQueue: 4})
+	return New(Settings{FailureDomain: "a", CrossDomainCost: 0.05, InitialService: 100 * time.Millisecond, MaxQueue: 4})
 }
 
 func servers(domains ...string) []*registry.Server {
@@ -35,7 +37,7 @@
 func shares(b *Balancer, now time.Time, list []*registry.Server, rounds int) map[string]float64 {
 	counts := map[string]float64{}
 	for range rounds {
-		if c, ok := b.Choose(now, list, none); ok {
+		if c, ok := b.Choose(now, list, testObjective, none); ok {
 			counts[c.Server.ID] += 1 / float64(rounds)
 		}
 	}
@@ -156,7 +158,7 @@
 		return total / requests, counts
 	}
 	chosen, counts := run(func(b *Balancer, now time.Time, list []*registry.Server) *registry.Server {
-		c, _ := b.Choose(now, list, none)
+		c, _ := b.Choose(now, list, testObjective, none)
 		return c.Server
 	})
 	random, _ := run(func(_ *Balancer, _ time.Time, list []*registry.Server) *registry.Server {
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -86,7 +86,7 @@
 // untried returns the best server that this request was not sent to yet.
 func (r *run) untried() (balance.Choice, bool) {
 	tried := func(s *registry.Server) bool { return slices.Contains(r.tried, s) }
-	return r.core.Balancer.Choose(time.Now(), r.core.Registry.Usable(r.service.Name), tried)
+	return r.core.Balancer.Choose(time.Now(), r.core.Registry.Usable(r.service.Name), r.route.Objective, tried)
 }
 
 // admit refuses a request that would not be answered in time.
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -22,6 +22,8 @@
 	Prefix     string // begins and ends with a slash
 	Idempotent bool   // may run more than once
 	Targets    []Target
+	// Objective is the time within which an answer is worth its full credit; 0: not told.
+	Objective time.Duration
 	// Timeout bounds how long a caller is kept waiting.
 	Timeout     time.Duration
 	MaxAttempts int // servers that one request may be sent to
