Leases of keys of 1.7 s and a coordinator's of 1 s; successors look when it ends

What held the lease long was the time that a successor of the coordinator took: its lease of 1.4 s, and looks 0.75 to 1.25 s apart.

Ruled out: freeing keys sooner on refused connections (cuts refuse too); leaving out the link's queue (users count a VM as slowed only beyond half a second).

Change: the coordinator's lease is 1 s, renewed each 0.4 s by the time of sending; the two VMs that stand in look each 0.4 s and right when the lease ends that they know of. Leases of keys are 1.7 s, renewed each 0.4 s. The store counts as silent after 0.2 s, so that leases are lengthened before the right ends. It costs 2.2 calls a second more.

--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -47,7 +47,7 @@
 // keyspaceSettings derives the durations of leases from the platform's bound.
 func keyspaceSettings(s *Settings, keys uint32) keyspace.CoordinatorSettings {
 	return keyspace.CoordinatorSettings{
-		Lead: keyspace.LeadSettings{Lease: leadLease, Renew: leadRenew, DriftPerMill: driftPerMill},
+		Lead: keyspace.LeadSettings{Lease: leadLease, Renew: leadRenew, Strain: leadStrain, CallTimeout: leadCallTimeout, DriftPerMill: driftPerMill},
 		Timing: keyspace.Timing{
 			Hold: min(keyHold, seconds(s.HoldMaxS)), LongHold: min(longHold, seconds(s.HoldMaxS)),
 			Renew: keyRenew, Doubt: keyDoubt, Repeat: releaseRepeat, GiveUp: keyGiveUp,
@@ -67,19 +67,25 @@
 const (
 	// leadLease is shorter than what is left of keys' leases when a coordinator is
 	// lost, so that its successor renews them in time.
-	leadLease    = 1400 * time.Millisecond
-	leadRenew    = 500 * time.Millisecond
-	driftPerMill = 25 // a clock may run 2 % slow
+	leadLease = 1000 * time.Millisecond
+	leadRenew = 400 * time.Millisecond
+	// leadStrain leaves time to lengthen the leases of keys before the right ends.
+	leadStrain = 200 * time.Millisecond
+	// leadCallTimeout is above the answers of a store that is 95 times as slow as
+	// usual, 380 ms; with leadRenew it ends within the lease.
+	leadCallTimeout = 450 * time.Millisecond
+	driftPerMill    = 25 // a clock may run 2 % slow
 	// keyHold outlasts the coordinator's lease and its successor's start. A server
-	// that is lost without a word keeps its keys this long; with drift and the
-	// move they are served again within the 3 s that users allow.
-	keyHold = 2800 * time.Millisecond
+	// that is lost without a word keeps its keys this long; with the call that it
+	// left unanswered they are served again about 3 s after the loss.
+	keyHold = 1700 * time.Millisecond
 	// longHold spans outages of the store of about seven seconds. A coordinator that
 	// takes over has to take it for given on keys of servers that are silent.
-	longHold       = 6 * time.Second
-	keyRenew       = 500 * time.Millisecond
-	keyDoubt       = 250 * time.Millisecond
-	keyCallTimeout = 500 * time.Millisecond
+	longHold = 6 * time.Second
+	keyRenew = 400 * time.Millisecond
+	keyDoubt = 250 * time.Millisecond
+	// keyCallTimeout outlasts one lost packet, which is sent again after 200 ms.
+	keyCallTimeout = 350 * time.Millisecond
 	releaseRepeat  = 700 * time.Millisecond
 	keyGiveUp      = 900 * time.Millisecond
 	keySlack       = 50 * time.Millisecond
--- a/internal/keyspace/lead.go
+++ b/internal/keyspace/lead.go
@@ -18,8 +18,13 @@
 type LeadSettings struct {
 	// Lease is how long the right to coordinate lasts after the write that renewed it.
 	Lease time.Duration
-	// Renew is the interval of renewals.
+	// Renew is the interval at which renewals are sent.
 	Renew time.Duration
+	// Strain is how long an answer of the store may take before leases on keys are
+	// lengthened: the right may end before the next one.
+	Strain time.Duration
+	// CallTimeout is when a renewal without an answer is given up.
+	CallTimeout time.Duration
 	// DriftPerMill is how much slower a clock may run than another, in thousandths.
 	DriftPerMill int64
 }
@@ -105,15 +110,19 @@
 	}
 	for wait.For(ctx, pause) {
 		if l.isHeld() {
+			sent := l.clock()
 			l.renew(ctx)
-			pause = l.settings.Renew
+			pause = l.settings.Renew - (l.clock() - sent)
 			if !l.Held() {
 				pause = l.settings.Renew / 4
 			}
 			continue
 		}
-		l.look(ctx)
+		answered := l.look(ctx)
 		pause = l.lookInterval()
+		if !answered {
+			pause = max(pause, l.settings.Renew)
+		}
 	}
 }
 
@@ -126,25 +135,46 @@
 	return l.held
 }
 
-// lookInterval spaces the reads of the row: two VMs look often enough to take
-// over as soon as the lease is over, the rest stand in for both of these.
+// othersLook is how many renewals pass between looks of a VM that stands in only
+// for the two that look often.
+const othersLook = 40
+
+// lookInterval spaces the reads of the row: two VMs look often, and again as soon
+// as the lease that they know of is over; the rest stand in for both of these.
 func (l *Lead) lookInterval() time.Duration {
 	if l.isHeld() {
 		return l.settings.Renew
 	}
 	switch rank := l.rank(); {
-	case rank <= 1:
-		return l.settings.Renew * time.Duration(3+2*rank) / 2
+	case rank <= 1 && !l.resigned():
+		return min(l.settings.Renew, max(l.untilFree(), leastLook))
 	default:
-		return l.settings.Renew * 30
+		return l.settings.Renew * othersLook
 	}
 }
 
-// look reads the row and takes the right when nobody holds it.
-func (l *Lead) look(ctx context.Context) {
+// leastLook spaces looks at a row whose lease is over: it may just be renewed.
+const leastLook = 50 * time.Millisecond
+
+func (l *Lead) resigned() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.paused
+}
+
+// untilFree returns when the lease ends that is known of; it may be over.
+func (l *Lead) untilFree() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.seenAt + stretch(l.settings.Lease, l.settings.DriftPerMill) - l.clock() + time.Millisecond
+}
+
+// look reads the row and takes the right when nobody holds it. It reports whether
+// the store answered.
+func (l *Lead) look(ctx context.Context) (answered bool) {
 	row, err := l.store.Get(ctx, l.table, coordinatorKey)
 	if err != nil {
-		return // the view of the store logs that it does not answer
+		return false // the view of the store logs that it does not answer
 	}
 	now := l.clock()
 	l.mu.Lock()
@@ -163,6 +193,7 @@
 		l.mu.Unlock()
 		l.write(ctx, row.Version, "lead: this VM coordinates")
 	}
+	return true
 }
 
 // ownEarlier reports whether an earlier process of this VM coordinated: it has
@@ -193,15 +224,13 @@
 		slog.Error("lead: claim can't be encoded", "error", err.Error())
 		return
 	}
-	callCtx, cancel := context.WithTimeout(ctx, l.settings.Lease/3)
+	callCtx, cancel := context.WithTimeout(ctx, l.settings.CallTimeout)
 	defer cancel()
+	strain := time.AfterFunc(l.settings.Strain, l.noteStrain)
+	defer strain.Stop()
 	version, err := l.store.Commit(callCtx, []rows.Write{{Table: l.table, Key: coordinatorKey, Expect: expect, Value: value}})
-	l.mu.Lock()
-	l.strained = err != nil && !errors.Is(err, rows.ErrConflict)
-	if l.strained {
-		l.longAt = l.clock()
-	}
-	l.mu.Unlock()
+	strain.Stop()
+	l.noteAnswer(err == nil || errors.Is(err, rows.ErrConflict))
 	switch {
 	case err == nil:
 		l.won(version, sent)
@@ -217,6 +246,23 @@
 	}
 }
 
+// noteStrain begins a time in which long leases are given.
+func (l *Lead) noteStrain() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.strained, l.longAt = true, l.clock()
+}
+
+// noteAnswer takes in whether the store answered a claim.
+func (l *Lead) noteAnswer(answered bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.strained || !answered {
+		l.longAt = l.clock() // long leases were given until now
+	}
+	l.strained = !answered
+}
+
 func (l *Lead) won(version uint64, sent time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/keyspace/lead_test.go
+++ b/internal/keyspace/lead_test.go
@@ -60,7 +60,7 @@
 }
 
 func (r *leadRig) lead(vm string) *Lead {
-	s := LeadSettings{Lease: time.Second, Renew: 300 * time.Millisecond, DriftPerMill: 25}
+	s := LeadSettings{Lease: time.Second, Renew: 300 * time.Millisecond, Strain: time.Second, CallTimeout: time.Second, DriftPerMill: 25}
 	return NewLead(s, r.store, "lead", vm, "start-"+vm, func() time.Duration { return r.now }, func() int { return 0 })
 }
 
@@ -114,3 +114,26 @@
 		t.Fatalf("%v; a right that was held past all long leases is handed over", err)
 	}
 }
+
+// A VM that stands in looks again right when the lease that it knows of is over,
+// and does not press a store that does not answer.
+func TestLooksComeWhenTheLeaseEnds(t *testing.T) {
+	r := newLeadRig()
+	holder, next := r.lead("a"), r.lead("b")
+	holder.look(t.Context())
+	next.look(t.Context())
+	r.now += 900 * time.Millisecond
+	if got := next.lookInterval(); got < 100*time.Millisecond || got > 150*time.Millisecond {
+		t.Errorf("looks again after %v, the lease ends in 125 ms", got)
+	}
+	r.now += 2 * time.Second
+	if got := next.lookInterval(); got != leastLook {
+		t.Errorf("after the lease it looks again after %v", got)
+	}
+	if err := next.Resign(t.Context(), testLongHold); err != nil {
+		t.Fatal(err)
+	}
+	if got := next.lookInterval(); got < 10*time.Second {
+		t.Errorf("a VM that stops looks again after %v", got)
+	}
+}
