Keys are granted only under a record that says nobody else can hold them

A pending range could have been granted to its new owner or not, so a successor had to wait 7.25 s until no grant of its predecessor could arrive any more. Moves that it began before owners had acknowledged the raised tokens waited as long.

Ruled out: a short grant to the former holder only to show it a higher token (a late grant to the new owner would then come under a lower one); shorter long leases (they carry keys through outages of the store).

Change: the order of the two writes of a move is kept, the grant comes after the second instead of before it. The owner of a pending range never had its keys, so a successor gives them back to the former holder under a raised token, at once. Keys move on, and ranges are joined, only once their owner acknowledged them. A range has one former holder at most; addFormer and its test go, and TestPendingRangeKeepsItsOneFormerHolder checks that. TestRejectedTokenIsRaised expected a pending range; a rejected owner has no former holder to wait for, so the range now stays its own under a higher token. A request that came before the grant is sent again after 100 ms: TestStaleOwnerIsNotAskedTwice now bounds when and how often.

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -122,6 +122,10 @@
 	}
 }
 
+// grantTime is how long after its record the grant of an owner may come: some ticks
+// of the coordinator and a call.
+const grantTime = 100 * time.Millisecond
+
 // registryPoll bounds a wait for a record, as a server's return shows elsewhere.
 const registryPoll = 100 * time.Millisecond
 
@@ -142,9 +146,9 @@
 		return nil, fmt.Sprintf("owner %s ended, record %d", owner.Server, version)
 	case server.Draining && time.Since(server.SeenAt) > r.core.Settings.DrainUse:
 		return nil, fmt.Sprintf("owner %s is leaving, record %d", owner.Server, version)
-	case version == r.recordAt && r.notOwner:
+	case version == r.recordAt && time.Since(r.notOwnerAt) < grantTime:
 		return nil, fmt.Sprintf("owner %s did not run it, record %d", owner.Server, version)
 	}
-	r.recordAt, r.notOwner = version, false
+	r.recordAt, r.notOwnerAt = version, time.Time{}
 	return server, ""
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -127,7 +127,9 @@
 	trail    []string // what each attempt came to, for the log
 	recordAt uint64   // version of the record that named the last owner
 	ran      *Answer  // of an attempt that ran or may have run
-	notOwner bool     // that owner can't run it: another record has to come first
+	// notOwnerAt is when that owner did not run it for want of the key; zero: it did
+	// not. The grant may be on its way behind the record.
+	notOwnerAt time.Time
 }
 
 func (r *run) serve(ctx context.Context) *Answer {
--- a/internal/dispatch/verdict.go
+++ b/internal/dispatch/verdict.go
@@ -39,7 +39,7 @@
 	if response.ServerID != "" && response.ServerID != server.ID {
 		r.core.Registry.Ended(server.ID, server.Incarnation, "server "+response.ServerID+" answers at its address")
 	}
-	r.notOwner = true
+	r.notOwnerAt = time.Now()
 	return refuse(fault.NotOwner, ownerRetry, "server %s does not hold key %d by record %d", server.ID, r.request.Key, r.recordAt), true
 }
 
--- a/internal/keyspace/coordinator.go
+++ b/internal/keyspace/coordinator.go
@@ -69,6 +69,8 @@
 	weights map[string]*Weights
 	speeds  map[string]speed // by server
 	writes  uint64
+
+	wake chan struct{} // a record was written: orders are due
 }
 
 // desk is what the coordinator does for one service.
@@ -101,6 +103,7 @@
 		settings: o.Settings, store: o.Store, lead: o.Lead, control: o.Control, members: o.Members,
 		owners: o.Owners, services: o.Services, clock: o.Clock, address: o.Address, writeID: o.WriteID,
 		desks: map[string]*desk{}, weights: map[string]*Weights{}, speeds: map[string]speed{},
+		wake: make(chan struct{}, 1),
 	}
 }
 
@@ -112,7 +115,7 @@
 	var calls sync.WaitGroup
 	defer calls.Wait()
 	pause := idleTick
-	for wait.For(ctx, pause) {
+	for c.pause(ctx, pause) {
 		if !c.lead.Held() {
 			c.forget()
 			pause = idleTick
@@ -128,6 +131,20 @@
 	}
 }
 
+// pause waits for the next tick, or for a record that was written.
+func (c *Coordinator) pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-c.wake:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // announce writes where other VMs report their load to.
 func (c *Coordinator) announce(ctx context.Context) {
 	for c.lead.Held() {
@@ -233,8 +250,8 @@
 		next.Ranges = slow.first()
 		return next, "first division"
 	}
-	unfit := func(h Holder) bool { return c.unfit(now, d, h) }
-	if slices.ContainsFunc(next.Ranges, func(r Range) bool { return unfit(r.Owner) }) {
+	unfit := func(r *Range) bool { return c.mustMove(now, d, r) }
+	if slices.ContainsFunc(next.Ranges, func(r Range) bool { return unfit(&r) }) {
 		_, p := c.planners(now, d, members)
 		p.count(next.Ranges)
 		ended := func(h Holder) bool { return c.members.State(h) == Ended }
@@ -251,7 +268,7 @@
 		}
 	}
 	if reason != "" {
-		next.Ranges, _ = join(next.Ranges)
+		next.Ranges, _ = join(next.Ranges, d.ledger.granted)
 	}
 	return next, reason
 }
@@ -282,11 +299,24 @@
 	return c.members.State(h) != Serving || d.ledger.silentFor(now, h) > c.settings.Timing.GiveUp
 }
 
+// mustMove reports whether a range needs another owner. One that leaves keeps keys
+// until it acknowledged them under their present token: then its release is known
+// to come after all grants.
+func (c *Coordinator) mustMove(now time.Duration, d *desk, r *Range) bool {
+	if !c.unfit(now, d, r.Owner) {
+		return false
+	}
+	answers := c.members.State(r.Owner) == Leaving && d.ledger.silentFor(now, r.Owner) <= c.settings.Timing.GiveUp
+	return r.Pending || !answers || d.ledger.granted(r)
+}
+
 // planners returns planners by the fast and by the slow profile of load.
 func (c *Coordinator) planners(now time.Duration, d *desk, members []Member) (fast, slow *planner) {
 	fit := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return c.unfit(now, d, m.Holder) })
 	fastProfile, slowProfile := c.weightsOf(d.service).profiles(now, c.settings.Keys)
-	return newPlanner(c.settings.Plan, fastProfile, fit), newPlanner(c.settings.Plan, slowProfile, fit)
+	fast, slow = newPlanner(c.settings.Plan, fastProfile, fit), newPlanner(c.settings.Plan, slowProfile, fit)
+	fast.granted, slow.granted = d.ledger.granted, d.ledger.granted
+	return fast, slow
 }
 
 // carryOut makes one call.
--- a/internal/keyspace/ledger.go
+++ b/internal/keyspace/ledger.go
@@ -127,7 +127,8 @@
 // rangeState is what the ledger knows of one range.
 type rangeState struct {
 	renewAt   time.Duration // when the next grant is due
-	granted   bool          // a pending range's owner acknowledged
+	cleared   bool          // of a pending range: no former holder can hold its keys
+	granted   bool          // the owner acknowledged its keys under the token
 	rejected  bool          // the fencing token is too low
 	doubtAt   time.Duration // since when another start of the owner may answer; 0: not
 	handover  string
@@ -154,9 +155,11 @@
 // Ledger decides which orders keep a record true. It does no I/O; the caller's
 // lock guards it.
 //
-// Invariant: a pending range's owner is granted its keys only after each former
-// holder ended, acknowledged a release with no older grant open, or can't hold a
-// lease any more by this VM's clock.
+// Invariant: a range stays pending until each former holder ended, acknowledged a
+// release with no older grant open, or can't hold a lease any more by this VM's
+// clock. Its owner is granted the keys only under a record in which the range is
+// not pending any more. So whoever takes over knows from the record that the owner
+// of a pending range never had its keys, and can give them back to the former one.
 type Ledger struct {
 	timing  Timing
 	record  Record
@@ -274,20 +277,18 @@
 	for i := range l.record.Ranges {
 		r := &l.record.Ranges[i]
 		state := l.ranges[rangeKey{r.Span, r.Fence}]
-		if r.Pending && !state.granted {
-			releases, clear := l.clear(now, r, state, stateOf)
-			orders = append(orders, releases...)
-			if !clear {
-				continue
+		if r.Pending {
+			if !state.cleared {
+				var releases []Order
+				releases, state.cleared = l.clear(now, r, state, stateOf)
+				orders = append(orders, releases...)
 			}
+			continue
 		}
 		ownerState := stateOf(r.Owner)
 		if !l.mayGrant(r) || state.rejected || state.doubtAt != 0 || now < state.renewAt || ownerState == Ended || l.inFlight(r.Owner, OrderGrant, r.Span) {
 			continue
 		}
-		if r.Pending && ownerState != Serving {
-			continue // another owner is chosen
-		}
 		state.renewAt = now + l.timing.Renew
 		orders = append(orders, Order{Kind: OrderGrant, To: r.Owner, Span: r.Span, Fence: r.Fence, Hold: l.hold, Handover: state.handover, Renewal: state.granted})
 	}
@@ -448,23 +449,36 @@
 	}
 	l.renewed = true
 	for i := range next.Ranges {
-		next.Ranges[i].raise = true
+		r := &next.Ranges[i]
+		if r.Pending && len(r.Former) == 1 {
+			// The owner never had the keys. The former holder would have to be waited
+			// for until the last coordinator's grants can't arrive any more.
+			r.Owner, r.Pending, r.Former = r.Former[0].Holder, false, nil
+		}
+		r.raise = true
 	}
 	return true
 }
 
-// settle marks in a copy of the record what has come about: owners that
-// acknowledged, and fencing tokens that have to rise.
+// granted reports whether a range's owner acknowledged its keys under the present
+// token. Until then a release of them could not be told from older grants.
+func (l *Ledger) granted(r *Range) bool {
+	state := l.ranges[rangeKey{r.Span, r.Fence}]
+	return state != nil && state.granted
+}
+
+// settle marks in a copy of the record what has come about: keys that no former
+// holder can hold any more, and fencing tokens that have to rise.
 func (l *Ledger) settle(now time.Duration, next *Record) (changed bool) {
 	for i := range next.Ranges {
 		r := &next.Ranges[i]
 		state := l.ranges[rangeKey{r.Span, r.Fence}]
 		switch {
 		case state == nil:
+		case r.Pending && state.cleared:
+			r.Pending, r.Former, r.raise, changed = false, nil, true, true
 		case state.rejected:
-			r.raise, r.Pending, changed = true, true, true
-		case r.Pending && state.granted:
-			r.Pending, r.Former, changed = false, nil, true
+			r.raise, changed = true, true
 		case state.doubtAt != 0 && now-state.doubtAt >= l.timing.Doubt:
 			r.raise, changed = true, true
 		}
--- a/internal/keyspace/owners.go
+++ b/internal/keyspace/owners.go
@@ -13,7 +13,7 @@
 type Owner struct {
 	Holder
 	Fence   uint64
-	Pending bool // the owner was not granted the key yet
+	Pending bool // a former owner may still hold the key
 }
 
 // Owners is what this VM knows of all services' records.
--- a/internal/keyspace/plan.go
+++ b/internal/keyspace/plan.go
@@ -34,10 +34,12 @@
 	capacity float64
 	slots    int
 	total    float64
+	// granted tells whether a range's owner has its keys: only then they may move on.
+	granted func(*Range) bool
 }
 
 func newPlanner(s PlanSettings, p profile, members []Member) *planner {
-	pl := &planner{settings: s, profile: p, members: members, load: map[string]float64{}}
+	pl := &planner{settings: s, profile: p, members: members, load: map[string]float64{}, granted: func(*Range) bool { return true }}
 	for _, m := range members {
 		pl.capacity += m.Capacity
 		pl.slots += m.Slots
@@ -86,7 +88,7 @@
 			}
 			span.To = p.profile.cutAt(span, p.total*m.Capacity/p.capacity)
 		}
-		ranges = append(ranges, Range{Span: span, Owner: m.Holder, Pending: true})
+		ranges = append(ranges, Range{Span: span, Owner: m.Holder})
 		from = span.To + 1
 	}
 	return ranges
@@ -97,16 +99,20 @@
 const orphanPieces = 4
 
 // reassign gives the keys of owners that must not keep them to members.
-func (p *planner) reassign(ranges []Range, unfit func(Holder) bool, ended func(Holder) bool) ([]Range, bool) {
+func (p *planner) reassign(ranges []Range, unfit func(*Range) bool, ended func(Holder) bool) ([]Range, bool) {
 	var next []Range
 	changed := false
 	for _, r := range ranges {
-		if !unfit(r.Owner) || len(p.members) == 0 {
+		if !unfit(&r) || len(p.members) == 0 {
 			next = append(next, r)
 			continue
 		}
 		changed = true
-		former := withoutEnded(addFormer(slices.Clone(r.Former), Former{r.Owner, r.Fence}), ended)
+		former := slices.Clone(r.Former)
+		if !r.Pending {
+			former = append(former, Former{r.Owner, r.Fence})
+		}
+		former = withoutEnded(former, ended)
 		piece := max(p.profile.load(r.Span)/orphanPieces, p.total*orphanPart)
 		for _, span := range p.pieces(r.Span, piece) {
 			to := p.idlest(p.profile.load(span))
@@ -135,16 +141,19 @@
 
 // join makes one range of adjacent ones with the same owner: each range costs a
 // call for each renewal. The owner goes on holding the keys under its old tokens
-// until it is granted all of them under the new one.
-func join(ranges []Range) ([]Range, bool) {
+// until it is granted all of them under the new one. A range whose first grant is
+// still due stays apart: it carries a handover of its own.
+func join(ranges []Range, granted func(*Range) bool) ([]Range, bool) {
 	var next []Range
-	joined := false
+	joined, before := false, false
 	for _, r := range ranges {
-		if n := len(next); n > 0 && !r.Pending && !next[n-1].Pending && next[n-1].Owner.Same(r.Owner) {
+		mayJoin := !r.Pending && granted(&r)
+		if n := len(next); before && mayJoin && next[n-1].Owner.Same(r.Owner) {
 			next[n-1].To, next[n-1].Fence, joined = r.To, 0, true
 			continue
 		}
 		next = append(next, r)
+		before = mayJoin
 	}
 	return next, joined
 }
@@ -228,7 +237,7 @@
 	best, distance := -1, math.Inf(1)
 	for i := range ranges {
 		r := &ranges[i]
-		if r.Pending || !r.Owner.Same(from.Holder) {
+		if r.Pending || !r.Owner.Same(from.Holder) || !p.granted(r) {
 			continue
 		}
 		have := p.profile.load(r.Span)
--- a/internal/keyspace/record.go
+++ b/internal/keyspace/record.go
@@ -38,18 +38,6 @@
 	Fence uint64 `json:"fence"`
 }
 
-// addFormer adds a holder to a list, or raises its token there: a release has to
-// name the token under which the holder has the keys now.
-func addFormer(list []Former, f Former) []Former {
-	for i := range list {
-		if list[i].Same(f.Holder) {
-			list[i].Fence = max(list[i].Fence, f.Fence)
-			return list
-		}
-	}
-	return append(list, f)
-}
-
 // Range is a span with its owner.
 type Range struct {
 	Span
@@ -58,9 +46,10 @@
 	// row that holds the record: it is known only once the row is written, and
 	// versions only rise.
 	Fence uint64 `json:"fence"`
-	// Pending says that the owner was not granted the keys yet.
+	// Pending says that a former holder may still hold keys, and that the owner was
+	// granted none of them by anybody.
 	Pending bool `json:"pending,omitempty"`
-	// Former lists who may still hold keys of a pending range.
+	// Former lists who may still hold keys of a pending range: one holder at most.
 	Former []Former `json:"former,omitempty"`
 	// raise asks for a higher token when the record is written. Until then Fence is
 	// the one under which the owner has the keys.
