First readers take records of owners from the VM that writes them

Ruled out: pushing records into the writer's view at once (two services' writes may end out of order, and followers would miss the first); fewer records (each lets requests go on).

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"math"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"kumquatcleat/internal/dial"
@@ -21,6 +22,8 @@
 	After      map[string]uint64 `json:"after"` // by table
 	WaitMS     int64             `json:"wait_ms"`
 	LeastAgeMS int64             `json:"least_age_ms"`
+	// Coordinating asks only a VM that coordinates: another may know old records.
+	Coordinating bool `json:"coordinating,omitempty"`
 }
 
 // updatesAnswer is what a VM tells of its views.
@@ -56,6 +59,12 @@
 	client *http.Client
 	loads  *loads
 	packer *packer
+	// coordinates reports whether this VM coordinates, coordinator where the one that
+	// does is asked; empty: not known.
+	coordinates func() bool
+	coordinator func() string
+	// followsKeys is set while the records of owners come from the coordinator.
+	followsKeys atomic.Bool
 
 	// configTable is the table whose rows are large; configAt is when it last
 	// changed here. Both belong to the goroutine of runFirst.
@@ -139,12 +148,16 @@
 }
 
 func (e *exchange) ask(ctx context.Context, from *peer, after map[string]uint64, longest, leastAge time.Duration) (updatesAnswer, error) {
+	return e.request(ctx, from, updatesRequest{After: after, WaitMS: longest.Milliseconds(), LeastAgeMS: leastAge.Milliseconds()})
+}
+
+func (e *exchange) request(ctx context.Context, from *peer, request updatesRequest) (updatesAnswer, error) {
 	var answer updatesAnswer
-	body, err := json.Marshal(updatesRequest{After: after, WaitMS: longest.Milliseconds(), LeastAgeMS: leastAge.Milliseconds()})
+	body, err := json.Marshal(request)
 	if err != nil {
 		return answer, fmt.Errorf("peers: encode: %w", err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, longest+callMargin)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(request.WaitMS)*time.Millisecond+callMargin)
 	defer cancel()
 	resp, err := post(ctx, e.client, from.address, pathUpdates, body)
 	if err != nil {
@@ -179,6 +192,48 @@
 	return resp, nil
 }
 
+// runKeys follows the records of owners at the VM that writes them, while this VM
+// is its domain's first reader. Each record costs a call of the store less.
+func (e *exchange) runKeys(ctx context.Context, table string) {
+	for ctx.Err() == nil {
+		address := e.coordinator()
+		if e.peers.place(time.Now()) > 0 || e.coordinates() || address == "" || address == e.peers.settings.PeerListen {
+			e.followsKeys.Store(false)
+			wait.For(ctx, coordinatorIdle)
+			continue
+		}
+		request := updatesRequest{After: e.only(table), WaitMS: firstWait.Milliseconds(), Coordinating: true}
+		answer, err := e.request(ctx, &peer{name: "coordinator", address: address}, request)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			if e.followsKeys.Swap(false) {
+				slog.Info("peers: the coordinator did not answer, records are read from the store", "address", address, "error", err.Error())
+			}
+			wait.For(ctx, coordinatorIdle)
+			continue
+		}
+		e.followsKeys.Store(true)
+		e.set.Apply(answer.Updates)
+	}
+}
+
+// coordinatorIdle is how often a VM that may not follow the coordinator looks
+// whether it may.
+const coordinatorIdle = 200 * time.Millisecond
+
+// only returns the versions for a question about one table.
+func (e *exchange) only(table string) map[string]uint64 {
+	after := e.set.Versions()
+	for name := range after {
+		if name != table {
+			after[name] = math.MaxUint64
+		}
+	}
+	return after
+}
+
 // mux serves this VM's views.
 func (e *exchange) mux() *http.ServeMux {
 	mux := http.NewServeMux()
@@ -189,6 +244,10 @@
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
+		if request.Coordinating && !e.coordinates() {
+			http.Error(w, "another VM coordinates", http.StatusConflict)
+			return
+		}
 		longest := min(time.Duration(request.WaitMS)*time.Millisecond, 2*firstWait)
 		updates := e.set.Updates(r.Context(), request.After, longest, time.Duration(request.LeastAgeMS)*time.Millisecond)
 		answer, err := e.packer.pack(updates)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -117,6 +117,7 @@
 		func(ctx context.Context) { g.follower.Run(ctx, g.vms) },
 		func(ctx context.Context) { g.follower.Run(ctx, g.keys) },
 		g.exchange.runFirst, g.exchange.runSecond, g.loads.run,
+		func(ctx context.Context) { g.exchange.runKeys(ctx, keysTable) },
 		g.runLead,
 	} {
 		running.Go(func() { duty(duties) })
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -62,6 +62,13 @@
 	}
 }
 
+// coordinatorAddress returns the peer address of the VM that coordinates, if known.
+func (l *loads) coordinatorAddress() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.coordinator
+}
+
 func (l *loads) take() (keyspace.Report, string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -115,7 +115,10 @@
 	config := set.Add("config", 10)
 	set.Add("keys", 10)
 	s := testSettings("vm-0", "a")
-	return newExchange(newPeers(s, nil), set, newLoads(s, func(keyspace.Report) {}, nil), "config"), config
+	e := newExchange(newPeers(s, nil), set, newLoads(s, func(keyspace.Report) {}, nil), "config")
+	e.coordinates = func() bool { return false }
+	e.coordinator = func() string { return "" }
+	return e, config
 }
 
 // A VM learns another's rows by one message, and nothing twice.
--- a/internal/gateway/provision.go
+++ b/internal/gateway/provision.go
@@ -23,6 +23,9 @@
 	// a first that the store turns away, and the list of VMs has no time to keep.
 	firstWatch = 2600 * time.Millisecond
 	longWatch  = 8 * time.Second
+	// coordinatorWatch is shorter: all domains follow the coordinator's records, and a
+	// connection may go silent.
+	coordinatorWatch = 1200 * time.Millisecond
 	// watchPause lets a series of changes cost one call for several of them; it
 	// is a small part of the seconds in which a change has to be in force.
 	watchPause = 120 * time.Millisecond
@@ -59,16 +62,25 @@
 	s := rows.FollowerSettings{Wait: g.watchWait, Pause: g.watchPause, Retry: watchRetry, Idle: watchIdle, Settles: storeSettles}
 	g.follower = rows.NewFollower(s, g.adapter.Store, g.views, g.reads, g.metrics)
 	g.exchange = newExchange(g.peers, g.views, g.loads, g.adapter.ConfigTable)
+	g.exchange.coordinates = func() bool { return g.lead.Held() }
+	g.exchange.coordinator = g.loads.coordinatorAddress
 }
 
 // reads reports whether this VM reads a table from the store: its domain's first
-// reader all, the second what must be known within seconds whatever happens.
+// reader all, the second what must be known within seconds whatever happens. The
+// records of owners are read by the VM that writes them, whom first readers follow.
 func (g *Gateway) reads(table string) bool {
 	place := g.peers.place(time.Now())
+	if table == keysTable {
+		return g.lead.Held() || place == 0 && !g.exchange.followsKeys.Load()
+	}
 	return place == 0 || place == 1 && (table == g.adapter.ConfigTable || table == g.adapter.ServersTable)
 }
 
 func (g *Gateway) watchWait(table string) time.Duration {
+	if table == keysTable && g.lead.Held() {
+		return coordinatorWatch
+	}
 	if g.peers.place(time.Now()) > 0 || table == vmsTable {
 		return longWatch
 	}
