--- a/internal/keyspace/ledger.go
+++ b/internal/keyspace/ledger.go
@@ -63,6 +63,14 @@
 	OrderRelease
 )
 
+// String implements fmt.Stringer.
+func (k OrderKind) String() string {
+	if k == OrderRelease {
+		return "release"
+	}
+	return "grant"
+}
+
 // Order is a call to a server that the ledger wants made.
 type Order struct {
 	Kind     OrderKind
@@ -71,10 +79,10 @@
 	Fence    uint64
 	Hold     time.Duration // with a grant
 	Handover string        // with a grant: from the former holder
-	// Renewal marks a grant under a token that the server acknowledged. It may only
-	// use a connection that is open since: a new one may reach a newer start of the
-	// server, which must not take the keys under the same token.
-	Renewal bool
+	// Connection names the only connection that a renewal may use, the one on which
+	// the token was acknowledged: another may reach a newer start of the server, which
+	// must not take the keys under the same token. 0: any, also a new one.
+	Connection uint64
 }
 
 // Result is how an order ended.
@@ -85,6 +93,8 @@
 	// Unsent says that no byte left, so that the order can't take effect.
 	Unsent   bool
 	Handover string // with a release
+	// Connection names the connection on which a grant was acknowledged.
+	Connection uint64
 }
 
 // holderState is what the ledger knows of one holder's leases.
@@ -129,6 +139,7 @@
 	renewAt   time.Duration // when the next grant is due
 	cleared   bool          // of a pending range: no former holder can hold its keys
 	granted   bool          // the owner acknowledged its keys under the token
+	on        uint64        // the connection on which it did
 	rejected  bool          // the fencing token is too low
 	doubtAt   time.Duration // since when another start of the owner may answer; 0: not
 	handover  string
@@ -290,7 +301,7 @@
 			continue
 		}
 		state.renewAt = now + l.timing.Renew
-		orders = append(orders, Order{Kind: OrderGrant, To: r.Owner, Span: r.Span, Fence: r.Fence, Hold: l.hold, Handover: state.handover, Renewal: state.granted})
+		orders = append(orders, Order{Kind: OrderGrant, To: r.Owner, Span: r.Span, Fence: r.Fence, Hold: l.hold, Handover: state.handover, Connection: state.on})
 	}
 	for _, order := range orders {
 		holder := l.holder(order.To)
@@ -396,7 +407,7 @@
 	}
 	switch {
 	case result.Acknowledged:
-		state.granted = true
+		state.granted, state.on = true, result.Connection
 		state.renewAt = now + l.timing.Renew
 	case result.Rejected:
 		state.rejected = true
--- a/internal/serverconn/control.go
+++ b/internal/serverconn/control.go
@@ -12,22 +12,40 @@
 	"kumquatcleat/internal/registry"
 )
 
-// Call makes a control call at a server and returns the answer's status and
-// headers. With reuse it needs a connection that is open already. guard is asked right before the call is sent. A call that fails resets
-// its connection, so that it can't arrive later.
-func (s *Sender) Call(ctx context.Context, server *registry.Server, path string, body []byte, reuse bool, guard func() bool) (int, http.Header, *Failure) {
-	c, err := s.pool.getFor(ctx, server, reuse)
+// ControlCall is one control call at a server.
+type ControlCall struct {
+	Server *registry.Server
+	Path   string
+	Body   []byte
+	// Connection names the connection to use, by an earlier answer; 0: any.
+	Connection uint64
+	// Guard is asked right before the call is sent.
+	Guard func() bool
+}
+
+// ControlAnswer is a server's answer to a control call.
+type ControlAnswer struct {
+	Status     int
+	Header     http.Header
+	Connection uint64 // on which it came
+}
+
+// Call makes a control call. One that fails resets its connection, so that it
+// can't arrive later.
+func (s *Sender) Call(ctx context.Context, call ControlCall) (ControlAnswer, *Failure) {
+	server := call.Server
+	c, err := s.pool.getFor(ctx, server, call.Connection)
 	if err != nil {
-		return 0, nil, &Failure{Progress: NotSent, Refused: Refused(err), Err: fmt.Errorf("connect to server %s: %w", server.ID, err)}
+		return ControlAnswer{}, &Failure{Progress: NotSent, Refused: Refused(err), Err: fmt.Errorf("connect to server %s: %w", server.ID, err)}
 	}
 	var b bytes.Buffer
-	b.WriteString("POST " + path + " HTTP/1.1\r\nHost: " + server.Address + "\r\n")
+	b.WriteString("POST " + call.Path + " HTTP/1.1\r\nHost: " + server.Address + "\r\n")
 	b.WriteString(s.dialect.TargetServer + ": " + server.ID + "\r\n")
-	b.WriteString("Content-Type: application/json\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n")
-	b.Write(body)
-	if !guard() {
+	b.WriteString("Content-Type: application/json\r\nContent-Length: " + strconv.Itoa(len(call.Body)) + "\r\n\r\n")
+	b.Write(call.Body)
+	if !call.Guard() {
 		s.pool.put(server, c)
-		return 0, nil, &Failure{Progress: NotSent, Err: errGuarded}
+		return ControlAnswer{}, &Failure{Progress: NotSent, Err: errGuarded}
 	}
 	stop := context.AfterFunc(ctx, c.reset)
 	defer stop()
@@ -37,25 +55,25 @@
 	status, header, kept, err := c.call(b.Bytes())
 	if err != nil {
 		c.reset()
-		return 0, nil, s.failure(ctx, &Request{Server: server}, err)
+		return ControlAnswer{}, s.failure(ctx, &Request{Server: server}, err)
 	}
 	if kept && stop() {
 		s.pool.put(server, c)
 	} else {
 		c.reset()
 	}
-	return status, header, nil
+	return ControlAnswer{status, header, c.number}, nil
 }
 
-// errNoConnection says that a call needed an open connection and found none.
-var errNoConnection = errors.New("no connection is open")
+// errNoConnection says that the connection which a call needed is closed or in use.
+var errNoConnection = errors.New("its connection is not open")
 
 // getFor returns a connection for a control call.
-func (p *Pool) getFor(ctx context.Context, server *registry.Server, reuse bool) (*conn, error) {
-	if !reuse {
+func (p *Pool) getFor(ctx context.Context, server *registry.Server, number uint64) (*conn, error) {
+	if number == 0 {
 		return p.get(ctx, server, freshEnough)
 	}
-	if c := p.idleConn(server, freshEnough); c != nil {
+	if c := p.numbered(server, number); c != nil {
 		return c, nil
 	}
 	return nil, errNoConnection
--- a/internal/serverconn/exchange_test.go
+++ b/internal/serverconn/exchange_test.go
@@ -193,8 +193,30 @@
 func TestGuardStopsASend(t *testing.T) {
 	server, _ := rawServer(t, good)
 	s := newSender()
-	status, _, f := s.Call(context.Background(), server, "/grant", []byte("{}"), false, func() bool { return false })
+	answer, f := s.Call(context.Background(), ControlCall{Server: server, Path: "/grant", Body: []byte("{}"), Guard: func() bool { return false }})
 	if f == nil || f.Progress != NotSent {
-		t.Fatalf("status %d, %+v", status, f)
+		t.Fatalf("status %d, %+v", answer.Status, f)
+	}
+}
+
+// A renewal uses the connection of its grant and no other: another could reach a
+// newer start of the server under the same id.
+func TestRenewalKeepsToItsConnection(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n"
+	server, _ := rawServer(t, ok, ok)
+	s := newSender()
+	call := func(connection uint64) (ControlAnswer, *Failure) {
+		return s.Call(context.Background(), ControlCall{Server: server, Path: "/grant", Body: []byte("{}"), Connection: connection, Guard: func() bool { return true }})
+	}
+	first, f := call(0)
+	if f != nil || first.Connection == 0 {
+		t.Fatalf("%+v, %v", first, f)
+	}
+	again, f := call(first.Connection)
+	if f != nil || again.Connection != first.Connection {
+		t.Fatalf("%+v, %v", again, f)
+	}
+	if _, f := call(first.Connection + 1); f == nil || f.Progress != NotSent {
+		t.Fatalf("sent on another connection, %+v", f)
 	}
 }
--- a/internal/serverconn/pool.go
+++ b/internal/serverconn/pool.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -31,6 +33,7 @@
 	settings Settings
 	dialer   *net.Dialer
 	opened   metrics.Counter
+	numbers  atomic.Uint64 // of connections
 
 	mu   sync.Mutex // owns idle
 	idle map[registry.Start][]*conn
@@ -57,7 +60,7 @@
 		return nil, err
 	}
 	p.opened.Inc(1)
-	return newConn(opened), nil
+	return newConn(opened, p.numbers.Add(1)), nil
 }
 
 // idleConn returns a connection that was idle for at most mostIdle, or nil.
@@ -97,12 +100,31 @@
 	key := server.Start()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := append(p.idle[key], c)
-	if most := p.settings.IdlePerServer(server.Service); len(list) > most {
-		_ = list[0].Close()
-		list = list[1:]
+	if list := p.idle[key]; len(list) < p.settings.IdlePerServer(server.Service) {
+		p.idle[key] = append(list, c)
+		return
+	}
+	_ = c.Close()
+}
+
+// numbered removes a connection by its number if it is idle and still good.
+func (p *Pool) numbered(server *registry.Server, number uint64) *conn {
+	key := server.Start()
+	p.mu.Lock()
+	list := p.idle[key]
+	i := slices.IndexFunc(list, func(c *conn) bool { return c.number == number })
+	if i < 0 {
+		p.mu.Unlock()
+		return nil
+	}
+	c := list[i]
+	p.idle[key] = slices.Delete(list, i, i+1)
+	p.mu.Unlock()
+	if !c.reusable(time.Now(), freshEnough) {
+		_ = c.Close()
+		return nil
 	}
-	p.idle[key] = list
+	return c
 }
 
 // Sweep closes connections that were idle for too long, and those of servers
