Long leases of keys only by consent of the coordinator's standby

Cause: keys of servers that are lost beside their coordinator, or within 7 s after its loss, stood still for 7.25 s: a successor had to assume that its predecessor had given leases of 6 s, which it does when the store leaves it without an answer. A coordinator that is turned away by a store that serves the others gave long leases for nothing, as one of these takes over within 1.4 s.

Ruled out: shorter long leases (they carry all keys through outages of 8 s); telling long leases in the store (it does not answer when they are given); giving the keys of all owners back by releases (each waits for running work).

Change: the coordinator names a standby in its row, a process of a VM in another failure domain, and gives long leases only with its consent, which it has while it does not reach the store either. A standby that takes over without having consented waits for usual leases, 2.7 s; any other VM, a standby that was started again, and one whose predecessor's row says that long leases may be out, wait as before. The standby looks each 0.4 s, the first two VMs each 1.2 s; others leave it 0.4 s.

Tests failed to compile before; by the code before, TestStandbyKnowsOfLongLeases "none were given" has no way to pass. New: consent needed, consent remembered, another VM, started again, row tells of long leases, consent of a VM that the row may not name. TestStrainEndsAHandover and TestInheritedLongLeasesAreNotHandedOver keep what they check, with a standby; the latter's "handed over" is now "no long leases".

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"kumquatcleat/internal/dial"
+	"kumquatcleat/internal/keyspace"
 	"kumquatcleat/internal/rows"
 	"kumquatcleat/internal/wait"
 )
@@ -63,6 +64,8 @@
 	// does is asked; empty: not known.
 	coordinates func() bool
 	coordinator func() string
+	// stand answers a coordinator whose standby this VM is.
+	stand func(context.Context, keyspace.StandbyQuestion) keyspace.StandbyAnswer
 	// followsKeys is set while the records of owners come from the coordinator.
 	followsKeys atomic.Bool
 
@@ -238,6 +241,7 @@
 func (e *exchange) mux() *http.ServeMux {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+pathLoads, e.loads.receive)
+	mux.HandleFunc("POST "+pathStandby, e.standBy)
 	mux.HandleFunc("POST "+pathUpdates, func(w http.ResponseWriter, r *http.Request) {
 		var request updatesRequest
 		if err := json.NewDecoder(io.LimitReader(r.Body, maxPeerAnswer)).Decode(&request); err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -118,7 +118,7 @@
 		func(ctx context.Context) { g.follower.Run(ctx, g.keys) },
 		g.exchange.runFirst, g.exchange.runSecond, g.loads.run,
 		func(ctx context.Context) { g.exchange.runKeys(ctx, keysTable) },
-		g.runLead,
+		g.runLead, g.lead.RunStandby,
 	} {
 		running.Go(func() { duty(duties) })
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -158,6 +158,32 @@
 	return first, second
 }
 
+// standby returns the VM that should stand by for this one: the first that answers
+// in another failure domain, where the loss of this one's does not reach.
+func (p *peers) standby(now time.Time) *peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var best, near *peer
+	for domain, list := range p.domains(now) {
+		for _, v := range list {
+			if v.name == p.settings.VM {
+				continue
+			}
+			place := &best
+			if domain == p.settings.FailureDomain {
+				place = &near
+			}
+			if *place == nil || compare(v, **place) < 0 {
+				*place = &v
+			}
+		}
+	}
+	if best == nil {
+		return near
+	}
+	return best
+}
+
 // seedTime is how long a VM that knows no other asks those of its settings before
 // it reads the store: many VMs start together, and each read is paid for.
 const seedTime = 1200 * time.Millisecond
--- a/internal/gateway/provision.go
+++ b/internal/gateway/provision.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"hash/fnv"
 	"math"
 	"time"
@@ -64,6 +65,9 @@
 	g.exchange = newExchange(g.peers, g.views, g.loads, g.adapter.ConfigTable)
 	g.exchange.coordinates = func() bool { return g.lead.Held() }
 	g.exchange.coordinator = g.loads.coordinatorAddress
+	g.exchange.stand = func(ctx context.Context, q keyspace.StandbyQuestion) keyspace.StandbyAnswer {
+		return g.lead.Stand(ctx, q)
+	}
 }
 
 // reads reports whether this VM reads a table from the store: its domain's first
@@ -167,7 +171,8 @@
 
 func (g *Gateway) provisionKeys() {
 	s := keyspaceSettings(g.settings, g.adapter.Dialect.MaxKey+1)
-	g.lead = keyspace.NewLead(s.Lead, g.adapter.Store, leadTable, g.settings.VM, g.start, bootclock.Now, g.peers.rank)
+	g.lead = keyspace.NewLead(s.Lead, g.adapter.Store, leadTable, keyspace.Process{VM: g.settings.VM, Start: g.start},
+		bootclock.Now, g.peers.rank, g.askStandby)
 	g.coord = keyspace.NewCoordinator(keyspace.Options{
 		Settings: s, Store: g.adapter.Store, Lead: g.lead,
 		Control:  g.adapter.NewControl(g.newControlSender(), g.registry.Ended),
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -26,7 +26,7 @@
 	slog.Info("gateway: stopping", "in_flight", g.core.InFlight(), "connections", g.entry.Open())
 	background := context.Background()
 	resignCtx, cancel := context.WithTimeout(background, time.Second)
-	if err := g.lead.Resign(resignCtx, longHold); err != nil {
+	if err := g.lead.Resign(resignCtx); err != nil {
 		slog.Warn("gateway: coordination was not given up", "error", err.Error())
 	}
 	g.peers.withdraw(resignCtx)
--- a/internal/keyspace/coordinator.go
+++ b/internal/keyspace/coordinator.go
@@ -215,9 +215,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock()
-	hold := c.settings.Timing.LongHold
-	if c.lead.HandedOver() {
-		hold = c.settings.Timing.Hold
+	hold := c.settings.Timing.Hold
+	if c.lead.LongLeases() {
+		hold = c.settings.Timing.LongHold
 	}
 	d = &desk{service: service, ledger: NewLedger(c.settings.Timing, record, row.Version, now, hold)}
 	c.desks[service] = d
--- a/internal/keyspace/lead.go
+++ b/internal/keyspace/lead.go
@@ -25,15 +25,25 @@
 	Strain time.Duration
 	// CallTimeout is when a renewal without an answer is given up.
 	CallTimeout time.Duration
+	// LongHold is the longest lease on keys that a coordinator gives.
+	LongHold time.Duration
 	// DriftPerMill is how much slower a clock may run than another, in thousandths.
 	DriftPerMill int64
 }
 
+// Process is one start of a VM's process.
+type Process struct {
+	VM    string `json:"vm"`
+	Start string `json:"start"`
+}
+
 // claim is the value of the row that names the coordinator.
 type claim struct {
-	VM    string `json:"vm"`
-	Start string `json:"start"` // of the VM's process
-	Count uint64 `json:"count"` // makes each renewal a new version
+	Process
+	Count   uint64  `json:"count"`   // makes each renewal a new version
+	Standby Process `json:"standby"` // without whose consent no long leases are given
+	// Long says that long leases may be out that the standby may not know of.
+	Long bool `json:"long,omitempty"`
 }
 
 // Lead holds or awaits the right to coordinate. The right is a lease in the
@@ -48,6 +58,8 @@
 	clock    bootclock.Clock
 	// rank is this VM's place among those that may coordinate; low ones look often.
 	rank func() int
+	// ask asks the VM that should stand by.
+	ask AskStandby
 
 	mu       sync.Mutex // owns the fields below
 	version  uint64     // of the row while held, else of the row last seen
@@ -57,16 +69,25 @@
 	paused   bool
 	strained bool // the last renewal was not answered
 	// longAt is when long leases may last have been given: by this VM under strain,
-	// or by a predecessor that did not hand over. Zero: none may be out.
+	// or by a predecessor that may have. Zero: none may be out.
 	longAt time.Duration
+
+	strains chan struct{} // wakes RunStandby
+
+	standby Process // that the next claim names
+	named   Process // that the row names for certain; empty while that is not known
+	consent bool    // of named, to long leases in the present strain
+	// As a standby of another VM:
+	standsIn    time.Duration // when it was last asked
+	consentedTo Process       // coordinator that it allowed long leases
 }
 
 // coordinatorKey is the key of the row that names the coordinator.
 const coordinatorKey = "coordinator"
 
 // NewLead returns a lead that is not held.
-func NewLead(s LeadSettings, store rows.Store, table, vm, start string, clock bootclock.Clock, rank func() int) *Lead {
-	return &Lead{settings: s, store: store, table: table, self: claim{VM: vm, Start: start}, clock: clock, rank: rank}
+func NewLead(s LeadSettings, store rows.Store, table string, self Process, clock bootclock.Clock, rank func() int, ask AskStandby) *Lead {
+	return &Lead{settings: s, store: store, table: table, self: claim{Process: self}, clock: clock, rank: rank, ask: ask, strains: make(chan struct{}, 1)}
 }
 
 // Held reports whether this VM may coordinate now. Ask again right before each
@@ -77,19 +98,20 @@
 	return l.held && l.clock() < l.until
 }
 
-// Strained reports whether the store left the last renewal unanswered.
+// Strained reports whether long leases may be given: the store left the last
+// renewal unanswered, and the standby, which does not reach it either, consented.
 func (l *Lead) Strained() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.strained
+	return l.strained && l.consent
 }
 
-// HandedOver reports whether no long lease may be out: the last coordinator gave
-// the right up after all of its own, and this one gave none.
-func (l *Lead) HandedOver() bool {
+// LongLeases reports whether long leases may be out: given by this VM under strain,
+// or by a predecessor.
+func (l *Lead) LongLeases() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.longAt == 0
+	return l.long()
 }
 
 // Condition is the check that makes a write fail once another VM coordinates.
@@ -135,19 +157,26 @@
 	return l.held
 }
 
-// othersLook is how many renewals pass between looks of a VM that stands in only
-// for the two that look often.
-const othersLook = 40
+// firstLook and othersLook are how many renewals pass between looks of VMs that
+// stand in for the standby: the first two, and the rest for these.
+const (
+	firstLook  = 3
+	othersLook = 40
+)
 
-// lookInterval spaces the reads of the row: two VMs look often, and again as soon
-// as the lease that they know of is over; the rest stand in for both of these.
+// lookInterval spaces the reads of the row: the standby looks often, and again as
+// soon as the lease that it knows of is over.
 func (l *Lead) lookInterval() time.Duration {
 	if l.isHeld() {
 		return l.settings.Renew
 	}
 	switch rank := l.rank(); {
-	case rank <= 1 && !l.resigned():
+	case l.resigned():
+		return l.settings.Renew * othersLook
+	case l.standsBy():
 		return min(l.settings.Renew, max(l.untilFree(), leastLook))
+	case rank <= 1:
+		return l.settings.Renew * firstLook
 	default:
 		return l.settings.Renew * othersLook
 	}
@@ -181,26 +210,45 @@
 	if row.Version != l.version {
 		l.version, l.seenAt = row.Version, now
 	}
-	free := row.Version == 0 || l.ownEarlier(row) || now-l.seenAt > stretch(l.settings.Lease, l.settings.DriftPerMill)
-	paused := l.paused
-	l.mu.Unlock()
-	if free && !paused {
-		l.mu.Lock()
+	last := readClaim(row)
+	// An earlier process of this VM has ended, as a VM runs one at a time.
+	ownEarlier := last.VM == l.self.VM && last.Start != l.self.Start
+	free := row.Version == 0 || ownEarlier || now-l.seenAt > l.patience(last)
+	if free && !l.paused {
 		l.longAt = 0
-		if row.Version != 0 {
+		if row.Version != 0 && l.mayBeLong(last) {
 			l.longAt = now
 		}
-		l.mu.Unlock()
+	}
+	paused := l.paused
+	l.mu.Unlock()
+	if free && !paused {
 		l.write(ctx, row.Version, "lead: this VM coordinates")
 	}
 	return true
 }
 
-// ownEarlier reports whether an earlier process of this VM coordinated: it has
-// ended, as a VM runs one at a time.
-func (l *Lead) ownEarlier(row rows.Row) bool {
+// patience is how long after its last renewal a coordinator is taken for lost. The
+// standby goes first: it knows whether long leases are out.
+func (l *Lead) patience(last claim) time.Duration {
+	lease := stretch(l.settings.Lease, l.settings.DriftPerMill)
+	if last.Standby != (Process{}) && last.Standby != l.self.Process {
+		lease += l.settings.Renew
+	}
+	return lease
+}
+
+// readClaim returns the claim in the coordinator's row, an empty one where there
+// is none or where it can't be read.
+func readClaim(row rows.Row) claim {
 	var found claim
-	return json.Unmarshal(row.Value, &found) == nil && found.VM == l.self.VM && found.Start != l.self.Start
+	if row.Version == 0 {
+		return found
+	}
+	if err := json.Unmarshal(row.Value, &found); err != nil {
+		slog.Warn("lead: the coordinator's row can't be read", "version", row.Version, "error", err.Error())
+	}
+	return found
 }
 
 // stretch lengthens a duration by the drift between two clocks.
@@ -218,7 +266,7 @@
 // write claims the right. The lease counts from before the call.
 func (l *Lead) write(ctx context.Context, expect uint64, message string) {
 	sent := l.clock()
-	l.self.Count++
+	standby := l.nextClaim()
 	value, err := json.Marshal(l.self)
 	if err != nil {
 		slog.Error("lead: claim can't be encoded", "error", err.Error())
@@ -233,7 +281,7 @@
 	l.noteAnswer(err == nil || errors.Is(err, rows.ErrConflict))
 	switch {
 	case err == nil:
-		l.won(version, sent)
+		l.won(version, sent, standby)
 	case errors.Is(err, rows.ErrConflict):
 		l.reconcile(ctx, sent)
 	default:
@@ -246,30 +294,38 @@
 	}
 }
 
-// noteStrain begins a time in which long leases are given.
+// noteStrain begins a time in which the standby is asked for its consent.
 func (l *Lead) noteStrain() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.strained, l.longAt = true, l.clock()
+	l.strained = true
+	select {
+	case l.strains <- struct{}{}:
+	default: // the standby is about to be asked
+	}
 }
 
 // noteAnswer takes in whether the store answered a claim.
 func (l *Lead) noteAnswer(answered bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.strained || !answered {
+	if l.consent {
 		l.longAt = l.clock() // long leases were given until now
 	}
 	l.strained = !answered
+	l.consent = l.consent && l.strained
 }
 
-func (l *Lead) won(version uint64, sent time.Duration) {
+func (l *Lead) won(version uint64, sent time.Duration, standby Process) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.paused {
 		return
 	}
 	l.version, l.held = version, true
+	if l.named != standby {
+		l.named, l.consent = standby, false
+	}
 	l.until = max(l.until, sent+l.settings.Lease)
 }
 
@@ -280,25 +336,29 @@
 	if err != nil {
 		return
 	}
-	var found claim
-	if row.Version != 0 {
-		if err := json.Unmarshal(row.Value, &found); err != nil {
-			slog.Warn("lead: the coordinator's row can't be read", "error", err.Error())
-		}
-	}
-	if found.VM == l.self.VM && found.Start == l.self.Start {
+	found := readClaim(row)
+	if found.Process == l.self.Process {
 		if found.Count == l.self.Count {
-			l.won(row.Version, sent)
+			l.won(row.Version, sent, found.Standby)
 			return
 		}
-		l.mu.Lock()
-		l.version = row.Version // an earlier claim was applied late
-		l.mu.Unlock()
+		l.earlier(row.Version, found.Standby)
 		return
 	}
 	l.lost(row.Version, found.VM)
 }
 
+// earlier takes in that the row holds an earlier claim of this process. The last one
+// may still be applied, so the standby is known only if both name the same.
+func (l *Lead) earlier(version uint64, standby Process) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.version = version
+	if standby != l.self.Standby || standby != l.named {
+		l.named, l.consent = Process{}, false
+	}
+}
+
 func (l *Lead) lost(version uint64, to string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -313,10 +373,10 @@
 
 // Resign gives the right up so that another VM takes it without waiting. While
 // long leases may be out it only lets the right lapse.
-func (l *Lead) Resign(ctx context.Context, longHold time.Duration) error {
+func (l *Lead) Resign(ctx context.Context) error {
 	l.mu.Lock()
 	held, version := l.held, l.version
-	long := l.longAt != 0 && l.clock()-l.longAt < longHold
+	long := l.long()
 	l.held, l.paused = false, true
 	l.mu.Unlock()
 	if !held || long {
--- a/internal/keyspace/lead_test.go
+++ b/internal/keyspace/lead_test.go
@@ -53,64 +53,218 @@
 
 func (s *oneRow) exists() bool { return s.row.Version != 0 }
 
-// leadRig is a store with a clock that tests move.
+// side is one VM's way to the store, which may be cut.
+type side struct {
+	*oneRow
+	cut bool
+}
+
+func (s *side) Get(ctx context.Context, table, key string) (rows.Row, error) {
+	if s.cut {
+		return rows.Row{}, errNoAnswer
+	}
+	return s.oneRow.Get(ctx, table, key)
+}
+
+func (s *side) Commit(ctx context.Context, writes []rows.Write) (uint64, error) {
+	if s.cut {
+		return 0, errNoAnswer
+	}
+	return s.oneRow.Commit(ctx, writes)
+}
+
+// leadRig is a store with a clock that tests move, and a standby that is asked.
 type leadRig struct {
-	store *oneRow
-	now   time.Duration
+	store   *oneRow
+	now     time.Duration
+	standby *Lead
 }
 
 func (r *leadRig) lead(vm string) *Lead {
-	s := LeadSettings{Lease: time.Second, Renew: 300 * time.Millisecond, Strain: time.Second, CallTimeout: time.Second, DriftPerMill: 25}
-	return NewLead(s, r.store, "lead", vm, "start-"+vm, func() time.Duration { return r.now }, func() int { return 0 })
+	l, _ := r.leadOn(vm)
+	return l
+}
+
+func (r *leadRig) leadOn(vm string) (*Lead, *side) {
+	s := LeadSettings{Lease: time.Second, Renew: 300 * time.Millisecond, Strain: time.Second, CallTimeout: time.Second,
+		LongHold: testLongHold, DriftPerMill: 25}
+	way := &side{oneRow: r.store}
+	ask := func(ctx context.Context, q StandbyQuestion) (StandbyAnswer, error) {
+		if r.standby == nil {
+			return StandbyAnswer{}, errNoAnswer
+		}
+		return r.standby.Stand(ctx, q), nil
+	}
+	self := Process{VM: vm, Start: "start-" + vm}
+	return NewLead(s, way, "lead", self, func() time.Duration { return r.now }, func() int { return 0 }, ask), way
 }
 
 func newLeadRig() *leadRig { return &leadRig{store: &oneRow{}, now: time.Minute} }
 
+// coordinating returns a coordinator whose row names a standby.
+func (r *leadRig) coordinating(t *testing.T) (a, standby *Lead, aWay, standbyWay *side) {
+	t.Helper()
+	a, aWay = r.leadOn("a")
+	standby, standbyWay = r.leadOn("s")
+	r.standby = standby
+	a.look(t.Context())
+	a.askOnce(t.Context())
+	a.renew(t.Context())
+	standby.look(t.Context())
+	if !a.Held() || readClaim(r.store.row).Standby != standby.self.Process {
+		t.Fatalf("held %v, row %s; want a standby in it", a.Held(), r.store.row.Value)
+	}
+	return a, standby, aWay, standbyWay
+}
+
+// takesOver lets a coordinator's lease lapse and another VM take its place.
+func (r *leadRig) takesOver(t *testing.T, next *Lead) {
+	t.Helper()
+	next.look(t.Context())
+	r.now += 1500 * time.Millisecond
+	next.look(t.Context())
+	if !next.Held() {
+		t.Fatal("the lapsed right was not taken")
+	}
+}
+
 const testLongHold = 6 * time.Second
 
+// Long leases are given only while the standby does not reach the store either.
+func TestLongLeasesNeedTheStandbysConsent(t *testing.T) {
+	for name, c := range map[string]struct{ standbyCut, want bool }{
+		"the store is away":           {true, true},
+		"only the coordinator is cut": {false, false},
+	} {
+		r := newLeadRig()
+		a, _, aWay, standbyWay := r.coordinating(t)
+		aWay.cut, standbyWay.cut = true, c.standbyCut
+		a.renew(t.Context())
+		a.askOnce(t.Context())
+		if got := a.Strained(); got != c.want {
+			t.Errorf("%s: long leases %v", name, got)
+		}
+	}
+}
+
+// A standby that takes over knows whether long leases are out; others, and a standby
+// that was started again, assume it.
+func TestStandbyKnowsOfLongLeases(t *testing.T) {
+	t.Run("none were given", func(t *testing.T) {
+		r := newLeadRig()
+		_, standby, _, _ := r.coordinating(t)
+		r.takesOver(t, standby)
+		if standby.LongLeases() {
+			t.Fatal("long leases are assumed")
+		}
+	})
+	t.Run("it consented", func(t *testing.T) {
+		r := newLeadRig()
+		a, standby, aWay, standbyWay := r.coordinating(t)
+		aWay.cut, standbyWay.cut = true, true
+		a.renew(t.Context())
+		a.askOnce(t.Context())
+		standbyWay.cut = false
+		r.takesOver(t, standby)
+		if !standby.LongLeases() {
+			t.Fatal("its own consent is forgotten")
+		}
+	})
+	t.Run("another VM", func(t *testing.T) {
+		r := newLeadRig()
+		r.coordinating(t)
+		third := r.lead("t")
+		r.takesOver(t, third)
+		if !third.LongLeases() {
+			t.Fatal("a VM that can't know assumes no long leases")
+		}
+	})
+	t.Run("started again", func(t *testing.T) {
+		r := newLeadRig()
+		r.coordinating(t)
+		again := r.lead("s")
+		again.self.Start = "another"
+		r.takesOver(t, again)
+		if !again.LongLeases() {
+			t.Fatal("a start that can't know assumes no long leases")
+		}
+	})
+	t.Run("long leases of an earlier strain", func(t *testing.T) {
+		r := newLeadRig()
+		a, _, aWay, standbyWay := r.coordinating(t)
+		aWay.cut, standbyWay.cut = true, true
+		a.renew(t.Context())
+		a.askOnce(t.Context())
+		aWay.cut, standbyWay.cut = false, false
+		a.renew(t.Context())
+		next, _ := r.leadOn("n") // another standby, which was not asked then
+		r.standby = next
+		a.askOnce(t.Context())
+		a.renew(t.Context())
+		r.takesOver(t, next)
+		if !next.LongLeases() {
+			t.Fatal("the row does not tell of long leases")
+		}
+	})
+}
+
+// Consent of a VM that the row may not name does not count: another could take over.
+func TestConsentOfAnotherVMDoesNotCount(t *testing.T) {
+	r := newLeadRig()
+	a, _, aWay, standbyWay := r.coordinating(t)
+	other, otherWay := r.leadOn("o")
+	r.standby = other
+	a.askOnce(t.Context())
+	aWay.cut, standbyWay.cut, otherWay.cut = true, true, true
+	a.renew(t.Context()) // names the other VM, and may be carried out or not
+	a.askOnce(t.Context())
+	if a.Strained() {
+		t.Fatal("long leases by the consent of a VM that the row may not name")
+	}
+}
+
 // A coordinator that was strained may have given long leases itself, so it must
-// not take its predecessor's handover for a promise that none are out.
+// not hand its right over.
 func TestStrainEndsAHandover(t *testing.T) {
 	r := newLeadRig()
-	l := r.lead("a")
-	l.look(t.Context())
-	if !l.Held() || !l.HandedOver() {
-		t.Fatalf("held %v, handed over %v; want a free right to be taken", l.Held(), l.HandedOver())
-	}
-	r.store.silent = true
-	l.renew(t.Context())
-	r.store.silent = false
+	a, _, aWay, standbyWay := r.coordinating(t)
+	if a.LongLeases() {
+		t.Fatal("a right that was free began with long leases")
+	}
+	aWay.cut, standbyWay.cut = true, true
+	a.renew(t.Context())
+	a.askOnce(t.Context())
+	aWay.cut = false
 	r.now += 2 * time.Second // the right lapses
-	l.renew(t.Context())
-	if !l.Held() || l.HandedOver() {
-		t.Fatalf("held %v, handed over %v, after a strain", l.Held(), l.HandedOver())
+	a.renew(t.Context())
+	if !a.Held() || !a.LongLeases() {
+		t.Fatalf("held %v, long leases %v, after a strain", a.Held(), a.LongLeases())
+	}
+	if err := a.Resign(t.Context()); err != nil || !r.store.exists() {
+		t.Fatalf("%v; the right was handed over while long leases may be out", err)
 	}
 }
 
-// A coordinator that took over from a silent one passes on that long leases may
-// be out: it does not hand over while they last.
+// A coordinator that took over from a silent one passes on that long leases may be
+// out, until the last of them is over.
 func TestInheritedLongLeasesAreNotHandedOver(t *testing.T) {
 	r := newLeadRig()
 	r.lead("a").look(t.Context())
 	b := r.lead("b")
-	b.look(t.Context())
-	r.now += 1100 * time.Millisecond
-	b.look(t.Context())
-	if !b.Held() || b.HandedOver() {
-		t.Fatalf("held %v, handed over %v; want a right that lapsed to be taken", b.Held(), b.HandedOver())
+	r.takesOver(t, b)
+	if !b.LongLeases() {
+		t.Fatal("a right that lapsed began without long leases")
 	}
-	if err := b.Resign(t.Context(), testLongHold); err != nil || !r.store.exists() {
+	if err := b.Resign(t.Context()); err != nil || !r.store.exists() {
 		t.Fatalf("%v; the right was handed over while long leases may be out", err)
 	}
 	c := r.lead("c")
-	c.look(t.Context())
-	r.now += 1100 * time.Millisecond
-	c.look(t.Context())
+	r.takesOver(t, c)
 	for range 30 {
 		r.now += 300 * time.Millisecond
 		c.renew(t.Context())
 	}
-	if err := c.Resign(t.Context(), testLongHold); err != nil || r.store.exists() {
+	if err := c.Resign(t.Context()); err != nil || r.store.exists() {
 		t.Fatalf("%v; a right that was held past all long leases is handed over", err)
 	}
 }
@@ -119,9 +273,7 @@
 // and does not press a store that does not answer.
 func TestLooksComeWhenTheLeaseEnds(t *testing.T) {
 	r := newLeadRig()
-	holder, next := r.lead("a"), r.lead("b")
-	holder.look(t.Context())
-	next.look(t.Context())
+	_, next, _, _ := r.coordinating(t)
 	r.now += 900 * time.Millisecond
 	if got := next.lookInterval(); got < 100*time.Millisecond || got > 150*time.Millisecond {
 		t.Errorf("looks again after %v, the lease ends in 125 ms", got)
@@ -130,7 +282,8 @@
 	if got := next.lookInterval(); got != leastLook {
 		t.Errorf("after the lease it looks again after %v", got)
 	}
-	if err := next.Resign(t.Context(), testLongHold); err != nil {
+	next.Stand(t.Context(), StandbyQuestion{}) // asked again, by a coordinator that is slow
+	if err := next.Resign(t.Context()); err != nil {
 		t.Fatal(err)
 	}
 	if got := next.lookInterval(); got < 10*time.Second {
--- a/internal/keyspace/walk_test.go
+++ b/internal/keyspace/walk_test.go
@@ -72,6 +72,8 @@
 	broken     string
 	sabotage   func(*Ledger)
 	granted    int
+	longAt     time.Duration // when a coordinator last gave long leases
+	strained   bool
 }
 
 func newWalk(t *testing.T, seed uint64, sabotage func(*Ledger)) *walk {
@@ -271,14 +273,20 @@
 	case w.chance(2):
 		w.takeOver()
 	case w.chance(10):
-		w.ledger.Strain(w.chance(300))
+		w.strained = w.chance(300)
+		w.ledger.Strain(w.strained)
 	}
 }
 
 // takeOver replaces the coordinator. Orders that the old one sent go on.
 func (w *walk) takeOver() {
 	w.generation++
-	w.ledger = NewLedger(walkTiming, w.record, w.version, w.now, walkTiming.LongHold)
+	hold := walkTiming.Hold
+	if w.longAt != 0 && w.now-w.longAt < stretch(walkTiming.LongHold, walkTiming.DriftPerMill)+longMargin {
+		hold = walkTiming.LongHold
+	}
+	w.strained = false
+	w.ledger = NewLedger(walkTiming, w.record, w.version, w.now, hold)
 	if w.sabotage != nil {
 		w.sabotage(w.ledger)
 	}
@@ -326,6 +334,9 @@
 			e.do()
 		}
 		w.disturb()
+		if w.strained {
+			w.longAt = w.now
+		}
 		for _, order := range w.ledger.Orders(w.now, w.stateOf) {
 			w.send(order)
 		}
