Control calls keep sessions of two connections to a server

Change: a session is a set of connections that certainly reach one process. A spare that was opened while a connection of the session was open, and before a question that was answered on it, belongs to it. Renewals use any connection of their grant's session, in turn. Releases, which wait for running work, use connections of their own, and grants to one server wait for those under way.

Tests: TestSessionOutlivesItsConnection (the fourth call ended unsent before), TestOnlyCertainConnectionsJoinASession, TestRenewalKeepsToItsSession.

--- a/internal/gateway/provision.go
+++ b/internal/gateway/provision.go
@@ -185,15 +185,11 @@
 	})
 }
 
-// controlConnections is how many idle connections for control calls are kept to
-// a server: a renewal for each of its ranges at once.
-const controlConnections = 4
-
 // newControlSender returns a sender with connections of its own: renewals need
-// ones that are open since the grant, which requests would take.
+// those of the grant's session, which requests would take.
 func (g *Gateway) newControlSender() *serverconn.Sender {
 	g.control = serverconn.NewPool(serverconn.Settings{
-		DialTimeout: dialTimeout, LocalIP: g.settings.IP, IdlePerServer: func(string) int { return controlConnections },
+		DialTimeout: dialTimeout, LocalIP: g.settings.IP, IdlePerServer: func(string) int { return serverconn.ControlConnections },
 	}, g.metrics)
 	return serverconn.NewSender(g.control, g.adapter.Dialect)
 }
--- a/internal/keyspace/batch_test.go
+++ b/internal/keyspace/batch_test.go
@@ -20,8 +20,8 @@
 
 func (s *script) Release(context.Context, Order, func() bool) Result { return Result{} }
 
-func testGrant(to Holder, from uint32, connection uint64) Order {
-	return Order{Kind: OrderGrant, To: to, Span: Span{from, from}, Connection: connection}
+func testGrant(to Holder, from uint32, session uint64) Order {
+	return Order{Kind: OrderGrant, To: to, Span: Span{from, from}, Session: session}
 }
 
 // Grants to one server go out one after another, so that they share a connection;
@@ -35,7 +35,7 @@
 }
 
 // A server that leaves one grant unanswered is not waited for with the next ones;
-// a renewal whose connection was closed tells nothing about it.
+// a renewal whose session was closed tells nothing about it.
 func TestBatchEndsAtASilentServer(t *testing.T) {
 	for name, c := range map[string]struct {
 		results []Result
--- a/internal/keyspace/coordinator.go
+++ b/internal/keyspace/coordinator.go
@@ -339,8 +339,8 @@
 }
 
 // carryOut makes the calls of a batch. After one that is not answered the others
-// are not sent: the server is silent to all. A renewal whose connection was closed
-// tells nothing about the server.
+// are not sent: the server is silent to all. A renewal whose session has no
+// connection left tells nothing about the server.
 func (c *Coordinator) carryOut(ctx context.Context, d *desk, batch []Order) {
 	silent := false
 	for _, order := range batch {
@@ -348,7 +348,7 @@
 		if !silent {
 			result = c.call(ctx, order)
 		}
-		closed := result.Unsent && order.Connection != 0
+		closed := result.Unsent && order.Session != 0
 		silent = silent || !result.Acknowledged && !result.Rejected && !closed
 		c.done(d, order, result)
 	}
--- a/internal/keyspace/ledger.go
+++ b/internal/keyspace/ledger.go
@@ -79,10 +79,10 @@
 	Fence    uint64
 	Hold     time.Duration // with a grant
 	Handover string        // with a grant: from the former holder
-	// Connection names the only connection that a renewal may use, the one on which
-	// the token was acknowledged: another may reach a newer start of the server, which
-	// must not take the keys under the same token. 0: any, also a new one.
-	Connection uint64
+	// Session names the only connections that a renewal may use, those that reach the
+	// process which acknowledged the token: another may reach a newer start of the
+	// server, which must not take the keys under the same token. 0: any.
+	Session uint64
 }
 
 // Result is how an order ended.
@@ -93,8 +93,8 @@
 	// Unsent says that no byte left, so that the order can't take effect.
 	Unsent   bool
 	Handover string // with a release
-	// Connection names the connection on which a grant was acknowledged.
-	Connection uint64
+	// Session names the connections to the process that acknowledged a grant.
+	Session uint64
 }
 
 // holderState is what the ledger knows of one holder's leases.
@@ -139,7 +139,7 @@
 	renewAt   time.Duration // when the next grant is due
 	cleared   bool          // of a pending range: no former holder can hold its keys
 	granted   bool          // the owner acknowledged its keys under the token
-	on        uint64        // the connection on which it did
+	session   uint64        // in which it did
 	rejected  bool          // the fencing token is too low
 	doubtAt   time.Duration // since when another start of the owner may answer; 0: not
 	handover  string
@@ -297,11 +297,11 @@
 			continue
 		}
 		ownerState := stateOf(r.Owner)
-		if !l.mayGrant(r) || state.rejected || state.doubtAt != 0 || now < state.renewAt || ownerState == Ended || l.inFlight(r.Owner, OrderGrant, r.Span) {
+		if !l.mayGrant(r) || state.rejected || state.doubtAt != 0 || now < state.renewAt || ownerState == Ended || l.granting(r.Owner) {
 			continue
 		}
 		state.renewAt = now + l.timing.Renew
-		orders = append(orders, Order{Kind: OrderGrant, To: r.Owner, Span: r.Span, Fence: r.Fence, Hold: l.hold, Handover: state.handover, Connection: state.on})
+		orders = append(orders, Order{Kind: OrderGrant, To: r.Owner, Span: r.Span, Fence: r.Fence, Hold: l.hold, Handover: state.handover, Session: state.session})
 	}
 	for _, order := range orders {
 		holder := l.holder(order.To)
@@ -344,6 +344,12 @@
 	return orders, clear
 }
 
+// granting reports whether a grant to a holder is under way. Those to one holder are
+// made one batch after another, on connections that are in use meanwhile.
+func (l *Ledger) granting(h Holder) bool {
+	return slices.ContainsFunc(l.holder(h).calls, func(o Order) bool { return o.Kind == OrderGrant })
+}
+
 // inFlight reports whether an order of a kind is under way for some of a span's keys.
 func (l *Ledger) inFlight(h Holder, kind OrderKind, span Span) bool {
 	return slices.ContainsFunc(l.holder(h).calls, func(o Order) bool { return o.Kind == kind && o.Span.Overlaps(span) })
@@ -407,7 +413,7 @@
 	}
 	switch {
 	case result.Acknowledged:
-		state.granted, state.on = true, result.Connection
+		state.granted, state.session = true, result.Session
 		state.renewAt = now + l.timing.Renew
 	case result.Rejected:
 		state.rejected = true
--- a/internal/keyspace/walk_test.go
+++ b/internal/keyspace/walk_test.go
@@ -150,7 +150,7 @@
 		})
 	}
 	s := w.server(order.To)
-	if order.Connection != 0 && w.ackedBy[order.Fence] != s.holder {
+	if order.Session != 0 && w.ackedBy[order.Fence] != s.holder {
 		done(walkStep, Result{Unsent: true}) // no connection is open since
 		return
 	}
@@ -186,7 +186,7 @@
 			return
 		}
 		result := w.apply(s, order, arrival, incarnation)
-		result.Connection = 1 // all connections to one start are alike here
+		result.Session = 1 // all connections to one start are alike here
 		if order.Kind == OrderGrant && result.Acknowledged {
 			w.ackedBy[order.Fence] = s.holder
 		}
--- a/internal/serverconn/conn.go
+++ b/internal/serverconn/conn.go
@@ -23,15 +23,16 @@
 // conn is one connection to one start of a server. One request uses it at a time.
 type conn struct {
 	net.Conn
-	number   uint64 // differs between the connections of a pool
+	opened   time.Time
+	session  uint64 // of control calls; 0: none yet
 	reader   *bufio.Reader
 	fresh    bool // no request was sent on it yet
 	idleFrom time.Time
 	idleMax  time.Duration
 }
 
-func newConn(c net.Conn, number uint64) *conn {
-	return &conn{Conn: c, number: number, reader: bufio.NewReaderSize(c, readerBytes), fresh: true, idleMax: defaultIdle}
+func newConn(c net.Conn) *conn {
+	return &conn{Conn: c, opened: time.Now(), reader: bufio.NewReaderSize(c, readerBytes), fresh: true, idleMax: defaultIdle}
 }
 
 // reusable reports whether an idle connection can take a request that tolerates
--- a/internal/serverconn/control.go
+++ b/internal/serverconn/control.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"kumquatcleat/internal/registry"
 )
@@ -17,24 +18,26 @@
 	Server *registry.Server
 	Path   string
 	Body   []byte
-	// Connection names the connection to use, by an earlier answer; 0: any.
-	Connection uint64
+	// Session names the session to use, by an earlier answer; 0: any, also a new one.
+	Session uint64
+	// Apart keeps a call that may take long off the connections of sessions.
+	Apart bool
 	// Guard is asked right before the call is sent.
 	Guard func() bool
 }
 
 // ControlAnswer is a server's answer to a control call.
 type ControlAnswer struct {
-	Status     int
-	Header     http.Header
-	Connection uint64 // on which it came
+	Status  int
+	Header  http.Header
+	Session uint64 // in which it came
 }
 
 // Call makes a control call. One that fails resets its connection, so that it
 // can't arrive later.
 func (s *Sender) Call(ctx context.Context, call ControlCall) (ControlAnswer, *Failure) {
 	server := call.Server
-	c, err := s.pool.getFor(ctx, server, call.Connection)
+	c, err := s.pool.control(ctx, call)
 	if err != nil {
 		return ControlAnswer{}, &Failure{Progress: NotSent, Refused: Refused(err), Err: fmt.Errorf("connect to server %s: %w", server.ID, err)}
 	}
@@ -52,31 +55,22 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = c.SetDeadline(deadline)
 	}
+	sent := time.Now()
 	status, header, kept, err := c.call(b.Bytes())
 	if err != nil {
 		c.reset()
 		return ControlAnswer{}, s.failure(ctx, &Request{Server: server}, err)
 	}
-	if kept && stop() {
+	if kept && stop() && !call.Apart {
 		s.pool.put(server, c)
 	} else {
 		c.reset()
 	}
-	return ControlAnswer{status, header, c.number}, nil
-}
-
-// errNoConnection says that the connection which a call needed is closed or in use.
-var errNoConnection = errors.New("its connection is not open")
-
-// getFor returns a connection for a control call.
-func (p *Pool) getFor(ctx context.Context, server *registry.Server, number uint64) (*conn, error) {
-	if number == 0 {
-		return p.get(ctx, server, freshEnough)
-	}
-	if c := p.numbered(server, number); c != nil {
-		return c, nil
+	if !call.Apart {
+		s.pool.adopt(server, c, sent)
+		s.pool.keepSpare(server)
 	}
-	return nil, errNoConnection
+	return ControlAnswer{status, header, c.session}, nil
 }
 
 var errGuarded = errors.New("the right to send ended before the call was sent")
--- a/internal/serverconn/exchange_test.go
+++ b/internal/serverconn/exchange_test.go
@@ -199,24 +199,66 @@
 	}
 }
 
-// A renewal uses the connection of its grant and no other: another could reach a
+// A renewal uses connections of its grant's session and no other: another could reach a
 // newer start of the server under the same id.
-func TestRenewalKeepsToItsConnection(t *testing.T) {
+func TestRenewalKeepsToItsSession(t *testing.T) {
 	const ok = "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n"
 	server, _ := rawServer(t, ok, ok)
 	s := newSender()
-	call := func(connection uint64) (ControlAnswer, *Failure) {
-		return s.Call(context.Background(), ControlCall{Server: server, Path: "/grant", Body: []byte("{}"), Connection: connection, Guard: func() bool { return true }})
+	call := func(session uint64) (ControlAnswer, *Failure) {
+		return s.Call(context.Background(), ControlCall{Server: server, Path: "/grant", Body: []byte("{}"), Session: session, Guard: func() bool { return true }})
 	}
 	first, f := call(0)
-	if f != nil || first.Connection == 0 {
+	if f != nil || first.Session == 0 {
 		t.Fatalf("%+v, %v", first, f)
 	}
-	again, f := call(first.Connection)
-	if f != nil || again.Connection != first.Connection {
+	again, f := call(first.Session)
+	if f != nil || again.Session != first.Session {
 		t.Fatalf("%+v, %v", again, f)
 	}
-	if _, f := call(first.Connection + 1); f == nil || f.Progress != NotSent {
-		t.Fatalf("sent on another connection, %+v", f)
+	if _, f := call(first.Session + 1); f == nil || f.Progress != NotSent {
+		t.Fatalf("sent in another session, %+v", f)
+	}
+}
+
+// A server that closes a connection behind an answer keeps its session: the spare
+// connection was opened while the first one was, so it reaches the same process.
+func TestSessionOutlivesItsConnection(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n"
+	const closing = "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	server, _ := rawServer(t, ok, ok, closing, ok)
+	s := newSender()
+	session := uint64(0)
+	for i := range 4 {
+		answer, f := s.Call(context.Background(), ControlCall{Server: server, Path: "/grant", Session: session, Guard: func() bool { return true }})
+		if f != nil || session != 0 && answer.Session != session {
+			t.Fatalf("call %d: %+v, %v", i, answer, f)
+		}
+		session = answer.Session
+		time.Sleep(20 * time.Millisecond) // the spare is opened beside
+	}
+}
+
+// A spare that was opened before its session's connection, or after the question
+// that was answered, may reach another process and stays out.
+func TestOnlyCertainConnectionsJoinASession(t *testing.T) {
+	server := &registry.Server{ID: "s", Incarnation: 1}
+	base := time.Now()
+	answered := &conn{opened: base, session: 7}
+	for name, c := range map[string]struct {
+		opened time.Time
+		want   uint64
+	}{
+		"before":  {base.Add(-time.Second), 0},
+		"between": {base.Add(time.Second), 7},
+		"after":   {base.Add(3 * time.Second), 0},
+	} {
+		p := newSender().pool
+		spare := &conn{opened: c.opened}
+		p.idle[server.Start()] = []*conn{spare}
+		p.adopt(server, answered, base.Add(2*time.Second))
+		if spare.session != c.want {
+			t.Errorf("opened %s: session %d, want %d", name, spare.session, c.want)
+		}
 	}
 }
--- a/internal/serverconn/pool.go
+++ b/internal/serverconn/pool.go
@@ -4,9 +4,7 @@
 	"context"
 	"errors"
 	"net"
-	"slices"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -33,10 +31,11 @@
 	settings Settings
 	dialer   *net.Dialer
 	opened   metrics.Counter
-	numbers  atomic.Uint64 // of connections
 
-	mu   sync.Mutex // owns idle
-	idle map[registry.Start][]*conn
+	mu       sync.Mutex // owns the fields below
+	idle     map[registry.Start][]*conn
+	sessions uint64                  // given so far
+	spares   map[registry.Start]bool // servers to which a spare connection is being opened
 }
 
 // NewPool returns an empty pool.
@@ -45,6 +44,7 @@
 		settings: s,
 		dialer:   dial.Watchful(s.LocalIP, s.DialTimeout),
 		idle:     map[registry.Start][]*conn{},
+		spares:   map[registry.Start]bool{},
 		opened:   metrics.GetOrRegisterCounter("server_connections_opened", counters),
 	}
 	return p
@@ -55,12 +55,16 @@
 	if c := p.idleConn(server, mostIdle); c != nil {
 		return c, nil
 	}
+	return p.open(ctx, server)
+}
+
+func (p *Pool) open(ctx context.Context, server *registry.Server) (*conn, error) {
 	opened, err := p.dialer.DialContext(ctx, "tcp", server.Address)
 	if err != nil {
 		return nil, err
 	}
 	p.opened.Inc(1)
-	return newConn(opened, p.numbers.Add(1)), nil
+	return newConn(opened), nil
 }
 
 // idleConn returns a connection that was idle for at most mostIdle, or nil.
@@ -107,26 +111,6 @@
 	_ = c.Close()
 }
 
-// numbered removes a connection by its number if it is idle and still good.
-func (p *Pool) numbered(server *registry.Server, number uint64) *conn {
-	key := server.Start()
-	p.mu.Lock()
-	list := p.idle[key]
-	i := slices.IndexFunc(list, func(c *conn) bool { return c.number == number })
-	if i < 0 {
-		p.mu.Unlock()
-		return nil
-	}
-	c := list[i]
-	p.idle[key] = slices.Delete(list, i, i+1)
-	p.mu.Unlock()
-	if !c.reusable(time.Now(), freshEnough) {
-		_ = c.Close()
-		return nil
-	}
-	return c
-}
-
 // Sweep closes connections that were idle for too long, and those of servers
 // that keep does not name.
 func (p *Pool) Sweep(keep func(registry.Start) bool) {
