Keys go to the owner of the keys beside them where it has room

Ruled out: joining ranges of other owners in calm times (it moves keys for nothing).

Change: a piece that moves goes to a neighbor's owner with room below the bounds at which plans act, else to the idlest member as before.

TestKeysGoToTheirNeighbor failed before: 22 ranges of 20 after one server left, want 21 at most.

--- a/internal/keyspace/plan.go
+++ b/internal/keyspace/plan.go
@@ -66,6 +66,27 @@
 	})
 }
 
+// neighborOr returns the owner of a range beside a span that is to move, if it has
+// room for the span's load, else the member that is the idlest: a range less is a
+// renewal less.
+func (p *planner) neighborOr(beside []Range, load float64, idlest Member) Member {
+	for _, r := range beside {
+		i := slices.IndexFunc(p.members, func(m Member) bool { return m.Same(r.Owner) })
+		if i < 0 || r.Pending {
+			continue
+		}
+		if m := p.members[i]; p.load[holderName(m.Holder)]+load <= p.room(m) {
+			return m
+		}
+	}
+	return idlest
+}
+
+// room is the load up to which a member takes keys.
+func (p *planner) room(m Member) float64 {
+	return max(roomAbove*p.total/p.capacity, p.settings.Busy) * m.Capacity
+}
+
 func compare(x, y float64) int {
 	switch {
 	case x < y:
@@ -102,7 +123,7 @@
 func (p *planner) reassign(ranges []Range, unfit func(*Range) bool, ended func(Holder) bool) ([]Range, bool) {
 	var next []Range
 	changed := false
-	for _, r := range ranges {
+	for i, r := range ranges {
 		if !unfit(&r) || len(p.members) == 0 {
 			next = append(next, r)
 			continue
@@ -114,9 +135,18 @@
 		}
 		former = withoutEnded(former, ended)
 		piece := max(p.profile.load(r.Span)/orphanPieces, p.total*orphanPart)
-		for _, span := range p.pieces(r.Span, piece) {
-			to := p.idlest(p.profile.load(span))
-			p.load[holderName(to.Holder)] += p.profile.load(span)
+		spans := p.pieces(r.Span, piece)
+		for j, span := range spans {
+			load := p.profile.load(span)
+			var beside []Range
+			if n := len(next); n > 0 && j == 0 {
+				beside = append(beside, next[n-1])
+			}
+			if i+1 < len(ranges) && j == len(spans)-1 {
+				beside = append(beside, ranges[i+1])
+			}
+			to := p.neighborOr(beside, load, p.idlest(load))
+			p.load[holderName(to.Holder)] += load
 			next = append(next, p.moving(span, to.Holder, former)...)
 		}
 	}
@@ -220,8 +250,7 @@
 func (p *planner) excess(hot, cool Member, mean float64) float64 {
 	have, has := p.load[holderName(hot.Holder)], p.load[holderName(cool.Holder)]
 	equal := (have*cool.Capacity - has*hot.Capacity) / (hot.Capacity + cool.Capacity)
-	room := max(roomAbove*mean, p.settings.Busy) * cool.Capacity
-	return min(equal, max(have-mean*hot.Capacity, 0), max(room-has, 0))
+	return min(equal, max(have-mean*hot.Capacity, 0), max(p.room(cool)-has, 0))
 }
 
 // worthMoving is the share of a server's capacity below which a move costs more
@@ -259,8 +288,11 @@
 	if have > 1.5*load && r.Keys() > 1 {
 		moved, rest = p.split(r.Span, load)
 	}
-	if p.load[holderName(to.Holder)] > 0 && p.profile.load(moved) < worthMoving*to.Capacity {
-		return ranges, false
+	if p.load[holderName(to.Holder)] > 0 {
+		if p.profile.load(moved) < worthMoving*to.Capacity {
+			return ranges, false
+		}
+		to = p.neighborOr(besides(ranges, best, moved), p.profile.load(moved), to)
 	}
 	if (p.load[holderName(to.Holder)]+p.profile.load(moved))/to.Capacity >= p.utilization(from) {
 		return ranges, false
@@ -275,6 +307,19 @@
 	return slices.Replace(slices.Clone(ranges), best, best+1, pieces...), true
 }
 
+// besides returns the ranges of other owners that touch a part of the range at an
+// index.
+func besides(ranges []Range, at int, part Span) []Range {
+	var list []Range
+	if at > 0 && part.From == ranges[at].From && !ranges[at-1].Owner.Same(ranges[at].Owner) {
+		list = append(list, ranges[at-1])
+	}
+	if at+1 < len(ranges) && part.To == ranges[at].To && !ranges[at+1].Owner.Same(ranges[at].Owner) {
+		list = append(list, ranges[at+1])
+	}
+	return list
+}
+
 // split returns a part of a span with about a load, and the rest.
 func (p *planner) split(s Span, load float64) (part, rest Span) {
 	head := p.profile.cutAt(s, load)
--- a/internal/keyspace/plan_test.go
+++ b/internal/keyspace/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -167,6 +168,26 @@
 	}
 }
 
+// Keys go to the owner of the keys beside them where that has room: a range less.
+func TestKeysGoToTheirNeighbor(t *testing.T) {
+	members := planMembers(20)
+	p := newPlanner(testPlan, evenProfile(100), members)
+	ranges := held(p.first())
+	left := members[9].Holder
+	p = newPlanner(testPlan, evenProfile(100), slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.Same(left) }))
+	p.count(ranges)
+	next, _ := p.reassign(ranges, ownedBy(left), never)
+	covered(t, next)
+	if joined, _ := join(held(next), always); len(joined) > len(ranges)+1 {
+		t.Fatalf("%d ranges of %d, after one server left", len(joined), len(ranges))
+	}
+	for _, m := range p.members {
+		if u := p.utilization(m); u > testPlan.Busy {
+			t.Errorf("%s is at %.2f", m.Server, u)
+		}
+	}
+}
+
 // A move releases keys in pieces of about one running request, so that a long
 // request does not hold all of them up.
 func TestKeysMoveInPieces(t *testing.T) {
