A lost coordinator is suspected by VMs whose reports it does not take

The standby was asked for its consent up to a second after a refusal, when the right was over: keys went dark at 4 s (759 refusals by servers that no longer held the key). At the first start a VM of 0.16 cores coordinated, which knew of itself first.

Ruled out: looks of all VMs more often (66 calls each).

Change: a VM whose reports of load were not taken twice in a row looks at the row itself, the first eight VMs in turn; reports to a VM that does not coordinate are refused. In return the VMs that stand in look each 5 s, the others each minute. A right that is over for a lease is not renewed any more. A refusal asks for consent at once. A VM that is new waits 1.2 s before it looks for a coordinator.

Tests that failed before: TestSuspicionMakesFirstVMsLook, TestLostRightIsNotPressedFor, TestRefusalWakesTheQuestionForConsent.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -141,9 +141,17 @@
 			return
 		}
 	}
+	if g.vms.Row(g.settings.VM).Version == 0 && !wait.For(ctx, leadSettle) {
+		return
+	}
 	g.lead.Run(ctx)
 }
 
+// leadSettle is how long a VM that is new waits before it looks for a coordinator: at
+// the first start of all VMs a weak one would else be the first to know of itself,
+// and keys are divided later still.
+const leadSettle = 1200 * time.Millisecond
+
 // leadFirst is the interval at which the list of VMs is looked for at the start.
 const leadFirst = 50 * time.Millisecond
 
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -27,6 +27,12 @@
 
 // loads counts requests by key and reports them to the coordinator.
 type loads struct {
+	// lost is told when the coordinator did not take reports, coordinates whether this
+	// VM may take them.
+	lost        func()
+	coordinates func() bool
+	misses      int // reports in a row that the coordinator did not take; of run alone
+
 	self   string // this VM's peer address
 	report func(keyspace.Report)
 	times  func(service string) map[string]balance.Samples
@@ -90,25 +96,42 @@
 		case coordinator == l.self:
 			l.report(report)
 		default:
-			l.send(ctx, coordinator, report)
+			l.note(l.send(ctx, coordinator, report))
 		}
 	}
 }
 
-func (l *loads) send(ctx context.Context, to string, report keyspace.Report) {
+// mostMisses is how many reports in a row may be lost before the coordinator is
+// taken for lost: a single one may be due to a lost packet.
+const mostMisses = 2
+
+// note takes in whether the coordinator took a report.
+func (l *loads) note(taken bool) {
+	if taken {
+		l.misses = 0
+		return
+	}
+	if l.misses++; l.misses >= mostMisses {
+		l.lost()
+	}
+}
+
+// send reports whether the coordinator took a report.
+func (l *loads) send(ctx context.Context, to string, report keyspace.Report) bool {
 	body, err := json.Marshal(report)
 	if err != nil {
 		slog.Error("loads: the report can't be encoded", "error", err.Error())
-		return
+		return true // it would not help to look for another coordinator
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	resp, err := post(ctx, l.client, to, pathLoads, body)
 	if err != nil {
 		slog.Debug("loads: a report was lost", "coordinator", to, "error", err.Error())
-		return
+		return false
 	}
 	_ = resp.Body.Close()
+	return true
 }
 
 // receive takes another VM's report.
@@ -118,6 +141,10 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if !l.coordinates() {
+		http.Error(w, "another VM coordinates", http.StatusConflict)
+		return
+	}
 	l.report(report)
 	w.WriteHeader(http.StatusNoContent)
 }
--- a/internal/gateway/provision.go
+++ b/internal/gateway/provision.go
@@ -59,11 +59,13 @@
 	g.vms.OnApply(g.peers.apply)
 	g.keys.OnApply(g.owners.Apply)
 	g.loads = newLoads(g.settings, func(r keyspace.Report) { g.coord.Report(r) }, g.serviceTimes)
+	g.loads.coordinates = func() bool { return g.lead.Held() }
+	g.loads.lost = func() { g.lead.Suspect() }
 	g.keys.OnApply(g.loads.apply)
 	s := rows.FollowerSettings{Wait: g.watchWait, Pause: g.watchPause, Retry: watchRetry, Idle: watchIdle, Settles: storeSettles}
 	g.follower = rows.NewFollower(s, g.adapter.Store, g.views, g.reads, g.metrics)
 	g.exchange = newExchange(g.peers, g.views, g.loads, g.adapter.ConfigTable)
-	g.exchange.coordinates = func() bool { return g.lead.Held() }
+	g.exchange.coordinates = g.loads.coordinates
 	g.exchange.coordinator = g.loads.coordinatorAddress
 	g.exchange.stand = func(ctx context.Context, q keyspace.StandbyQuestion) keyspace.StandbyAnswer {
 		return g.lead.Stand(ctx, q)
--- a/internal/keyspace/lead.go
+++ b/internal/keyspace/lead.go
@@ -72,7 +72,11 @@
 	// or by a predecessor that may have. Zero: none may be out.
 	longAt time.Duration
 
-	strains chan struct{} // wakes RunStandby
+	last        claim         // in the row when it was last read
+	suspectedAt time.Duration // when the coordinator was last found not to answer; 0: never
+
+	strains    chan struct{} // wakes RunStandby
+	suspicions chan struct{} // wakes Run
 
 	standby Process // that the next claim names
 	named   Process // that the row names for certain; empty while that is not known
@@ -87,7 +91,7 @@
 
 // NewLead returns a lead that is not held.
 func NewLead(s LeadSettings, store rows.Store, table string, self Process, clock bootclock.Clock, rank func() int, ask AskStandby) *Lead {
-	return &Lead{settings: s, store: store, table: table, self: claim{Process: self}, clock: clock, rank: rank, ask: ask, strains: make(chan struct{}, 1)}
+	return &Lead{settings: s, store: store, table: table, self: claim{Process: self}, clock: clock, rank: rank, ask: ask, strains: make(chan struct{}, 1), suspicions: make(chan struct{}, 1)}
 }
 
 // Held reports whether this VM may coordinate now. Ask again right before each
@@ -130,14 +134,11 @@
 	if l.rank() > firstLooks {
 		pause = l.lookInterval()
 	}
-	for wait.For(ctx, pause) {
+	for l.pauseLooks(ctx, pause) {
 		if l.isHeld() {
 			sent := l.clock()
 			l.renew(ctx)
 			pause = l.settings.Renew - (l.clock() - sent)
-			if !l.Held() {
-				pause = l.settings.Renew / 4
-			}
 			continue
 		}
 		answered := l.look(ctx)
@@ -148,20 +149,70 @@
 	}
 }
 
+// pauseLooks waits for the next look, or for word that nobody coordinates.
+func (l *Lead) pauseLooks(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-l.suspicions:
+		return wait.For(ctx, time.Duration(l.rank())*suspectStep)
+	case <-ctx.Done():
+		return false
+	}
+}
+
+const (
+	// suspectRanks is how many VMs look when the coordinator does not answer, each a
+	// step after the one before; the first that finds the lease over takes it.
+	suspectRanks = 8
+	suspectStep  = 50 * time.Millisecond
+	// suspectMemory is how long a VM looks often after that.
+	suspectMemory = 3 * time.Second
+)
+
+// Suspect tells that the coordinator does not answer, or coordinates no more.
+func (l *Lead) Suspect() {
+	if l.rank() >= suspectRanks {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.held || l.paused {
+		return
+	}
+	l.suspectedAt = l.clock()
+	select {
+	case l.suspicions <- struct{}{}:
+	default: // it looks already
+	}
+}
+
+// suspects reports whether this VM looks often for a coordinator that is lost.
+func (l *Lead) suspects() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.suspectedAt != 0 && l.clock()-l.suspectedAt < suspectMemory
+}
+
 // firstLooks is how many VMs look at their start, beside those that look often.
 const firstLooks = 3
 
+// isHeld reports whether this VM coordinated last, by what it knows, and its lease
+// ended only lately if at all: it goes on renewing then.
 func (l *Lead) isHeld() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.held
+	return l.held && l.clock() < l.until+l.settings.Lease
 }
 
 // firstLook and othersLook are how many renewals pass between looks of VMs that
-// stand in for the standby: the first two, and the rest for these.
+// stand in for the standby: the first two, and the rest, which look at once when the
+// coordinator takes no reports.
 const (
-	firstLook  = 3
-	othersLook = 40
+	firstLook  = 12
+	othersLook = 150
 )
 
 // lookInterval spaces the reads of the row: the standby looks often, and again as
@@ -173,10 +224,10 @@
 	switch rank := l.rank(); {
 	case l.resigned():
 		return l.settings.Renew * othersLook
-	case l.standsBy():
+	case l.standsBy(), l.suspects():
 		return min(l.settings.Renew, max(l.untilFree(), leastLook))
 	case rank <= 1:
-		return l.settings.Renew * firstLook
+		return min(l.settings.Renew*firstLook, max(l.untilFree(), leastLook))
 	default:
 		return l.settings.Renew * othersLook
 	}
@@ -195,7 +246,7 @@
 func (l *Lead) untilFree() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.seenAt + stretch(l.settings.Lease, l.settings.DriftPerMill) - l.clock() + time.Millisecond
+	return l.seenAt + l.patience(l.last) - l.clock() + time.Millisecond
 }
 
 // look reads the row and takes the right when nobody holds it. It reports whether
@@ -211,6 +262,7 @@
 		l.version, l.seenAt = row.Version, now
 	}
 	last := readClaim(row)
+	l.last = last
 	// An earlier process of this VM has ended, as a VM runs one at a time.
 	ownEarlier := last.VM == l.self.VM && last.Start != l.self.Start
 	free := row.Version == 0 || ownEarlier || now-l.seenAt > l.patience(last)
@@ -299,10 +351,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.strained = true
-	select {
-	case l.strains <- struct{}{}:
-	default: // the standby is about to be asked
-	}
+	l.wakeStandby()
 }
 
 // noteAnswer takes in whether the store answered a claim.
@@ -314,6 +363,17 @@
 	}
 	l.strained = !answered
 	l.consent = l.consent && l.strained
+	if l.strained {
+		l.wakeStandby()
+	}
+}
+
+// wakeStandby lets the standby be asked at once. The caller holds the lock.
+func (l *Lead) wakeStandby() {
+	select {
+	case l.strains <- struct{}{}:
+	default: // it is about to be
+	}
 }
 
 func (l *Lead) won(version uint64, sent time.Duration, standby Process) {
--- a/internal/keyspace/lead_test.go
+++ b/internal/keyspace/lead_test.go
@@ -290,3 +290,48 @@
 		t.Errorf("a VM that stops looks again after %v", got)
 	}
 }
+
+// VMs whose reports the coordinator does not take look for themselves, soon and in
+// turn: without word they would look seconds later.
+func TestSuspicionMakesFirstVMsLook(t *testing.T) {
+	r := newLeadRig()
+	r.coordinating(t)
+	for rank, want := range map[int]bool{2: true, suspectRanks: false} {
+		l := r.lead("x")
+		l.rank = func() int { return rank }
+		l.look(t.Context())
+		l.Suspect()
+		if often := l.lookInterval() <= l.settings.Renew; often != want {
+			t.Errorf("rank %d looks again after %v", rank, l.lookInterval())
+		}
+	}
+}
+
+// A coordinator whose right is over for long stops pressing a store that refuses it.
+func TestLostRightIsNotPressedFor(t *testing.T) {
+	r := newLeadRig()
+	a, _, aWay, _ := r.coordinating(t)
+	aWay.cut = true
+	r.now += 900 * time.Millisecond
+	if !a.isHeld() {
+		t.Fatal("gives up before its lease is over")
+	}
+	r.now += 2 * time.Second
+	if a.isHeld() {
+		t.Fatal("goes on renewing a right that is over")
+	}
+}
+
+// Consent is asked for at once also where the store refuses instead of being silent.
+func TestRefusalWakesTheQuestionForConsent(t *testing.T) {
+	r := newLeadRig()
+	a, _, aWay, _ := r.coordinating(t)
+	for len(a.strains) > 0 {
+		<-a.strains
+	}
+	aWay.cut = true
+	a.renew(t.Context())
+	if len(a.strains) != 1 {
+		t.Fatal("the standby is not asked")
+	}
+}
