Keys go to a neighbor only where it is about as idle as the idlest member

Cause: the preference for neighbors let servers fill up to the bounds at which plans act.

Change: a neighbor may be busier than the idlest member by 0.08 at most.

--- a/internal/keyspace/plan.go
+++ b/internal/keyspace/plan.go
@@ -57,25 +57,32 @@
 
 func (p *planner) utilization(m Member) float64 { return p.load[holderName(m.Holder)] / m.Capacity }
 
+// utilizationWith is the utilization of a member that gets some load more.
+func (p *planner) utilizationWith(m Member, extra float64) float64 {
+	return (p.load[holderName(m.Holder)] + extra) / m.Capacity
+}
+
 // idlest returns the member with the least utilization after it got some load.
 func (p *planner) idlest(extra float64) Member {
 	return slices.MinFunc(p.members, func(a, b Member) int {
-		x := (p.load[holderName(a.Holder)] + extra) / a.Capacity
-		y := (p.load[holderName(b.Holder)] + extra) / b.Capacity
-		return compare(x, y)
+		return compare(p.utilizationWith(a, extra), p.utilizationWith(b, extra))
 	})
 }
 
-// neighborOr returns the owner of a range beside a span that is to move, if it has
-// room for the span's load, else the member that is the idlest: a range less is a
-// renewal less.
+// neighborSlack is the utilization by which the owner of a range beside may be
+// busier than the idlest member and still get keys: more shows in late answers.
+const neighborSlack = 0.08
+
+// neighborOr returns the owner of a range beside a span that is to move, if it is
+// about as idle as the idlest member, else that one: a range less is a renewal less.
 func (p *planner) neighborOr(beside []Range, load float64, idlest Member) Member {
+	most := p.utilizationWith(idlest, load) + neighborSlack
 	for _, r := range beside {
 		i := slices.IndexFunc(p.members, func(m Member) bool { return m.Same(r.Owner) })
 		if i < 0 || r.Pending {
 			continue
 		}
-		if m := p.members[i]; p.load[holderName(m.Holder)]+load <= p.room(m) {
+		if m := p.members[i]; p.utilizationWith(m, load) <= most {
 			return m
 		}
 	}
