--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -92,24 +92,13 @@
 // admit refuses a request that would not be answered in time.
 func (r *run) admit(choice balance.Choice) *Answer {
 	left := time.Until(r.deadline)
-	if !choice.Full && choice.Expected < min(left, lateBound(r.route.Objective, left)) {
+	if !choice.Full && choice.Expected < left {
 		return nil
 	}
 	return refuse(fault.Overloaded, r.overloadRetry(choice, left), "server %s: an answer is expected after %v, %v are left, full: %v",
 		choice.Server.ID, choice.Expected.Round(time.Millisecond), left.Round(time.Millisecond), choice.Full)
 }
 
-// latePart is how far beyond a route's objective an answer may be expected: what is
-// served later holds up what could still be in time.
-const latePart = 1.2
-
-func lateBound(objective, left time.Duration) time.Duration {
-	if objective <= 0 {
-		return left
-	}
-	return time.Duration(latePart * float64(objective))
-}
-
 // overloadRetry is when a server's queue will have shrunk enough, within what
 // callers honor: a third of their time.
 func (r *run) overloadRetry(choice balance.Choice, left time.Duration) time.Duration {
