A VM whose right to coordinate lapsed never writes under its successor's

Cause, found by reading the change of the suspicion again: a right that is over for a lease counts as not held, so the VM looks at the row; it took over the version of its successor's claim and still counted its own right as held for writes. A record that it had in hand then passed the condition that no other VM coordinates.

Ruled out: orders to servers (each asks for the lease by the clock, which was over).

Change: a look ends the right. The check whether an unanswered claim was written is bounded as the claim is. lead.go and coordinator.go are split by duty: claims, looks, orders.

TestLapsedCoordinatorHasNoCondition failed before: 'writes under version 4, the right of s'.

--- /dev/null
+++ b/internal/keyspace/lead_claim.go
@@ -0,0 +1,163 @@
+package keyspace
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"time"
+
+	"kumquatcleat/internal/rows"
+)
+
+// claim is the value of the row that names the coordinator.
+type claim struct {
+	Process
+	Count   uint64  `json:"count"`   // makes each renewal a new version
+	Standby Process `json:"standby"` // without whose consent no long leases are given
+	// Long says that long leases may be out that the standby may not know of.
+	Long bool `json:"long,omitempty"`
+}
+
+// readClaim returns the claim in the coordinator's row, an empty one where there
+// is none or where it can't be read.
+func readClaim(row rows.Row) claim {
+	var found claim
+	if row.Version == 0 {
+		return found
+	}
+	if err := json.Unmarshal(row.Value, &found); err != nil {
+		slog.Warn("lead: the coordinator's row can't be read", "version", row.Version, "error", err.Error())
+	}
+	return found
+}
+
+// stretch lengthens a duration by the drift between two clocks.
+func stretch(d time.Duration, perMill int64) time.Duration {
+	return d + d*time.Duration(perMill)/1000
+}
+
+func (l *Lead) renew(ctx context.Context) {
+	l.mu.Lock()
+	version := l.version
+	l.mu.Unlock()
+	l.write(ctx, version, "")
+}
+
+// write claims the right. The lease counts from before the call.
+func (l *Lead) write(ctx context.Context, expect uint64, message string) {
+	sent := l.clock()
+	standby := l.nextClaim()
+	value, err := json.Marshal(l.self)
+	if err != nil {
+		slog.Error("lead: claim can't be encoded", "error", err.Error())
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, l.settings.CallTimeout)
+	defer cancel()
+	strain := time.AfterFunc(l.settings.Strain, l.noteStrain)
+	defer strain.Stop()
+	version, err := l.store.Commit(callCtx, []rows.Write{{Table: l.table, Key: coordinatorKey, Expect: expect, Value: value}})
+	strain.Stop()
+	l.noteAnswer(err == nil || errors.Is(err, rows.ErrConflict))
+	switch {
+	case err == nil:
+		l.won(version, sent, standby)
+	case errors.Is(err, rows.ErrConflict):
+		l.reconcile(ctx, sent)
+	default:
+		slog.Warn("lead: the claim was not answered", "expect", expect, "error", err.Error())
+		l.reconcile(ctx, sent)
+		return
+	}
+	if message != "" && l.Held() {
+		slog.Info(message, "version", version)
+	}
+}
+
+// noteStrain begins a time in which the standby is asked for its consent.
+func (l *Lead) noteStrain() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.strained = true
+	l.wakeStandby()
+}
+
+// noteAnswer takes in whether the store answered a claim.
+func (l *Lead) noteAnswer(answered bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.consent {
+		l.longAt = l.clock() // long leases were given until now
+	}
+	l.strained = !answered
+	l.consent = l.consent && l.strained
+	if l.strained {
+		l.wakeStandby()
+	}
+}
+
+// wakeStandby lets the standby be asked at once. The caller holds the lock.
+func (l *Lead) wakeStandby() {
+	select {
+	case l.strains <- struct{}{}:
+	default: // it is about to be
+	}
+}
+
+func (l *Lead) won(version uint64, sent time.Duration, standby Process) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.paused {
+		return
+	}
+	l.version, l.held = version, true
+	if l.named != standby {
+		l.named, l.consent = standby, false
+	}
+	l.until = max(l.until, sent+l.settings.Lease)
+}
+
+// reconcile finds out whether an unanswered or refused claim was written after
+// all: a claim of this process is as good as an answer.
+func (l *Lead) reconcile(ctx context.Context, sent time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, l.settings.CallTimeout)
+	defer cancel()
+	row, err := l.store.Get(ctx, l.table, coordinatorKey)
+	if err != nil {
+		return
+	}
+	found := readClaim(row)
+	if found.Process == l.self.Process {
+		if found.Count == l.self.Count {
+			l.won(row.Version, sent, found.Standby)
+			return
+		}
+		l.earlier(row.Version, found.Standby)
+		return
+	}
+	l.lost(row.Version, found.VM)
+}
+
+// earlier takes in that the row holds an earlier claim of this process. The last one
+// may still be applied, so the standby is known only if both name the same.
+func (l *Lead) earlier(version uint64, standby Process) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.version = version
+	if standby != l.self.Standby || standby != l.named {
+		l.named, l.consent = Process{}, false
+	}
+}
+
+func (l *Lead) lost(version uint64, to string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.held {
+		slog.Info("lead: another VM coordinates", "vm", to, "version", version)
+	}
+	l.held = false
+	if l.version != version {
+		l.version, l.seenAt = version, l.clock()
+	}
+}
--- /dev/null
+++ b/internal/keyspace/lead_look.go
@@ -0,0 +1,141 @@
+package keyspace
+
+import (
+	"context"
+	"time"
+
+	"kumquatcleat/internal/wait"
+)
+
+// How VMs that don't coordinate find out that nobody does.
+
+// pauseLooks waits for the next look, or for word that nobody coordinates.
+func (l *Lead) pauseLooks(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-l.suspicions:
+		return wait.For(ctx, time.Duration(l.rank())*suspectStep)
+	case <-ctx.Done():
+		return false
+	}
+}
+
+const (
+	// suspectRanks is how many VMs look when the coordinator does not answer, each a
+	// step after the one before; the first that finds the lease over takes it.
+	suspectRanks = 8
+	suspectStep  = 50 * time.Millisecond
+	// suspectMemory is how long a VM looks often after that.
+	suspectMemory = 3 * time.Second
+)
+
+// Suspect tells that the coordinator does not answer, or coordinates no more.
+func (l *Lead) Suspect() {
+	if l.rank() >= suspectRanks {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.held || l.paused {
+		return
+	}
+	l.suspectedAt = l.clock()
+	select {
+	case l.suspicions <- struct{}{}:
+	default: // it looks already
+	}
+}
+
+// suspects reports whether this VM looks often for a coordinator that is lost.
+func (l *Lead) suspects() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.suspectedAt != 0 && l.clock()-l.suspectedAt < suspectMemory
+}
+
+// firstLook and othersLook are how many renewals pass between looks of VMs that
+// stand in for the standby: the first two, and the rest, which look at once when the
+// coordinator takes no reports.
+const (
+	firstLook  = 12
+	othersLook = 150
+)
+
+// lookInterval spaces the reads of the row: the standby looks often, and again as
+// soon as the lease that it knows of is over.
+func (l *Lead) lookInterval() time.Duration {
+	if l.isHeld() {
+		return l.settings.Renew
+	}
+	switch rank := l.rank(); {
+	case l.resigned():
+		return l.settings.Renew * othersLook
+	case l.standsBy(), l.suspects():
+		return min(l.settings.Renew, max(l.untilFree(), leastLook))
+	case rank <= 1:
+		return min(l.settings.Renew*firstLook, max(l.untilFree(), leastLook))
+	default:
+		return l.settings.Renew * othersLook
+	}
+}
+
+// leastLook spaces looks at a row whose lease is over: it may just be renewed.
+const leastLook = 50 * time.Millisecond
+
+func (l *Lead) resigned() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.paused
+}
+
+// untilFree returns when the lease ends that is known of; it may be over.
+func (l *Lead) untilFree() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.seenAt + l.patience(l.last) - l.clock() + time.Millisecond
+}
+
+// look reads the row and takes the right when nobody holds it. It reports whether
+// the store answered.
+func (l *Lead) look(ctx context.Context) (answered bool) {
+	row, err := l.store.Get(ctx, l.table, coordinatorKey)
+	if err != nil {
+		return false // the view of the store logs that it does not answer
+	}
+	now := l.clock()
+	l.mu.Lock()
+	l.held = false // a right that was held lapsed; from here on version is of any VM's claim
+	if row.Version != l.version {
+		l.version, l.seenAt = row.Version, now
+	}
+	last := readClaim(row)
+	l.last = last
+	// An earlier process of this VM has ended, as a VM runs one at a time.
+	ownEarlier := last.VM == l.self.VM && last.Start != l.self.Start
+	free := row.Version == 0 || ownEarlier || now-l.seenAt > l.patience(last)
+	if free && !l.paused {
+		l.longAt = 0
+		if row.Version != 0 && l.mayBeLong(last) {
+			l.longAt = now
+		}
+	}
+	paused := l.paused
+	l.mu.Unlock()
+	if free && !paused {
+		l.write(ctx, row.Version, "lead: this VM coordinates")
+	}
+	return true
+}
+
+// patience is how long after its last renewal a coordinator is taken for lost. The
+// standby goes first: it knows whether long leases are out.
+func (l *Lead) patience(last claim) time.Duration {
+	lease := stretch(l.settings.Lease, l.settings.DriftPerMill)
+	if last.Standby != (Process{}) && last.Standby != l.self.Process {
+		lease += l.settings.Renew
+	}
+	return lease
+}
--- a/internal/keyspace/lead_test.go
+++ b/internal/keyspace/lead_test.go
@@ -335,3 +335,22 @@
 		t.Fatal("the standby is not asked")
 	}
 }
+
+// A VM whose right lapsed must not write under the right of the VM that took over,
+// whose row it has read since.
+func TestLapsedCoordinatorHasNoCondition(t *testing.T) {
+	r := newLeadRig()
+	a, standby, aWay, _ := r.coordinating(t)
+	aWay.cut = true
+	r.takesOver(t, standby)
+	r.now += 2 * time.Second
+	standby.renew(t.Context())
+	aWay.cut = false
+	if a.isHeld() {
+		t.Fatal("the lapsed right counts as held")
+	}
+	a.look(t.Context())
+	if condition, held := a.Condition(); held {
+		t.Fatalf("writes under version %d, the right of %s", condition.Expect, standby.self.VM)
+	}
+}
--- /dev/null
+++ b/internal/keyspace/orders.go
@@ -0,0 +1,65 @@
+package keyspace
+
+import (
+	"context"
+	"log/slog"
+)
+
+// batches puts the grants to one server together, to be made one after another on
+// one connection. Releases wait for running work and must not hold each other up.
+func batches(orders []Order) [][]Order {
+	var list [][]Order
+	grants := map[string]int{}
+	for _, order := range orders {
+		name := holderName(order.To)
+		if i, ok := grants[name]; ok && order.Kind == OrderGrant {
+			list[i] = append(list[i], order)
+			continue
+		}
+		if order.Kind == OrderGrant {
+			grants[name] = len(list)
+		}
+		list = append(list, []Order{order})
+	}
+	return list
+}
+
+// carryOut makes the calls of a batch. After one that is not answered the others
+// are not sent: the server is silent to all. A renewal whose session has no
+// connection left tells nothing about the server.
+func (c *Coordinator) carryOut(ctx context.Context, d *desk, batch []Order) {
+	silent := false
+	for _, order := range batch {
+		result := Result{Unsent: true}
+		if !silent {
+			result = c.call(ctx, order)
+		}
+		closed := result.Unsent && order.Session != 0
+		silent = silent || !result.Acknowledged && !result.Rejected && !closed
+		c.done(d, order, result)
+	}
+}
+
+func (c *Coordinator) call(ctx context.Context, order Order) Result {
+	timeout := c.settings.Timing.CallTimeout
+	if order.Kind == OrderRelease {
+		timeout = c.settings.ReleaseTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if order.Kind == OrderRelease {
+		return c.control.Release(ctx, order, c.lead.Held)
+	}
+	return c.control.Grant(ctx, order, c.lead.Held)
+}
+
+// done takes in how an order ended.
+func (c *Coordinator) done(d *desk, order Order, result Result) {
+	if !result.Acknowledged || order.Kind == OrderRelease {
+		slog.Info("keyspace: order", "service", d.service, "kind", order.Kind.String(), "server", order.To.Server, "from", order.Span.From,
+			"to", order.Span.To, "fence", order.Fence, "acknowledged", result.Acknowledged, "rejected", result.Rejected, "unsent", result.Unsent)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d.ledger.Done(c.clock(), order, result)
+}
