A VM that starts passes over seeds that have no power yet

Ruled out: the store (the first seed had the configuration 20 ms after its start), transfer (compressed, 20 ms), the seeds' long questions.

Change: a seed's dial is given up after 0.1 s, and seeds are asked in turn.

TestSeedsAreAskedInTurn: a random choice asked the same one again before.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -39,6 +39,9 @@
 
 const (
 	peerDialTimeout = 400 * time.Millisecond
+	// seedDialTimeout is shorter: after a loss of power of all, callers wait for what
+	// the first seed tells that runs again.
+	seedDialTimeout = 100 * time.Millisecond
 	// firstWait is how long the first source may wait for a change, and
 	// callMargin what an answer may take besides: a source that hangs is passed
 	// over after both, well within the bound on configuration.
@@ -58,6 +61,7 @@
 	peers  *peers
 	set    *rows.Set
 	client *http.Client
+	seeds  *http.Client // for VMs of the settings, some of which may not run yet
 	loads  *loads
 	packer *packer
 	// coordinates reports whether this VM coordinates, coordinator where the one that
@@ -76,12 +80,12 @@
 }
 
 func newExchange(p *peers, set *rows.Set, l *loads, configTable string) *exchange {
-	return &exchange{peers: p, set: set, client: newPeerClient(p.settings.IP), loads: l, packer: newPacker(), configTable: configTable}
+	return &exchange{peers: p, set: set, client: newPeerClient(p.settings.IP, peerDialTimeout), seeds: newPeerClient(p.settings.IP, seedDialTimeout), loads: l, packer: newPacker(), configTable: configTable}
 }
 
 // newPeerClient returns a client for calls to other VMs.
-func newPeerClient(localIP string) *http.Client {
-	dialer := dial.Watchful(localIP, peerDialTimeout)
+func newPeerClient(localIP string, dialTimeout time.Duration) *http.Client {
+	dialer := dial.Watchful(localIP, dialTimeout)
 	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second}}
 }
 
@@ -162,7 +166,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(request.WaitMS)*time.Millisecond+callMargin)
 	defer cancel()
-	resp, err := post(ctx, e.client, from.address, pathUpdates, body)
+	client := e.client
+	if from.name == seedName {
+		client = e.seeds
+	}
+	resp, err := post(ctx, client, from.address, pathUpdates, body)
 	if err != nil {
 		return answer, err
 	}
--- a/internal/gateway/exchange_test.go
+++ b/internal/gateway/exchange_test.go
@@ -20,6 +20,34 @@
 	}
 }
 
+// A VM that starts asks its seeds in turn and soon, so that one that has no power yet
+// does not keep it from another that runs.
+func TestSeedsAreAskedInTurn(t *testing.T) {
+	reader, config := newTestExchange(t)
+	config.Replace(rows.Page{Version: 3, Rows: []rows.Row{{Key: "c", Version: 3, Value: []byte("x")}}})
+	server := httptest.NewServer(reader.mux())
+	defer server.Close()
+	// Addresses for documentation: nothing there answers a connection.
+	const silent, alsoSilent = "192.0.2.1:1", "192.0.2.2:1"
+	running := strings.TrimPrefix(server.URL, "http://")
+	for range 3 {
+		s := testSettings("vm-0", "a")
+		s.IP, s.Seeds = "", []string{silent, running, alsoSilent}
+		p := newPeers(s, nil)
+		asked := map[string]bool{}
+		for range s.Seeds {
+			first, _ := p.sources(time.Now())
+			asked[first.address] = true
+		}
+		if len(asked) != len(s.Seeds) {
+			t.Fatalf("asked %v of %v", asked, s.Seeds)
+		}
+	}
+	if seedDialTimeout*2 >= firstWait {
+		t.Errorf("two seeds without power keep a VM for %v", 2*seedDialTimeout)
+	}
+}
+
 // A domain's first reader takes records of owners from the VM that writes them, and
 // reads the store again once that VM coordinates no more: it may know old ones.
 func TestFirstReaderFollowsTheCoordinator(t *testing.T) {
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -44,7 +44,7 @@
 }
 
 func newLoads(s *Settings, report func(keyspace.Report), times func(string) map[string]balance.Samples) *loads {
-	return &loads{self: s.PeerListen, report: report, times: times, client: newPeerClient(s.IP), counts: map[string]map[uint32]float64{}}
+	return &loads{self: s.PeerListen, report: report, times: times, client: newPeerClient(s.IP, peerDialTimeout), counts: map[string]map[uint32]float64{}}
 }
 
 // count notes a request for a key.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -45,13 +45,16 @@
 	mu     sync.Mutex // owns the fields below
 	vms    map[string]vmRow
 	downTo map[string]time.Time // by address: not asked before
+	// nextSeed is the place of the seed to ask next: they are asked in turn, as one
+	// may start later than this VM.
+	nextSeed int
 }
 
 // downFor is how long a VM that did not answer is passed over.
 const downFor = 3 * time.Second
 
 func newPeers(s *Settings, store rows.Store) *peers {
-	return &peers{settings: s, store: store, began: time.Now(), vms: map[string]vmRow{}, downTo: map[string]time.Time{}}
+	return &peers{settings: s, store: store, began: time.Now(), vms: map[string]vmRow{}, downTo: map[string]time.Time{}, nextSeed: rand.IntN(1 + len(s.Seeds))}
 }
 
 // apply takes in changed rows of VMs.
@@ -191,9 +194,9 @@
 // seedName stands for the name of a VM of the settings.
 const seedName = "seed"
 
-// seed returns a VM of the settings, for a VM that knows no other. A VM that is
-// one of them reads the store itself.
-func (p *peers) seed(now time.Time) *peer {
+// seeds returns the VMs of the settings that may be asked, for a VM that knows no
+// other. A VM that is one of them reads the store itself.
+func (p *peers) seeds(now time.Time) []peer {
 	var list []peer
 	for _, address := range p.settings.Seeds {
 		if address == p.settings.PeerListen {
@@ -203,10 +206,17 @@
 			list = append(list, peer{name: seedName, address: address})
 		}
 	}
+	return list
+}
+
+// seed returns the VM of the settings to ask next, or nil.
+func (p *peers) seed(now time.Time) *peer {
+	list := p.seeds(now)
 	if len(list) == 0 {
 		return nil
 	}
-	return &list[rand.IntN(len(list))]
+	p.nextSeed++
+	return &list[p.nextSeed%len(list)]
 }
 
 // place returns this VM's place among those of its domain that answer; readers
@@ -215,7 +225,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.vms) == 0 {
-		if now.Sub(p.began) < seedTime && p.seed(now) != nil {
+		if now.Sub(p.began) < seedTime && len(p.seeds(now)) > 0 {
 			return readers
 		}
 		return 0
