--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -108,11 +107,6 @@
 
 // chooseOwner returns the owner of the request's key, waiting for a move to end.
 func (r *run) chooseOwner(ctx context.Context) (balance.Choice, *Answer) {
-	share := r.core.KeyShare(r.service.Name, r.request.Key)
-	if r.sends == 0 && share < 1 && rand.Float64() >= share {
-		return balance.Choice{}, refuse(fault.Overloaded, time.Until(r.deadline)/3,
-			"key %d of service %q is too busy for a server: %.2f of its requests are sent", r.request.Key, r.service.Name, share)
-	}
 	until := time.Now().Add(time.Duration(float64(time.Until(r.deadline)) * waitShare))
 	for {
 		server, why := r.owner()
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -81,11 +81,9 @@
 	Budget     *Budget
 	Suspicions *Suspicions
 	CountKey   func(service string, key uint32)
-	// KeyShare returns which part of a key's requests its owner can run.
-	KeyShare  func(service string, key uint32) float64
-	Decisions *logging.Decisions
-	Metrics   metrics.Registry
-	Dialect   *dialect.Dialect
+	Decisions  *logging.Decisions
+	Metrics    metrics.Registry
+	Dialect    *dialect.Dialect
 }
 
 // Core serves requests. Safe for concurrent use.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -74,7 +74,6 @@
 	script   *attemptScript
 	registry *registry.Registry
 	owners   *keyspace.Owners
-	share    float64 // of each key's requests that may be sent
 }
 
 func newBench(idempotent bool, steps ...step) *bench {
@@ -94,18 +93,15 @@
 	script := &attemptScript{steps: steps}
 	m := metrics.NewRegistry()
 	owners := keyspace.NewOwners()
-	b := &bench{script: script, registry: servers, owners: owners, share: 1}
-	b.core = New(Parts{
+	core := New(Parts{
 		Settings: Settings{DefaultPatience: time.Second, DrainUse: time.Second},
 		Tables:   t, Registry: servers, Owners: owners,
 		Balancer: balance.New(balance.Settings{InitialService: time.Millisecond, MaxQueue: 4}), Sender: script,
 		Budget:     NewBudget(BudgetSettings{Ratio: 0.2, Slack: 3, Window: 10 * time.Second, Part: 1}, func() int { return 1 }, time.Now),
 		Suspicions: NewSuspicions(retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now), time.Now),
-		CountKey:   func(string, uint32) {},
-		KeyShare:   func(string, uint32) float64 { return b.share },
-		Decisions:  logging.NewDecisions(m), Metrics: m, Dialect: &dialect.Dialect{},
+		CountKey:   func(string, uint32) {}, Decisions: logging.NewDecisions(m), Metrics: m, Dialect: &dialect.Dialect{},
 	})
-	return b
+	return &bench{core, script, servers, owners}
 }
 
 func (b *bench) serve(path string, key int) *Answer {
@@ -203,27 +199,6 @@
 	}
 }
 
-// Of a key that is too busy for any server only a part of the requests is sent; the
-// others are told at once that they did not run, and when to come back.
-func TestBusyKeyIsSentInPart(t *testing.T) {
-	const requests = 400
-	b := newBench(true, answers(200))
-	b.own(1, ownedByK0)
-	b.share = 0.25
-	refused := 0
-	for range requests {
-		switch a := b.serve("/k/", 7); {
-		case a.Status == 429 && a.RetryAfter > 0:
-			refused++
-		case a.Status != 200:
-			t.Fatalf("status %d: %s", a.Status, a.Message)
-		}
-	}
-	if sent := len(b.script.sent); sent+refused != requests || sent < requests/8 || sent > requests/2 {
-		t.Fatalf("%d sent, %d refused of %d", sent, refused, requests)
-	}
-}
-
 // A request waits while its key moves, and goes to the new owner.
 func TestKeyedRequestWaitsForAMove(t *testing.T) {
 	b := newBench(true, answers(200))
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -85,9 +85,7 @@
 		Balancer: balance.New(balance.Settings{InitialService: time.Millisecond, MaxQueue: 100}), Sender: sender,
 		Budget:     dispatch.NewBudget(dispatch.BudgetSettings{Ratio: 1, Slack: 100, Window: 10 * time.Second, Part: 1}, func() int { return 1 }, time.Now),
 		Suspicions: dispatch.NewSuspicions(retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now), time.Now),
-		CountKey:   func(string, uint32) {},
-		KeyShare:   func(string, uint32) float64 { return 1 },
-		Decisions:  decisions, Metrics: metricsRegistry, Dialect: testDialect,
+		CountKey:   func(string, uint32) {}, Decisions: decisions, Metrics: metricsRegistry, Dialect: testDialect,
 	})
 	s := NewServer(Settings{Limits: limits, BodyMemory: 1 << 20, BodyTimeout: 200 * time.Millisecond}, core, table, testDialect, decisions)
 	if err := s.Listen("127.0.0.1:0"); err != nil {
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -16,14 +16,9 @@
 	"kumquatcleat/internal/wait"
 )
 
-// pathLoads takes a keyspace.Report and answers with a reportAnswer.
+// pathLoads takes a keyspace.Report and answers 204.
 const pathLoads = "/peer/loads"
 
-// reportAnswer is what the coordinator answers to a report.
-type reportAnswer struct {
-	Shares []keyspace.KeyShare `json:"shares,omitempty"`
-}
-
 const (
 	// reportInterval lets keys that become busy be seen in less than a second.
 	reportInterval = 400 * time.Millisecond
@@ -39,60 +34,16 @@
 	misses      int // reports in a row that the coordinator did not take; of run alone
 
 	self   string // this VM's peer address
-	report func(keyspace.Report) []keyspace.KeyShare
+	report func(keyspace.Report)
 	times  func(service string) map[string]balance.Samples
 	client *http.Client
 
 	mu          sync.Mutex                    // owns the fields below
 	counts      map[string]map[uint32]float64 // by service and key
 	coordinator string                        // peer address
-	shares      map[busyKey]float64           // of requests that may be sent
-	sharesUntil time.Time
-}
-
-// busyKey is a key whose requests are sent in part.
-type busyKey struct {
-	service string
-	key     uint32
 }
 
-// shareMemory is how long the coordinator's word about busy keys counts: a few reports.
-const shareMemory = 4 * reportInterval
-
-// share returns which part of a key's requests may be sent to its owner.
-func (l *loads) share(service string, key uint32) float64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if share, ok := l.shares[busyKey{service, key}]; ok && time.Now().Before(l.sharesUntil) {
-		return share
-	}
-	return 1
-}
-
-func sameKeys(a, b map[busyKey]float64) bool {
-	for key := range a {
-		if _, ok := b[key]; !ok {
-			return false
-		}
-	}
-	return len(a) == len(b)
-}
-
-// learn takes in what the coordinator says of busy keys.
-func (l *loads) learn(list []keyspace.KeyShare) {
-	shares := make(map[busyKey]float64, len(list))
-	for _, s := range list {
-		shares[busyKey{s.Service, s.Key}] = s.Share
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !sameKeys(l.shares, shares) {
-		slog.Info("loads: busy keys, whose requests are sent in part", "keys", list)
-	}
-	l.shares, l.sharesUntil = shares, time.Now().Add(shareMemory)
-}
-
-func newLoads(s *Settings, report func(keyspace.Report) []keyspace.KeyShare, times func(string) map[string]balance.Samples) *loads {
+func newLoads(s *Settings, report func(keyspace.Report), times func(string) map[string]balance.Samples) *loads {
 	return &loads{self: s.PeerListen, report: report, times: times, client: newPeerClient(s.IP, peerDialTimeout), counts: map[string]map[uint32]float64{}}
 }
 
@@ -143,7 +94,7 @@
 		switch {
 		case len(report.Requests) == 0 || coordinator == "":
 		case coordinator == l.self:
-			l.learn(l.report(report))
+			l.report(report)
 		default:
 			l.note(l.send(ctx, coordinator, report))
 		}
@@ -179,18 +130,7 @@
 		slog.Debug("loads: a report was lost", "coordinator", to, "error", err.Error())
 		return false
 	}
-	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxPeerAnswer))
-	if err != nil {
-		slog.Debug("loads: an answer was lost", "coordinator", to, "error", err.Error())
-		return false
-	}
-	var answer reportAnswer
-	if err := json.Unmarshal(data, &answer); err != nil {
-		slog.Warn("loads: an answer can't be read", "coordinator", to, "error", err.Error())
-		return true // it took the report
-	}
-	l.learn(answer.Shares)
+	_ = resp.Body.Close()
 	return true
 }
 
@@ -205,7 +145,6 @@
 		http.Error(w, "another VM coordinates", http.StatusConflict)
 		return
 	}
-	if err := json.NewEncoder(w).Encode(reportAnswer{l.report(report)}); err != nil {
-		slog.Debug("loads: an answer was not sent", "error", err.Error())
-	}
+	l.report(report)
+	w.WriteHeader(http.StatusNoContent)
 }
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -115,7 +115,7 @@
 	config := set.Add("config", 10)
 	set.Add("keys", 10)
 	s := testSettings("vm-0", "a")
-	e := newExchange(newPeers(s, nil), set, newLoads(s, func(keyspace.Report) []keyspace.KeyShare { return nil }, nil), "config")
+	e := newExchange(newPeers(s, nil), set, newLoads(s, func(keyspace.Report) {}, nil), "config")
 	e.coordinates = func() bool { return false }
 	e.coordinator = func() string { return "" }
 	return e, config
--- a/internal/gateway/provision.go
+++ b/internal/gateway/provision.go
@@ -58,7 +58,7 @@
 	g.servers.OnApply(g.applyServers)
 	g.vms.OnApply(g.peers.apply)
 	g.keys.OnApply(g.owners.Apply)
-	g.loads = newLoads(g.settings, func(r keyspace.Report) []keyspace.KeyShare { return g.coord.Report(r) }, g.serviceTimes)
+	g.loads = newLoads(g.settings, func(r keyspace.Report) { g.coord.Report(r) }, g.serviceTimes)
 	g.loads.coordinates = func() bool { return g.lead.Held() }
 	g.loads.lost = func() { g.lead.Suspect() }
 	g.keys.OnApply(g.loads.apply)
@@ -128,7 +128,6 @@
 		Tables: g, Registry: g.registry, Owners: g.owners, Balancer: g.balancer, Sender: g.sender,
 		Budget: g.budget, Suspicions: g.suspicions,
 		CountKey:  g.loads.count,
-		KeyShare:  g.loads.share,
 		Decisions: g.decisions, Metrics: g.metrics, Dialect: g.adapter.Dialect,
 	})
 	g.entry = entry.NewServer(entry.Settings{Limits: startLimits, BodyMemory: callerBodyMemory, BodyTimeout: bodyTimeout},
--- a/internal/keyspace/coordinator.go
+++ b/internal/keyspace/coordinator.go
@@ -67,8 +67,7 @@
 	mu      sync.Mutex // owns the fields below
 	desks   map[string]*desk
 	weights map[string]*Weights
-	shares  map[string][]KeyShare // by service
-	speeds  map[string]speed      // by server
+	speeds  map[string]speed // by server
 	writes  uint64
 
 	wake chan struct{} // a record was written: orders are due
@@ -103,7 +102,7 @@
 	return &Coordinator{
 		settings: o.Settings, store: o.Store, lead: o.Lead, control: o.Control, members: o.Members,
 		owners: o.Owners, services: o.Services, clock: o.Clock, address: o.Address, writeID: o.WriteID,
-		desks: map[string]*desk{}, weights: map[string]*Weights{}, shares: map[string][]KeyShare{}, speeds: map[string]speed{},
+		desks: map[string]*desk{}, weights: map[string]*Weights{}, speeds: map[string]speed{},
 		wake: make(chan struct{}, 1),
 	}
 }
@@ -164,7 +163,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	clear(c.desks)
-	clear(c.shares)
 }
 
 func (c *Coordinator) tick(ctx context.Context, service string, calls *sync.WaitGroup) {
@@ -262,9 +260,10 @@
 			return next, "owners left"
 		}
 	}
-	if now-d.plannedAt >= c.settings.PlanInterval {
+	settled := !next.hasPending()
+	if now-d.plannedAt >= c.settings.PlanInterval && (settled || now-d.movedAt > c.settings.MoveWait) {
 		d.plannedAt = now
-		if ranges, why := c.plan(now, d, members, &next); why != "" {
+		if ranges, why := c.spread(now, d, members, next.Ranges, settled); why != "" {
 			next.Ranges, reason, d.movedAt = ranges, why, now
 		}
 	}
@@ -274,23 +273,11 @@
 	return next, reason
 }
 
-// plan finds keys that are too busy for any server, and moves others for load unless
-// earlier moves are under way.
-func (c *Coordinator) plan(now time.Duration, d *desk, members []Member, next *Record) ([]Range, string) {
-	fast, slow := c.planners(now, d, members)
-	fast.count(next.Ranges)
-	c.shares[d.service] = fast.shares(d.service, next.Ranges)
-	settled := !next.hasPending()
-	if !settled && now-d.movedAt <= c.settings.MoveWait {
-		return next.Ranges, ""
-	}
-	return c.spread(fast, slow, next.Ranges, settled)
-}
-
 // spread moves keys for load: at once where a server is overloaded by the last
 // second's requests, else where the last seconds show a lasting difference and
 // all earlier moves have ended.
-func (c *Coordinator) spread(fast, slow *planner, ranges []Range, settled bool) ([]Range, string) {
+func (c *Coordinator) spread(now time.Duration, d *desk, members []Member, ranges []Range, settled bool) ([]Range, string) {
+	fast, slow := c.planners(now, d, members)
 	fast.settings.Busy = c.settings.Plan.Overloaded
 	for _, p := range []struct {
 		planner *planner
--- a/internal/keyspace/plan_test.go
+++ b/internal/keyspace/plan_test.go
@@ -168,29 +168,6 @@
 	}
 }
 
-// A key that alone is busier than its owner gets the capacity that the owner's other
-// keys leave; keys of owners with room are not held back.
-func TestSharesOfBusyKeys(t *testing.T) {
-	members := planMembers(4) // 30 requests a second each
-	rates := map[uint32]float64{100: 120, 300: 18}
-	for k := range uint32(planKeys) {
-		rates[k] += 20.0 / planKeys
-	}
-	p := newPlanner(testPlan, profileOf(rates), members)
-	ranges := held([]Range{
-		{Span: Span{0, 249}, Owner: members[0].Holder}, {Span: Span{250, 499}, Owner: members[1].Holder},
-		{Span: Span{500, 749}, Owner: members[2].Holder}, {Span: Span{750, planKeys - 1}, Owner: members[3].Holder},
-	})
-	p.count(ranges)
-	got := p.shares("svc", ranges)
-	if len(got) != 1 || got[0].Key != 100 || got[0].Share < 0.1 || got[0].Share > 0.25 {
-		t.Fatalf("shares %+v, want about a fifth of key 100", got)
-	}
-	if p.settings.Overloaded = 10; len(p.shares("svc", ranges)) != 0 {
-		t.Fatal("a key is held back although its owner has room")
-	}
-}
-
 // Keys go to the owner of the keys beside them where that has room: a range less.
 func TestKeysGoToTheirNeighbor(t *testing.T) {
 	members := planMembers(20)
--- a/internal/keyspace/report.go
+++ b/internal/keyspace/report.go
@@ -12,16 +12,8 @@
 	Times map[string]balance.Samples `json:"times,omitempty"`
 }
 
-// KeyShare is the part of a key's requests that VMs may send to its owner.
-type KeyShare struct {
-	Service string  `json:"service"`
-	Key     uint32  `json:"key"`
-	Share   float64 `json:"share"` // 0 to 1
-}
-
-// Report takes in what a VM saw, for the load that plans go by, and returns the keys
-// whose requests are to be sent on in part.
-func (c *Coordinator) Report(r Report) []KeyShare {
+// Report takes in what VMs saw, for the load that plans go by.
+func (c *Coordinator) Report(r Report) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for service, keys := range r.Requests {
@@ -35,11 +27,6 @@
 			c.speeds[server] = c.speeds[server].add(sample)
 		}
 	}
-	var shares []KeyShare
-	for _, list := range c.shares {
-		shares = append(shares, list...)
-	}
-	return shares
 }
 
 // speed is the smoothed service time of a server, from all VMs' reports.
