--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -1,10 +1,8 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"log/slog"
 	"math"
@@ -12,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"kumquatcleat/internal/dial"
 	"kumquatcleat/internal/keyspace"
 	"kumquatcleat/internal/rows"
 	"kumquatcleat/internal/wait"
@@ -83,12 +80,6 @@
 	return &exchange{peers: p, set: set, client: newPeerClient(p.settings.IP, peerDialTimeout), seeds: newPeerClient(p.settings.IP, seedDialTimeout), loads: l, packer: newPacker(), configTable: configTable}
 }
 
-// newPeerClient returns a client for calls to other VMs.
-func newPeerClient(localIP string, dialTimeout time.Duration) *http.Client {
-	dialer := dial.Watchful(localIP, dialTimeout)
-	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second}}
-}
-
 // runFirst follows the domain's reader, while that is another VM.
 func (e *exchange) runFirst(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -160,49 +151,18 @@
 
 func (e *exchange) request(ctx context.Context, from *peer, request updatesRequest) (updatesAnswer, error) {
 	var answer updatesAnswer
-	body, err := json.Marshal(request)
-	if err != nil {
-		return answer, fmt.Errorf("peers: encode: %w", err)
-	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(request.WaitMS)*time.Millisecond+callMargin)
 	defer cancel()
 	client := e.client
 	if from.name == seedName {
 		client = e.seeds
 	}
-	resp, err := post(ctx, client, from.address, pathUpdates, body)
-	if err != nil {
+	if err := call(ctx, client, from.address, pathUpdates, request, &answer); err != nil {
 		return answer, err
 	}
-	defer func() { _ = resp.Body.Close() }()
-	// Read to the end: only then the connection is used again.
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxPeerAnswer))
-	if err != nil {
-		return answer, fmt.Errorf("peers: answer: %w", err)
-	}
-	if err := json.Unmarshal(data, &answer); err != nil {
-		return answer, fmt.Errorf("peers: answer: %w", err)
-	}
 	return answer, answer.unpack()
 }
 
-// post sends a message to another VM and returns its answer.
-func post(ctx context.Context, client *http.Client, address, path string, body []byte) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
-	if err != nil {
-		return nil, fmt.Errorf("peers: %w", err)
-	}
-	resp, err := client.Do(req)
-	if err != nil {
-		return nil, fmt.Errorf("peers: %w", err)
-	}
-	if resp.StatusCode/100 != 2 {
-		_ = resp.Body.Close()
-		return nil, fmt.Errorf("peers: status %d", resp.StatusCode)
-	}
-	return resp, nil
-}
-
 // runKeys follows the records of owners at the VM that writes them, while this VM
 // is its domain's first reader. Each record costs a call of the store less.
 func (e *exchange) runKeys(ctx context.Context, table string) {
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -16,9 +16,12 @@
 	"kumquatcleat/internal/wait"
 )
 
-// pathLoads takes a keyspace.Report and answers 204.
+// pathLoads takes a keyspace.Report and answers with a reportTaken.
 const pathLoads = "/peer/loads"
 
+// reportTaken says that a report was taken in.
+type reportTaken struct{}
+
 const (
 	// reportInterval lets keys that become busy be seen in less than a second.
 	reportInterval = 400 * time.Millisecond
@@ -118,19 +121,13 @@
 
 // send reports whether the coordinator took a report.
 func (l *loads) send(ctx context.Context, to string, report keyspace.Report) bool {
-	body, err := json.Marshal(report)
-	if err != nil {
-		slog.Error("loads: the report can't be encoded", "error", err.Error())
-		return true // it would not help to look for another coordinator
-	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	resp, err := post(ctx, l.client, to, pathLoads, body)
-	if err != nil {
+	var taken reportTaken
+	if err := call(ctx, l.client, to, pathLoads, report, &taken); err != nil {
 		slog.Debug("loads: a report was lost", "coordinator", to, "error", err.Error())
 		return false
 	}
-	_ = resp.Body.Close()
 	return true
 }
 
@@ -146,5 +143,7 @@
 		return
 	}
 	l.report(report)
-	w.WriteHeader(http.StatusNoContent)
+	if err := json.NewEncoder(w).Encode(reportTaken{}); err != nil {
+		slog.Debug("loads: an answer was not sent", "error", err.Error())
+	}
 }
--- a/internal/gateway/standby.go
+++ b/internal/gateway/standby.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
@@ -30,25 +29,12 @@
 	if to == nil {
 		return answer, errNoStandby
 	}
-	body, err := json.Marshal(q)
-	if err != nil {
-		return answer, fmt.Errorf("standby: encode: %w", err)
-	}
 	ctx, cancel := context.WithTimeout(ctx, standbyTimeout)
 	defer cancel()
-	resp, err := post(ctx, g.exchange.client, to.address, pathStandby, body)
-	if err != nil {
+	if err := call(ctx, g.exchange.client, to.address, pathStandby, q, &answer); err != nil {
 		g.peers.failed(to, err)
 		return answer, err
 	}
-	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxPeerAnswer))
-	if err != nil {
-		return answer, fmt.Errorf("standby: answer: %w", err)
-	}
-	if err := json.Unmarshal(data, &answer); err != nil {
-		return answer, fmt.Errorf("standby: answer: %w", err)
-	}
 	return answer, nil
 }
 
--- a/internal/keyspace/coordinator.go
+++ b/internal/keyspace/coordinator.go
@@ -133,16 +133,8 @@
 
 // pause waits for the next tick, or for a record that was written.
 func (c *Coordinator) pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-c.wake:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	alive, _ := wait.ForSignal(ctx, d, c.wake)
+	return alive
 }
 
 // announce writes where other VMs report their load to.
--- a/internal/keyspace/lead_look.go
+++ b/internal/keyspace/lead_look.go
@@ -11,16 +11,11 @@
 
 // pauseLooks waits for the next look, or for word that nobody coordinates.
 func (l *Lead) pauseLooks(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-l.suspicions:
+	alive, suspected := wait.ForSignal(ctx, d, l.suspicions)
+	if suspected {
 		return wait.For(ctx, time.Duration(l.rank())*suspectStep)
-	case <-ctx.Done():
-		return false
 	}
+	return alive
 }
 
 const (
--- a/internal/keyspace/lead_standby.go
+++ b/internal/keyspace/lead_standby.go
@@ -4,6 +4,8 @@
 	"context"
 	"log/slog"
 	"time"
+
+	"kumquatcleat/internal/wait"
 )
 
 // The coordinator names another VM's process as its standby. It gives long leases
@@ -63,16 +65,8 @@
 
 // pause waits for the next question, or for the store's silence.
 func (l *Lead) pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-l.strains:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	alive, _ := wait.ForSignal(ctx, d, l.strains)
+	return alive
 }
 
 // strain returns whether the store is silent, and the standby that the row names.
--- a/internal/keyspace/lead_test.go
+++ b/internal/keyspace/lead_test.go
@@ -117,6 +117,20 @@
 	return a, standby, aWay, standbyWay
 }
 
+// strained returns a coordinator that gives long leases, with its standby's consent:
+// neither reaches the store.
+func (r *leadRig) strained(t *testing.T) (a, standby *Lead, aWay, standbyWay *side) {
+	t.Helper()
+	a, standby, aWay, standbyWay = r.coordinating(t)
+	aWay.cut, standbyWay.cut = true, true
+	a.renew(t.Context())
+	a.askOnce(t.Context())
+	if !a.Strained() {
+		t.Fatal("no long leases although nobody reaches the store")
+	}
+	return a, standby, aWay, standbyWay
+}
+
 // takesOver lets a coordinator's lease lapse and another VM take its place.
 func (r *leadRig) takesOver(t *testing.T, next *Lead) {
 	t.Helper()
@@ -160,10 +174,7 @@
 	})
 	t.Run("it consented", func(t *testing.T) {
 		r := newLeadRig()
-		a, standby, aWay, standbyWay := r.coordinating(t)
-		aWay.cut, standbyWay.cut = true, true
-		a.renew(t.Context())
-		a.askOnce(t.Context())
+		_, standby, _, standbyWay := r.strained(t)
 		standbyWay.cut = false
 		r.takesOver(t, standby)
 		if !standby.LongLeases() {
@@ -191,10 +202,7 @@
 	})
 	t.Run("long leases of an earlier strain", func(t *testing.T) {
 		r := newLeadRig()
-		a, _, aWay, standbyWay := r.coordinating(t)
-		aWay.cut, standbyWay.cut = true, true
-		a.renew(t.Context())
-		a.askOnce(t.Context())
+		a, _, aWay, standbyWay := r.strained(t)
 		aWay.cut, standbyWay.cut = false, false
 		a.renew(t.Context())
 		next, _ := r.leadOn("n") // another standby, which was not asked then
@@ -227,13 +235,10 @@
 // not hand its right over.
 func TestStrainEndsAHandover(t *testing.T) {
 	r := newLeadRig()
-	a, _, aWay, standbyWay := r.coordinating(t)
-	if a.LongLeases() {
+	if a, _, _, _ := newLeadRig().coordinating(t); a.LongLeases() {
 		t.Fatal("a right that was free began with long leases")
 	}
-	aWay.cut, standbyWay.cut = true, true
-	a.renew(t.Context())
-	a.askOnce(t.Context())
+	a, _, aWay, _ := r.strained(t)
 	aWay.cut = false
 	r.now += 2 * time.Second // the right lapses
 	a.renew(t.Context())
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -17,3 +17,17 @@
 		return false
 	}
 }
+
+// ForSignal waits until a time has passed, a signal comes or ctx ends.
+func ForSignal(ctx context.Context, d time.Duration, signal <-chan struct{}) (alive, signaled bool) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true, false
+	case <-signal:
+		return true, true
+	case <-ctx.Done():
+		return false, false
+	}
+}
