--- a/internal/keyspace/lead_look.go
+++ b/internal/keyspace/lead_look.go
@@ -9,7 +9,7 @@
 
 // How VMs that don't coordinate find out that nobody does.
 
-// pauseLooks waits for the next look, or for word that nobody coordinates.
+// pauseLooks waits for the next look, or for word that this VM is to look often.
 func (l *Lead) pauseLooks(ctx context.Context, d time.Duration) bool {
 	alive, suspected := wait.ForSignal(ctx, d, l.suspicions)
 	if suspected {
@@ -38,9 +38,14 @@
 		return
 	}
 	l.suspectedAt = l.clock()
+	l.wakeLooks()
+}
+
+// wakeLooks ends the wait for the next look. The caller holds the lock.
+func (l *Lead) wakeLooks() {
 	select {
 	case l.suspicions <- struct{}{}:
-	default: // it looks already
+	default: // it is about to look
 	}
 }
 
--- a/internal/keyspace/lead_standby.go
+++ b/internal/keyspace/lead_standby.go
@@ -124,8 +124,12 @@
 
 // Stand answers a coordinator as its standby.
 func (l *Lead) Stand(ctx context.Context, q StandbyQuestion) StandbyAnswer {
+	begins := !l.standsBy()
 	l.mu.Lock()
 	l.standsIn = l.clock()
+	if begins {
+		l.wakeLooks()
+	}
 	answer := StandbyAnswer{Process: l.self.Process}
 	refuse := !q.Long || l.held || l.paused
 	l.mu.Unlock()
--- a/internal/keyspace/lead_test.go
+++ b/internal/keyspace/lead_test.go
@@ -359,3 +359,20 @@
 		t.Fatalf("writes under version %d, the right of %s", condition.Expect, standby.self.VM)
 	}
 }
+
+// A VM that becomes a standby begins to look at once: one of a low rank would else
+// sleep through the loss of its coordinator.
+func TestNewStandbyBeginsToLook(t *testing.T) {
+	r := newLeadRig()
+	s := r.lead("s")
+	s.rank = func() int { return suspectRanks }
+	s.Stand(t.Context(), StandbyQuestion{})
+	if len(s.suspicions) != 1 {
+		t.Fatal("goes on sleeping")
+	}
+	<-s.suspicions
+	s.Stand(t.Context(), StandbyQuestion{})
+	if len(s.suspicions) != 0 {
+		t.Fatal("is woken by each question")
+	}
+}
