--- a/internal/gateway/standby.go
+++ b/internal/gateway/standby.go
@@ -46,6 +46,6 @@
 		return
 	}
 	if err := json.NewEncoder(w).Encode(e.stand(r.Context(), q)); err != nil {
-		slog.Debug("standby: an answer was not sent", "error", err.Error())
+		slog.Debug("peers: a standby's answer was not sent", "error", err.Error())
 	}
 }
