A hangup while the gateway starts does not end it

SIGHUP ended a process that had not installed its handler: that was done beside the start of the gateway, after its settings were read.

Ruled out: wrong settings and a failed listener (they end with a code and a line). The VM's log ends with 'stopped' of the process before; the next one wrote no line.

Change: the handler is installed before anything else.

TestHangupWhileStartingIsNoEnd failed before ('ended with signal: hangup').

--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
@@ -32,6 +33,7 @@
 // Main runs the gateway's command line and returns its exit code. defaultPath is
 // where the platform puts the settings.
 func Main(args []string, defaultPath string, newAdapter func(*Settings) Adapter, stdout, stderr io.Writer) int {
+	signals := hangups()
 	code := exitOK
 	var path string
 	var check bool
@@ -50,7 +52,7 @@
 				_, _ = fmt.Fprintln(stdout, "settings are valid")
 				return nil
 			}
-			code = run(s, path, newAdapter(s), stdout)
+			code = run(s, path, newAdapter(s), stdout, signals)
 			return nil
 		},
 	}
@@ -67,7 +69,7 @@
 }
 
 // run serves until SIGTERM or SIGINT.
-func run(s *Settings, path string, adapter Adapter, stdout io.Writer) int {
+func run(s *Settings, path string, adapter Adapter, stdout io.Writer, signals <-chan os.Signal) int {
 	runtime.GOMAXPROCS(1) // a VM runs one thread at a time
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(s.MemoryMB * memoryPart * (1 << 20)))
@@ -78,7 +80,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	g := New(s, adapter)
-	go g.reloads(ctx, path)
+	go g.reloads(ctx, path, signals)
 	if err := g.Run(ctx); err != nil {
 		slog.Error("gateway: ended", "error", err.Error())
 		return exitFailed
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -15,12 +15,17 @@
 // a signal.
 const reloadPoll = 2 * time.Second
 
-// reloads follows the settings file until ctx ends. A file that is wrong is
-// logged and the settings in force stay.
-func (g *Gateway) reloads(ctx context.Context, path string) {
+// hangups returns the signals that tell of a new settings file. Called first of all:
+// until then a hangup ends the process.
+func hangups() <-chan os.Signal {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	return signals
+}
+
+// reloads follows the settings file until ctx ends. A file that is wrong is
+// logged and the settings in force stay.
+func (g *Gateway) reloads(ctx context.Context, path string, signals <-chan os.Signal) {
 	ticker := time.NewTicker(reloadPoll)
 	defer ticker.Stop()
 	last := modified(path)
