Read of the whole change: one non-blocking signal, one utilization, simpler standby

- Three sends that don't wait were written out beside wait.ForSignal: wait.Signal now.
- utilization is utilizationWith nothing more.
- The longest lease is derived from the settings once; compressing a value wraps its error once.

Behaviour is as it was. Left: a range's former holders are a list although it has one at most, as the stored form has a list; leases of keys are looked at by two settings types, whose duties differ.

--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -46,10 +46,11 @@
 
 // keyspaceSettings derives the durations of leases from the platform's bound.
 func keyspaceSettings(s *Settings, keys uint32) keyspace.CoordinatorSettings {
+	long := min(longHold, seconds(s.HoldMaxS))
 	return keyspace.CoordinatorSettings{
-		Lead: keyspace.LeadSettings{Lease: leadLease, Renew: leadRenew, Strain: leadStrain, CallTimeout: leadCallTimeout, LongHold: min(longHold, seconds(s.HoldMaxS)), DriftPerMill: driftPerMill},
+		Lead: keyspace.LeadSettings{Lease: leadLease, Renew: leadRenew, Strain: leadStrain, CallTimeout: leadCallTimeout, LongHold: long, DriftPerMill: driftPerMill},
 		Timing: keyspace.Timing{
-			Hold: min(keyHold, seconds(s.HoldMaxS)), LongHold: min(longHold, seconds(s.HoldMaxS)),
+			Hold: min(keyHold, seconds(s.HoldMaxS)), LongHold: long,
 			Renew: keyRenew, Doubt: keyDoubt, Repeat: releaseRepeat, GiveUp: keyGiveUp,
 			CallTimeout: keyCallTimeout, DriftPerMill: driftPerMill, Slack: keySlack, LinkQueue: linkQueue,
 		},
--- a/internal/gateway/packing.go
+++ b/internal/gateway/packing.go
@@ -64,18 +64,26 @@
 	if known := p.latest[name]; known.version == row.Version {
 		return known.value, nil
 	}
+	value, err := compress(row.Value)
+	if err != nil {
+		return nil, fmt.Errorf("peers: compress row %s of %s: %w", row.Key, table, err)
+	}
+	p.latest[name] = packedEntry{row.Version, value}
+	return value, nil
+}
+
+func compress(value []byte) ([]byte, error) {
 	var b bytes.Buffer
 	w, err := gzip.NewWriterLevel(&b, gzip.BestSpeed)
 	if err != nil {
-		return nil, fmt.Errorf("peers: compress row %s of %s: %w", row.Key, table, err)
+		return nil, err
 	}
-	if _, err := w.Write(row.Value); err != nil {
-		return nil, fmt.Errorf("peers: compress row %s of %s: %w", row.Key, table, err)
+	if _, err := w.Write(value); err != nil {
+		return nil, err
 	}
 	if err := w.Close(); err != nil {
-		return nil, fmt.Errorf("peers: compress row %s of %s: %w", row.Key, table, err)
+		return nil, err
 	}
-	p.latest[name] = packedEntry{row.Version, b.Bytes()}
 	return b.Bytes(), nil
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -166,25 +166,21 @@
 func (p *peers) standby(now time.Time) *peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var best, near *peer
-	for domain, list := range p.domains(now) {
-		for _, v := range list {
-			if v.name == p.settings.VM {
-				continue
-			}
-			place := &best
-			if domain == p.settings.FailureDomain {
-				place = &near
-			}
-			if *place == nil || compare(v, **place) < 0 {
-				*place = &v
-			}
-		}
+	domains := p.domains(now)
+	near := slices.DeleteFunc(domains[p.settings.FailureDomain], func(v peer) bool { return v.name == p.settings.VM })
+	delete(domains, p.settings.FailureDomain)
+	var best []peer
+	for _, list := range domains {
+		best = append(best, list[0])
+	}
+	if len(best) == 0 {
+		best = near
 	}
-	if best == nil {
-		return near
+	if len(best) == 0 {
+		return nil
 	}
-	return best
+	first := slices.MinFunc(best, compare)
+	return &first
 }
 
 // seedTime is how long a VM that knows no other asks those of its settings before
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -172,3 +172,26 @@
 		t.Fatalf("dropped up to %v after the store knew", latest)
 	}
 }
+
+// The standby stands in another failure domain, where the loss of this one's does not
+// reach, and is the strongest there that answers; without one, a VM beside.
+func TestStandbyStandsInAnotherDomain(t *testing.T) {
+	now := time.Now()
+	p := known(t, testSettings("vm-1", "a"))
+	first := p.standby(now)
+	if first == nil || p.vms[first.name].FailureDomain != "b" {
+		t.Fatalf("standby %+v, want one of domain b", first)
+	}
+	for range 3 {
+		p.failed(p.standby(now), errors.New("no answer"))
+	}
+	if beside := p.standby(now); beside == nil || p.vms[beside.name].FailureDomain != "a" || beside.name == "vm-1" {
+		t.Fatalf("standby %+v, want another VM of domain a", beside)
+	}
+	for range 2 {
+		p.failed(p.standby(now), errors.New("no answer"))
+	}
+	if last := p.standby(now); last != nil {
+		t.Fatalf("standby %+v although no VM answers", last)
+	}
+}
--- a/internal/keyspace/commit.go
+++ b/internal/keyspace/commit.go
@@ -90,10 +90,7 @@
 	d.committing = false
 	d.ledger.Committed(record, version)
 	c.mu.Unlock()
-	select {
-	case c.wake <- struct{}{}:
-	default: // it is about to look
-	}
+	wait.Signal(c.wake)
 	c.owners.put(d.service, record, version)
 	slog.Info("keyspace: record written", "service", d.service, "version", version, "reason", reason,
 		"ranges", len(record.Ranges), "moving", moving)
--- a/internal/keyspace/lead.go
+++ b/internal/keyspace/lead.go
@@ -64,7 +64,7 @@
 	suspectedAt time.Duration // when the coordinator was last found not to answer; 0: never
 
 	strains    chan struct{} // wakes RunStandby
-	suspicions chan struct{} // wakes Run
+	suspicions chan struct{} // wakes Run: this VM is to look often
 
 	standby Process // that the next claim names
 	named   Process // that the row names for certain; empty while that is not known
--- a/internal/keyspace/lead_claim.go
+++ b/internal/keyspace/lead_claim.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"kumquatcleat/internal/rows"
+	"kumquatcleat/internal/wait"
 )
 
 // claim is the value of the row that names the coordinator.
@@ -80,7 +81,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.strained = true
-	l.wakeStandby()
+	wait.Signal(l.strains)
 }
 
 // noteAnswer takes in whether the store answered a claim.
@@ -93,15 +94,7 @@
 	l.strained = !answered
 	l.consent = l.consent && l.strained
 	if l.strained {
-		l.wakeStandby()
-	}
-}
-
-// wakeStandby lets the standby be asked at once. The caller holds the lock.
-func (l *Lead) wakeStandby() {
-	select {
-	case l.strains <- struct{}{}:
-	default: // it is about to be
+		wait.Signal(l.strains)
 	}
 }
 
--- a/internal/keyspace/lead_look.go
+++ b/internal/keyspace/lead_look.go
@@ -38,15 +38,7 @@
 		return
 	}
 	l.suspectedAt = l.clock()
-	l.wakeLooks()
-}
-
-// wakeLooks ends the wait for the next look. The caller holds the lock.
-func (l *Lead) wakeLooks() {
-	select {
-	case l.suspicions <- struct{}{}:
-	default: // it is about to look
-	}
+	wait.Signal(l.suspicions)
 }
 
 // suspects reports whether this VM looks often for a coordinator that is lost.
--- a/internal/keyspace/lead_standby.go
+++ b/internal/keyspace/lead_standby.go
@@ -128,7 +128,7 @@
 	l.mu.Lock()
 	l.standsIn = l.clock()
 	if begins {
-		l.wakeLooks()
+		wait.Signal(l.suspicions)
 	}
 	answer := StandbyAnswer{Process: l.self.Process}
 	refuse := !q.Long || l.held || l.paused
--- a/internal/keyspace/plan.go
+++ b/internal/keyspace/plan.go
@@ -55,7 +55,7 @@
 	}
 }
 
-func (p *planner) utilization(m Member) float64 { return p.load[holderName(m.Holder)] / m.Capacity }
+func (p *planner) utilization(m Member) float64 { return p.utilizationWith(m, 0) }
 
 // utilizationWith is the utilization of a member that gets some load more.
 func (p *planner) utilizationWith(m Member, extra float64) float64 {
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -31,3 +31,12 @@
 		return false, false
 	}
 }
+
+// Signal sends a signal for ForSignal without waiting; one that is still to be taken
+// serves for both. The channel has room for one.
+func Signal(signal chan<- struct{}) {
+	select {
+	case signal <- struct{}{}:
+	default:
+	}
+}
