Bound what a server's answer may occupy, and the bodies of all requests

Cause: a server in trouble may send bytes without end. An entry VM has 184 to 536 MB.

Change: heads have at most 64 KiB, interim answers and answers to earlier requests a number, bodies a thirty-second of the VM's memory each and an eighth together, counted from the first byte until the answer is written. The bodies of callers' requests have a quarter together; one that does not fit is refused as not run. Such answers are invalid, not lost connections, so they do not count towards the quarantine of their request.

A repeat at the server that refused the request before (421, then the same server) gets a connection of its own: a late second copy of the refusal has the ID of the repeat and was delivered as its answer, 'not run', while the repeat ran.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -17,6 +17,7 @@
 	"kumquatcleat/internal/fault"
 	"kumquatcleat/internal/keyspace"
 	"kumquatcleat/internal/logging"
+	"kumquatcleat/internal/membudget"
 	"kumquatcleat/internal/registry"
 	"kumquatcleat/internal/retry"
 	"kumquatcleat/internal/routetable"
@@ -36,6 +37,9 @@
 	HasKey  bool
 	Arrived time.Time
 	Timeout time.Duration // how long the caller waits; 0: not stated
+	// AnswerMemory is the reservation for the bodies of servers' answers. The caller of
+	// Serve releases it once the answer has been written.
+	AnswerMemory *membudget.Reservation
 }
 
 // Answer is what the caller receives: a server's answer or a refusal.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -29,6 +29,7 @@
 	mu    sync.Mutex // guards sent
 	steps []func(*serverconn.Request) (*serverconn.Response, *serverconn.Failure)
 	sent  []string // server of each attempt
+	fresh []bool   // whether each attempt asked for a connection of its own
 }
 
 func (a *scriptedSender) Do(_ context.Context, r *serverconn.Request) (*serverconn.Response, *serverconn.Failure) {
@@ -38,7 +39,7 @@
 		}
 	}
 	a.mu.Lock()
-	a.sent = append(a.sent, r.Server.ID)
+	a.sent, a.fresh = append(a.sent, r.Server.ID), append(a.fresh, r.Repeat)
 	step := a.steps[min(len(a.sent), len(a.steps))-1]
 	a.mu.Unlock()
 	return step(r)
@@ -352,3 +353,16 @@
 		}
 	}
 }
+
+// A repeat at the server that has refused the request before gets a connection of its
+// own, as a late copy of the refusal would pass for the repeat's answer.
+func TestRepeatAtTheSameServerUsesItsOwnConnection(t *testing.T) {
+	f := newFixture(false, sheds(http.StatusMisdirectedRequest), answers(http.StatusOK))
+	f.setOwners(1, ownedByK0)
+	if answer := f.serve("/k/", 5); answer.Status != http.StatusOK {
+		t.Fatalf("got answer %+v, want status 200", answer)
+	}
+	if !slices.Equal(f.sender.sent, []string{"k0", "k0"}) || !slices.Equal(f.sender.fresh, []bool{false, true}) {
+		t.Fatalf("got attempts at %v, own connections %v; want two at k0, the second on its own", f.sender.sent, f.sender.fresh)
+	}
+}
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -80,6 +81,7 @@
 // startAttempt sends the request to one server and delivers the result on results.
 func (r *requestState) startAttempt(ctx context.Context, choice balance.Choice, results chan<- attemptResult) {
 	server := choice.Server
+	repeat := slices.Contains(r.tried, server)
 	r.tried = append(r.tried, server)
 	began := time.Now()
 	r.core.Balancer.Started(server)
@@ -93,7 +95,9 @@
 		Deadline:   r.deadline,
 		Server:     server,
 		Idempotent: r.route.Idempotent,
+		Repeat:     repeat,
 		Guard:      func() error { return r.guard(server) },
+		Memory:     r.request.AnswerMemory,
 	}
 	go func() {
 		response, failure := r.core.Sender.Do(ctx, request)
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -25,6 +25,7 @@
 			cancel()
 			c.stopReading()
 		}
+		p.release()
 		close(p.written)
 		if c.unanswered.Add(-1) == 0 && !stopped {
 			c.setIdleDeadline()
@@ -74,7 +75,7 @@
 // write writes an answer. The last one announces that the connection closes.
 func (c *callerConn) write(p *pendingAnswer, a *dispatch.Answer, last bool) error {
 	var b bytes.Buffer
-	b.Grow(256 + len(a.Body))
+	b.Grow(256 + min(len(a.Body), maxCopiedBytes))
 	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", a.Status, http.StatusText(a.Status))
 	body := a.Body
 	if a.Refusal != "" {
@@ -101,12 +102,20 @@
 		b.WriteString("Content-Length: " + length + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(body)
 	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if len(body) > maxCopiedBytes {
+		_, err := (&net.Buffers{b.Bytes(), body}).WriteTo(c.Conn)
+		return err
+	}
+	b.Write(body)
 	_, err := c.Conn.Write(b.Bytes())
 	return err
 }
 
+// maxCopiedBytes is the size up to which a body is copied behind its head. A larger one
+// would double the memory of the answer.
+const maxCopiedBytes = 16 << 10
+
 // writeRefusalHead writes the headers of a refusal and returns its body.
 func (c *callerConn) writeRefusalHead(b *bytes.Buffer, p *pendingAnswer, a *dispatch.Answer) []byte {
 	if p.request != nil && p.request.ID != "" {
--- a/internal/entry/conn.go
+++ b/internal/entry/conn.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"kumquatcleat/internal/dispatch"
+	"kumquatcleat/internal/membudget"
 	"kumquatcleat/internal/routetable"
 )
 
@@ -45,8 +46,16 @@
 type pendingAnswer struct {
 	request *dispatch.Request
 	answer  chan *dispatch.Answer
-	last    bool          // the connection closes after the answer
-	written chan struct{} // closed when the answer was written or abandoned
+	last    bool                     // the connection closes after the answer
+	memory  []*membudget.Reservation // released when the answer was written or abandoned
+	written chan struct{}            // closed when the answer was written or abandoned
+}
+
+// release returns the memory of the request and of its answer.
+func (p *pendingAnswer) release() {
+	for _, reservation := range p.memory {
+		reservation.Release()
+	}
 }
 
 // serve handles the connection until it is closed.
@@ -77,18 +86,26 @@
 			return isTimeout(err) && ctx.Err() == nil
 		}
 		_ = c.SetReadDeadline(time.Now().Add(c.limits().HeaderTimeout))
-		request, refusal := c.readRequest()
+		bodyMemory := c.server.settings.RequestMemory.Open()
+		request, refusal := c.readRequest(bodyMemory)
 		if request == nil && refusal == nil {
+			bodyMemory.Release()
 			return false
 		}
-		p := &pendingAnswer{request: request, answer: make(chan *dispatch.Answer, 1), last: refusal != nil, written: make(chan struct{})}
+		p := &pendingAnswer{request: request, answer: make(chan *dispatch.Answer, 1), last: refusal != nil, memory: []*membudget.Reservation{bodyMemory}, written: make(chan struct{})}
 		if !c.admit() {
+			p.release()
 			return true // an earlier answer closes the connection
 		}
+		if request != nil {
+			request.AnswerMemory = c.server.settings.AnswerMemory.Open()
+			p.memory = append(p.memory, request.AnswerMemory)
+		}
 		_ = c.SetReadDeadline(time.Time{})
 		select {
 		case c.pending <- p:
 		case <-ctx.Done():
+			p.release()
 			return false
 		}
 		if refusal != nil {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -19,6 +19,7 @@
 	"kumquatcleat/internal/dispatch"
 	"kumquatcleat/internal/keyspace"
 	"kumquatcleat/internal/logging"
+	"kumquatcleat/internal/membudget"
 	"kumquatcleat/internal/registry"
 	"kumquatcleat/internal/retry"
 	"kumquatcleat/internal/routetable"
@@ -66,9 +67,14 @@
 
 func (f fixedTable) Current() *routetable.Table { return f.table }
 
+const (
+	testBodyBytes   = 40_000 // limit of one request body
+	testBodiesBytes = 64_000 // limit of the bodies of all requests, and of all answers
+)
+
 func startServer(t *testing.T, serve func(context.Context, *serverconn.Request) (*serverconn.Response, *serverconn.Failure)) (*Server, *fakeSender) {
 	t.Helper()
-	limits := routetable.Limits{HeaderBytes: 8192, BodyBytes: 1000, HeaderTimeout: 200 * time.Millisecond, IdleTimeout: time.Second}
+	limits := routetable.Limits{HeaderBytes: 8192, BodyBytes: testBodyBytes, HeaderTimeout: 200 * time.Millisecond, IdleTimeout: time.Second}
 	table := fixedTable{routetable.Compile(routetable.Config{
 		Version: 1, Limits: limits, Services: []routetable.Service{{Name: "svc"}},
 		Routes: []routetable.Route{{Name: "r", Host: "h", Prefix: "/p/", Idempotent: true, MaxAttempts: 2, Timeout: 5 * time.Second,
@@ -87,7 +93,10 @@
 		Suspicions: dispatch.NewSuspicions(retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now), time.Now),
 		CountKey:   func(string, uint32) {}, Decisions: decisions, Metrics: metricsRegistry, Dialect: testDialect,
 	})
-	s := NewServer(Settings{Limits: limits, MaxBodyBytes: 1 << 20, BodyTimeout: 200 * time.Millisecond}, core, table, testDialect, decisions)
+	s := NewServer(Settings{
+		Limits: limits, MaxBodyBytes: 1 << 20, BodyTimeout: 200 * time.Millisecond,
+		RequestMemory: membudget.New(testBodiesBytes), AnswerMemory: membudget.New(testBodiesBytes),
+	}, core, table, testDialect, decisions)
 	if err := s.Listen("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
 	}
@@ -197,7 +206,7 @@
 		status        int
 	}{
 		{"head too large", "GET /p/ HTTP/1.1\r\nHost: h\r\nX-Long: " + strings.Repeat("a", 9000) + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
-		{"body too large", "POST /p/ HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n", http.StatusRequestEntityTooLarge},
+		{"body too large", "POST /p/ HTTP/1.1\r\nHost: h\r\nContent-Length: 40001\r\n\r\n", http.StatusRequestEntityTooLarge},
 		{"slow head", "GET /p/ HTTP/1.1\r\nHos", http.StatusRequestTimeout},
 		{"slow body", "POST /p/ HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nhel", http.StatusRequestTimeout},
 		{"no route", "GET /q/ HTTP/1.1\r\nHost: h\r\n\r\n", http.StatusNotFound},
@@ -213,6 +222,68 @@
 	}
 }
 
+// A body that does not fit into the memory for bodies is refused at once with the promise
+// that the request did not run. Once the other requests are answered, the memory is free.
+func TestBodiesOfAllRequestsAreBounded(t *testing.T) {
+	release := make(chan struct{})
+	s, sender := startServer(t, func(ctx context.Context, r *serverconn.Request) (*serverconn.Response, *serverconn.Failure) {
+		<-release
+		return answerOK(ctx, r)
+	})
+	body := strings.Repeat("x", testBodyBytes)
+	post := func() net.Conn {
+		c := dial(t, s)
+		_, _ = fmt.Fprintf(c, "POST /p/ HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		return c
+	}
+	first := post()
+	for s.settings.RequestMemory.Used() < int64(len(body)) {
+		time.Sleep(time.Millisecond)
+	}
+	status, _, resp := read(t, bufio.NewReader(post()))
+	if status != http.StatusTooManyRequests || resp.Header.Get("Retry-After") == "" || !resp.Close {
+		t.Fatalf("second body: got status %d, headers %v; want 429 with Retry-After that closes the connection", status, resp.Header)
+	}
+	close(release)
+	if status, _, _ := read(t, bufio.NewReader(first)); status != http.StatusOK {
+		t.Fatalf("first body: got status %d, want 200", status)
+	}
+	if status, _, _ := read(t, bufio.NewReader(post())); status != http.StatusOK || len(sender.requests()) != 2 {
+		t.Fatalf("after the first answer: got status %d and %d requests at the server, want 200 and 2", status, len(sender.requests()))
+	}
+}
+
+// The memory of answers is free again once they are written, or the caller has
+// disconnected.
+func TestMemoryOfAnswersIsReleased(t *testing.T) {
+	const size = 20_000
+	s, _ := startServer(t, func(ctx context.Context, r *serverconn.Request) (*serverconn.Response, *serverconn.Failure) {
+		if err := r.Memory.Grow(size); err != nil {
+			t.Error(err)
+		}
+		if r.Target == "/p/slow" {
+			<-ctx.Done()
+			return nil, &serverconn.Failure{Progress: serverconn.Sent, Err: ctx.Err()}
+		}
+		return answerOK(ctx, r)
+	})
+	answered, left := dial(t, s), dial(t, s)
+	_, _ = io.WriteString(left, "GET /p/slow HTTP/1.1\r\nHost: h\r\n\r\n")
+	for s.settings.AnswerMemory.Used() < size {
+		time.Sleep(time.Millisecond)
+	}
+	_ = left.Close()
+	_, _ = io.WriteString(answered, "GET /p/ HTTP/1.1\r\nHost: h\r\n\r\n")
+	if status, _, _ := read(t, bufio.NewReader(answered)); status != http.StatusOK {
+		t.Fatalf("got status %d, want 200", status)
+	}
+	for deadline := time.Now().Add(2 * time.Second); s.settings.AnswerMemory.Used() != 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("got %d bytes in use after both requests, want none", s.settings.AnswerMemory.Used())
+		}
+	}
+}
+
 func TestChunkedBodyIsForwardedWhole(t *testing.T) {
 	s, sender := startServer(t, answerOK)
 	c := dial(t, s)
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -12,13 +12,14 @@
 
 	"kumquatcleat/internal/dispatch"
 	"kumquatcleat/internal/fault"
+	"kumquatcleat/internal/membudget"
 	"kumquatcleat/internal/routetable"
 	"kumquatcleat/internal/serverconn"
 )
 
 // readRequest reads one request with its body. Both results are nil when the
 // connection was closed. An answer refuses the request and closes the connection.
-func (c *callerConn) readRequest() (*dispatch.Request, *dispatch.Answer) {
+func (c *callerConn) readRequest(memory *membudget.Reservation) (*dispatch.Request, *dispatch.Answer) {
 	arrived := time.Now()
 	limits := c.limits()
 	head, err := c.peekHead(limits.HeaderBytes)
@@ -41,7 +42,7 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	if refusal := c.readBody(parsed, request, limits); refusal != nil {
+	if refusal := c.readBody(parsed, request, limits, memory); refusal != nil {
 		if refusal.Abandoned {
 			return nil, nil
 		}
@@ -116,7 +117,7 @@
 
 // readBody reads the whole body, within the configured limit and MaxBodyBytes. It
 // returns a refusal, or an abandoned answer if the connection breaks.
-func (c *callerConn) readBody(parsed *http.Request, request *dispatch.Request, limits routetable.Limits) *dispatch.Answer {
+func (c *callerConn) readBody(parsed *http.Request, request *dispatch.Request, limits routetable.Limits, memory *membudget.Reservation) *dispatch.Answer {
 	if parsed.ContentLength == 0 {
 		return nil
 	}
@@ -130,22 +131,30 @@
 	}
 	limit := min(limits.BodyBytes, c.server.settings.MaxBodyBytes)
 	_ = c.SetReadDeadline(time.Now().Add(c.server.settings.BodyTimeout))
-	body, err := io.ReadAll(io.LimitReader(parsed.Body, limit+1))
+	body, err := membudget.ReadAll(parsed.Body, parsed.ContentLength, limit, memory)
 	var netErr *net.OpError
 	switch {
 	case isTimeout(err):
 		return refuseWithStatus(http.StatusRequestTimeout, fault.BadRequest, "the body was incomplete after %v", c.server.settings.BodyTimeout)
 	case errors.As(err, &netErr) || errors.Is(err, io.ErrUnexpectedEOF):
 		return &dispatch.Answer{Abandoned: true}
+	case errors.Is(err, membudget.ErrTooLarge):
+		return dispatch.Refuse(fault.BodyTooLarge, "the body exceeds %d bytes", limit)
+	case errors.Is(err, membudget.ErrExhausted):
+		refusal := dispatch.Refuse(fault.Overloaded, "read body: %v", err)
+		refusal.RetryAfter = bodyMemoryRetryAfter
+		return refusal
 	case err != nil:
 		return dispatch.Refuse(fault.BadRequest, "read body: %v", err)
-	case int64(len(body)) > limit:
-		return dispatch.Refuse(fault.BodyTooLarge, "the body exceeds %d bytes", limit)
 	}
 	request.Body = body
 	return nil
 }
 
+// bodyMemoryRetryAfter is the Retry-After hint while the bodies of other requests occupy
+// the memory for bodies. They are answered or time out within seconds.
+const bodyMemoryRetryAfter = 500 * time.Millisecond
+
 // refuseWithStatus builds a refusal with another status than that of its kind.
 func refuseWithStatus(status int, kind fault.Kind, format string, args ...any) *dispatch.Answer {
 	a := dispatch.Refuse(kind, format, args...)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -18,6 +18,7 @@
 	"kumquatcleat/internal/dialect"
 	"kumquatcleat/internal/dispatch"
 	"kumquatcleat/internal/logging"
+	"kumquatcleat/internal/membudget"
 	"kumquatcleat/internal/routetable"
 )
 
@@ -28,6 +29,9 @@
 	// MaxBodyBytes is the maximum size of one body, whatever the configuration allows,
 	// as a body is held in memory.
 	MaxBodyBytes int64
+	// RequestMemory and AnswerMemory bound the bodies that requests and answers hold in
+	// memory together.
+	RequestMemory, AnswerMemory *membudget.Budget
 	// BodyTimeout is the maximum time from the end of a request's head to the end of
 	// its body.
 	BodyTimeout time.Duration
--- a/internal/gateway/provision.go
+++ b/internal/gateway/provision.go
@@ -11,6 +11,7 @@
 	"kumquatcleat/internal/dispatch"
 	"kumquatcleat/internal/entry"
 	"kumquatcleat/internal/keyspace"
+	"kumquatcleat/internal/membudget"
 	"kumquatcleat/internal/retry"
 	"kumquatcleat/internal/routetable"
 	"kumquatcleat/internal/rows"
@@ -41,11 +42,22 @@
 	// watchWindow is the maximum number of changes kept per table for peers.
 	watchWindow = 2000
 
-	// maxCallerBodyBytes is a quarter of a VM's memory; a body is held there in full.
+	// maxCallerBodyBytes is the maximum size of one body, whatever the configuration
+	// allows.
 	maxCallerBodyBytes = 64 << 20
 	bodyTimeout        = 10 * time.Second
 )
 
+// Shares of a VM's memory that bodies may occupy. A body is held in full until its request
+// is answered, because it may be sent again, and an answer until it is written, because a
+// part of it must not look complete. While a body grows, it occupies up to the same
+// memory once more.
+const (
+	requestBodiesShare = 1.0 / 4  // bodies of all requests together
+	answerBodyShare    = 1.0 / 32 // body of one answer
+	answerBodiesShare  = 1.0 / 8  // bodies of all answers together
+)
+
 // initialLimits apply until the first configuration is loaded.
 var initialLimits = routetable.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
 
@@ -118,7 +130,7 @@
 	g.requestPool = serverconn.NewPool(serverconn.Settings{
 		DialTimeout: dialTimeout, IdlePerServer: g.idlePerServer, LocalIP: g.settings.IP,
 	}, g.metrics)
-	g.sender = serverconn.NewSender(g.requestPool, g.adapter.Dialect)
+	g.sender = serverconn.NewSender(g.requestPool, g.adapter.Dialect, g.settings.memoryShare(answerBodyShare))
 	g.budget = dispatch.NewBudget(dispatch.BudgetSettings{
 		Ratio: g.settings.RetryRatio, Slack: g.settings.RetrySlack, Window: seconds(g.settings.RetryWindow), Share: retryBudgetShare,
 	}, g.peers.count, time.Now)
@@ -134,8 +146,10 @@
 		CountKey:  g.loads.count,
 		Decisions: g.decisions, Metrics: g.metrics, Dialect: g.adapter.Dialect,
 	})
-	g.entry = entry.NewServer(entry.Settings{Limits: initialLimits, MaxBodyBytes: maxCallerBodyBytes, BodyTimeout: bodyTimeout},
-		g.core, g, g.adapter.Dialect, g.decisions)
+	g.entry = entry.NewServer(entry.Settings{
+		Limits: initialLimits, MaxBodyBytes: maxCallerBodyBytes, BodyTimeout: bodyTimeout,
+		RequestMemory: membudget.New(g.settings.memoryShare(requestBodiesShare)), AnswerMemory: membudget.New(g.settings.memoryShare(answerBodiesShare)),
+	}, g.core, g, g.adapter.Dialect, g.decisions)
 }
 
 const (
@@ -204,7 +218,7 @@
 	g.controlPool = serverconn.NewPool(serverconn.Settings{
 		DialTimeout: dialTimeout, LocalIP: g.settings.IP, IdlePerServer: func(string) int { return serverconn.ControlConnections },
 	}, g.metrics)
-	return serverconn.NewSender(g.controlPool, g.adapter.Dialect)
+	return serverconn.NewSender(g.controlPool, g.adapter.Dialect, 0) // control calls have answers without a body
 }
 
 func keyedServices(t *routetable.Table) []string {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -46,6 +46,9 @@
 // Grace returns the time between SIGTERM and the forced end of the process.
 func (s *Settings) Grace() time.Duration { return seconds(s.GraceS) }
 
+// memoryShare returns a share of the VM's memory in bytes.
+func (s *Settings) memoryShare(share float64) int64 { return int64(share * s.MemoryMB * (1 << 20)) }
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // Load reads and validates a settings file.
--- a/internal/serverconn/conn.go
+++ b/internal/serverconn/conn.go
@@ -4,7 +4,12 @@
 
 import (
 	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"math"
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -26,14 +31,84 @@
 	net.Conn
 	opened      time.Time
 	session     uint64 // session of control calls; 0: none yet
-	reader      *bufio.Reader
-	neverPooled bool // it was not yet put into the pool
+	input       *boundedReader
+	reader      *bufio.Reader // buffers input
+	neverPooled bool          // it was not yet put into the pool
 	idleSince   time.Time
 	idleTimeout time.Duration
 }
 
 func newConn(c net.Conn) *conn {
-	return &conn{Conn: c, opened: time.Now(), reader: bufio.NewReaderSize(c, readerBytes), neverPooled: true, idleTimeout: defaultIdleTimeout}
+	input := &boundedReader{Reader: c}
+	return &conn{
+		Conn: c, opened: time.Now(), input: input, reader: bufio.NewReaderSize(input, readerBytes),
+		neverPooled: true, idleTimeout: defaultIdleTimeout,
+	}
+}
+
+// Limits of the parts of an answer other than its body. A faulty server may send any of
+// them without end.
+const (
+	maxHeadBytes      = 64 << 10 // one head: status line and header lines
+	maxInterimAnswers = 16       // interim answers (1xx) before a final one
+	maxSkippedAnswers = 4        // late answers to earlier requests before the one read for
+	maxSkippedBytes   = 64 << 10 // body of an answer whose content is not used
+)
+
+// boundedReader reads from a connection until a limit.
+type boundedReader struct {
+	io.Reader
+	left int64 // bytes that may still be read
+}
+
+// Read implements io.Reader.
+func (r *boundedReader) Read(p []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, fmt.Errorf("%w: the head exceeds %d bytes", errInvalidAnswer, maxHeadBytes)
+	}
+	n, err := r.Reader.Read(p[:min(int64(len(p)), r.left)])
+	r.left -= int64(n)
+	return n, err
+}
+
+// readFinal reads the head of a final answer to a request with the given method. It
+// skips interim answers. The body must not be closed: Close reads it to its end, which
+// may never come.
+func (c *conn) readFinal(method string) (*http.Response, error) {
+	defer func() { c.input.left = math.MaxInt64 }() // the reader of a body has its own limit
+	for range maxInterimAnswers + 1 {
+		c.input.left = maxHeadBytes
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, readError(err)
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+	}
+	return nil, fmt.Errorf("%w: more than %d interim answers", errInvalidAnswer, maxInterimAnswers)
+}
+
+// readError marks an error of reading an answer as errInvalidAnswer unless it is an
+// error of the connection.
+func readError(err error) error {
+	var connection interface{ Timeout() bool }
+	if errors.As(err, &connection) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, errInvalidAnswer) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", errInvalidAnswer, err)
+}
+
+// discard reads the body of an answer whose content is not used.
+func discard(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxSkippedBytes+1))
+	if err != nil {
+		return readError(err)
+	}
+	if n > maxSkippedBytes {
+		return fmt.Errorf("%w: body exceeds %d bytes", errInvalidAnswer, maxSkippedBytes)
+	}
+	return nil
 }
 
 // reusable reports whether an idle connection can carry a request that accepts at most
--- a/internal/serverconn/control.go
+++ b/internal/serverconn/control.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -81,12 +80,11 @@
 	if _, err := c.Write(request); err != nil {
 		return 0, nil, false, err
 	}
-	resp, err := readFinal(c.reader, http.MethodPost)
+	resp, err := c.readFinal(http.MethodPost)
 	if err != nil {
 		return 0, nil, false, err
 	}
-	defer func() { _ = resp.Body.Close() }()
-	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswerBytes)); err != nil {
+	if err := discard(resp.Body); err != nil {
 		return 0, nil, false, err
 	}
 	c.idleTimeout = idleTimeout(resp.Header)
--- a/internal/serverconn/exchange.go
+++ b/internal/serverconn/exchange.go
@@ -1,18 +1,17 @@
 package serverconn
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
 	"kumquatcleat/internal/dialect"
+	"kumquatcleat/internal/membudget"
 	"kumquatcleat/internal/registry"
 )
 
@@ -27,8 +26,15 @@
 	Deadline   time.Time // when the caller times out
 	Server     *registry.Server
 	Idempotent bool // may be executed more than once
+	// Repeat says that the server has received this request before. It gets a connection
+	// of its own: on a reused one, a late copy of the earlier answer would have the ID of
+	// this request.
+	Repeat bool
 	// Guard is called right before the first byte is sent; an error prevents the send.
 	Guard func() error
+	// Memory is the reservation for the body of the answer; nil: not counted. It is
+	// released by whoever holds the request, after the last use of the answer.
+	Memory *membudget.Reservation
 }
 
 // Response is a server's complete answer.
@@ -71,18 +77,20 @@
 	// request that must not be repeated. If the server closed the connection while the
 	// request was in transit, the outcome would be unknown.
 	maxIdleNonIdempotent = 2 * time.Second
-	// maxAnswerBytes bounds an answer, which is buffered completely.
-	maxAnswerBytes = 32 << 20
 )
 
 // Sender sends requests to servers, one attempt per call.
 type Sender struct {
-	pool    *Pool
-	dialect *dialect.Dialect
+	pool         *Pool
+	dialect      *dialect.Dialect
+	maxBodyBytes int64 // bounds the body of one answer, which is buffered completely
 }
 
-// NewSender returns a sender that uses the connections of pool.
-func NewSender(pool *Pool, d *dialect.Dialect) *Sender { return &Sender{pool: pool, dialect: d} }
+// NewSender returns a sender that uses the connections of pool and accepts answers whose
+// body has at most maxBodyBytes.
+func NewSender(pool *Pool, d *dialect.Dialect, maxBodyBytes int64) *Sender {
+	return &Sender{pool: pool, dialect: d, maxBodyBytes: maxBodyBytes}
+}
 
 // Do sends a request once and reads the answer. ctx is done when the caller disconnects.
 func (s *Sender) Do(ctx context.Context, r *Request) (*Response, *Failure) {
@@ -90,6 +98,9 @@
 	if r.Idempotent {
 		maxIdle = time.Hour // only the connection's idle timeout applies
 	}
+	if r.Repeat {
+		maxIdle = -1
+	}
 	dialCtx, cancel := context.WithDeadline(ctx, r.Deadline)
 	c, err := s.pool.get(dialCtx, r.Server, maxIdle)
 	cancel()
@@ -135,7 +146,7 @@
 	switch {
 	case ctx.Err() != nil:
 		f.Err = fmt.Errorf("server %s: caller canceled: %w", r.Server.ID, ctx.Err())
-	case errors.Is(err, errInvalidAnswer):
+	case errors.Is(err, errInvalidAnswer), errors.Is(err, membudget.ErrExhausted):
 	case errors.As(err, &timeout) && timeout.Timeout():
 	default:
 		f.Reset = true
@@ -147,15 +158,14 @@
 	if _, err := c.Write(s.encode(r)); err != nil {
 		return nil, false, err
 	}
-	stale := false
-	for {
+	for skipped := range maxSkippedAnswers + 1 {
 		response, reuse, err := s.read(c, r)
-		if errors.Is(err, errOtherRequestID) {
-			stale = true // a late answer to an earlier request; this request's answer may follow
-			continue
+		if !errors.Is(err, errOtherRequestID) {
+			return response, reuse && skipped == 0, err
 		}
-		return response, reuse && !stale, err
+		// A late answer to an earlier request; this request's answer may follow.
 	}
+	return nil, false, fmt.Errorf("%w: more than %d answers to other requests", errInvalidAnswer, maxSkippedAnswers)
 }
 
 // connectionHeaders are hop-by-hop headers, and headers that each hop sets itself.
@@ -210,58 +220,55 @@
 
 // read reads one answer. The second result reports whether the connection is reusable.
 func (s *Sender) read(c *conn, r *Request) (*Response, bool, error) {
-	resp, err := readFinal(c.reader, r.Method)
+	resp, err := c.readFinal(r.Method)
 	if err != nil {
 		return nil, false, err
 	}
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
-	if err != nil {
-		return nil, false, fmt.Errorf("read answer body: %w", err)
+	notStarted := resp.Header.Get(s.dialect.NotStarted) != "" || resp.StatusCode == http.StatusMisdirectedRequest
+	switch id := resp.Header.Get(s.dialect.RequestID); {
+	case id == r.ID:
+	case id != "":
+		if err := discard(resp.Body); err != nil {
+			return nil, false, fmt.Errorf("body of an answer to request %q: %w", id, err)
+		}
+		return nil, false, errOtherRequestID
+	case !notStarted || !c.neverPooled:
+		return nil, false, fmt.Errorf("answer with status %d has no request ID: %w", resp.StatusCode, errInvalidAnswer)
 	}
-	if len(body) > maxAnswerBytes {
-		return nil, false, fmt.Errorf("answer body exceeds %d bytes", maxAnswerBytes)
+	if resp.StatusCode/100 == 2 && (resp.Header.Get(s.dialect.Signature) == "" || resp.Header.Get("Content-Encoding") != "") {
+		return nil, false, fmt.Errorf("answer with status %d is unsigned or has a content encoding: %w", resp.StatusCode, errInvalidAnswer)
+	}
+	body, err := s.readBody(resp, r)
+	if err != nil {
+		return nil, false, err
 	}
 	out := &Response{
 		Status:     resp.StatusCode,
 		Header:     resp.Header,
 		Body:       body,
-		NotStarted: resp.Header.Get(s.dialect.NotStarted) != "" || resp.StatusCode == http.StatusMisdirectedRequest,
+		NotStarted: notStarted,
 		ServerID:   resp.Header.Get(s.dialect.ServerID),
 	}
-	id := resp.Header.Get(s.dialect.RequestID)
-	if id != r.ID {
-		if id != "" {
-			return nil, false, errOtherRequestID
-		}
-		if !out.NotStarted || !c.neverPooled {
-			return nil, false, fmt.Errorf("answer with status %d has no request ID: %w", resp.StatusCode, errInvalidAnswer)
-		}
-	}
-	if resp.StatusCode/100 == 2 && (resp.Header.Get(s.dialect.Signature) == "" || resp.Header.Get("Content-Encoding") != "") {
-		return nil, false, fmt.Errorf("answer with status %d is unsigned or has a content encoding: %w", resp.StatusCode, errInvalidAnswer)
-	}
 	s.readLoad(resp.Header, out)
 	c.idleTimeout = idleTimeout(resp.Header)
 	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	return out, framed && !resp.Close, nil
 }
 
-// readFinal reads a final answer's head and skips interim answers.
-func readFinal(reader *bufio.Reader, method string) (*http.Response, error) {
-	for {
-		resp, err := http.ReadResponse(reader, &http.Request{Method: method})
-		if err != nil {
-			var netError interface{ Timeout() bool }
-			if errors.As(err, &netError) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
-				return nil, err
-			}
-			return nil, fmt.Errorf("%w: %w", errInvalidAnswer, err)
-		}
-		if resp.StatusCode >= 200 {
-			return resp, nil
-		}
+// readBody reads the whole body of an answer. A body that states a length over the limit
+// fails at once.
+func (s *Sender) readBody(resp *http.Response, r *Request) ([]byte, error) {
+	if resp.ContentLength > s.maxBodyBytes && r.Method != http.MethodHead {
+		return nil, fmt.Errorf("%w: body has %d bytes, the limit is %d", errInvalidAnswer, resp.ContentLength, s.maxBodyBytes)
+	}
+	body, err := membudget.ReadAll(resp.Body, resp.ContentLength, s.maxBodyBytes, r.Memory)
+	if errors.Is(err, membudget.ErrExhausted) {
+		return nil, fmt.Errorf("read answer body: %w", err)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("read answer body: %w", readError(err))
 	}
+	return body, nil
 }
 
 func (s *Sender) readLoad(h http.Header, out *Response) {
--- a/internal/serverconn/exchange_test.go
+++ b/internal/serverconn/exchange_test.go
@@ -72,9 +72,12 @@
 	}
 }
 
+// testMaxBodyBytes is the limit that the smallest VM has, one of 184 MB.
+const testMaxBodyBytes = 184 << 20 / 32
+
 func newSender() *Sender {
 	pool := NewPool(Settings{DialTimeout: time.Second, IdlePerServer: func(string) int { return 4 }}, metrics.NewRegistry())
-	return NewSender(pool, testDialect)
+	return NewSender(pool, testDialect, testMaxBodyBytes)
 }
 
 func send(s *Sender, server *registry.Server, id string, idempotent bool) (*Response, *Failure) {
@@ -144,6 +147,41 @@
 	}
 }
 
+// A server that answered "not started" may send a second copy of that answer late, when
+// the connection is in use again. If it then carried a repeat of the same request, the
+// copy would pass for the repeat's answer although the repeat runs.
+func TestLateCopyOfAnswerIsNotTakenForAnswerToRepeat(t *testing.T) {
+	const refused = "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for _, texts := range [][]string{{refused, refused + good}, {good}} {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			next := make(chan string, len(texts))
+			for _, text := range texts {
+				next <- text
+			}
+			go serveRaw(c, next)
+		}
+	}()
+	s, server := newSender(), &registry.Server{ID: "s1", Incarnation: 1, Address: listener.Addr().String()}
+	for _, repeat := range []bool{false, true} {
+		r, f := s.Do(context.Background(), &Request{
+			ID: "1", Method: "GET", Target: "/x", Host: "h", Header: http.Header{}, Deadline: time.Now().Add(500 * time.Millisecond),
+			Server: server, Repeat: repeat,
+		})
+		if f != nil || r.NotStarted == repeat {
+			t.Fatalf("repeat %v: got answer %+v, failure %v; want the first not started, the repeat answered", repeat, r, f)
+		}
+	}
+}
+
 // A connection with bytes after a complete answer is not reused.
 func TestConnectionWithExtraBytesIsNotReused(t *testing.T) {
 	server, connections := rawServer(t, good+"HTTP/1.1 200 OK\r\n", good)
--- a/internal/serverconn/pool.go
+++ b/internal/serverconn/pool.go
@@ -50,10 +50,13 @@
 	return p
 }
 
-// get returns a connection that was idle for at most maxIdle, or a new one.
+// get returns a connection that was idle for at most maxIdle, or a new one. If maxIdle is
+// negative, it always returns a new one and leaves the idle ones alone.
 func (p *Pool) get(ctx context.Context, server *registry.Server, maxIdle time.Duration) (*conn, error) {
-	if c := p.idleConn(server, maxIdle); c != nil {
-		return c, nil
+	if maxIdle >= 0 {
+		if c := p.idleConn(server, maxIdle); c != nil {
+			return c, nil
+		}
 	}
 	return p.open(ctx, server)
 }
