Bound what peers, the store and control calls may send

Cause: a response or a request between VMs, of the store or to a control call was read up to 16 or 64 MB, its head up to 10 MB, and compressed values of peers each up to 16 MB without a bound on their number. One call grew the heap by 20 to 60 MB, values of one response by 256 MB; a VM has 184 MB. An answer over the bound was cut silently and reported as invalid JSON.

--- a/internal/backend/http.go
+++ b/internal/backend/http.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"time"
@@ -14,11 +13,13 @@
 	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"kumquatcleat/internal/dial"
+	"kumquatcleat/internal/membudget"
 )
 
 const (
 	controlTimeout          = time.Second
 	controlMaxResponse      = 4 << 20
+	controlMaxHeadBytes     = 64 << 10
 	controlMaxIdlePerServer = 2
 	controlIdleTimeout      = 30 * time.Second
 	controlBreaker          = "server-control"
@@ -42,6 +43,8 @@
 		DialContext:         dial.From(localIP, controlTimeout).DialContext,
 		MaxIdleConnsPerHost: controlMaxIdlePerServer,
 		IdleConnTimeout:     controlIdleTimeout,
+
+		MaxResponseHeaderBytes: controlMaxHeadBytes,
 	}
 	client := &http.Client{Transport: transport, Timeout: controlTimeout}
 	return &ControlClients{service: httpc.NewServiceWithClient(controlBreaker, client)}
@@ -114,7 +117,7 @@
 		return fmt.Errorf("server control %s: send request: %w", path, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, controlMaxResponse))
+	data, err := membudget.ReadAll(resp.Body, resp.ContentLength, controlMaxResponse, nil)
 	if err != nil {
 		return fmt.Errorf("server control %s: read response: %w", path, err)
 	}
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -72,7 +72,7 @@
 
 func newCallerServer(address string) *callerServer {
 	c := &callerServer{open: map[net.Conn]connStatus{}}
-	c.server = &http.Server{Addr: address, ReadHeaderTimeout: readHeaderTimeout, ConnState: c.trackState}
+	c.server = &http.Server{Addr: address, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeadBytes, ConnState: c.trackState}
 	return c
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -38,6 +38,8 @@
 	handoverTimeout = 3 * time.Second
 	// readHeaderTimeout closes connections on which no request header arrives.
 	readHeaderTimeout = 10 * time.Second
+	// maxHeadBytes bounds the head of a request from a caller or another VM.
+	maxHeadBytes = 64 << 10
 	// forceQuitTimeout is longer than any planned stop. By default, go-zero kills
 	// the process 5.5 s after a signal.
 	forceQuitTimeout = 24 * time.Hour
@@ -136,8 +138,8 @@
 func (d *Daemon) provisionListeners() {
 	mux := http.NewServeMux()
 	d.operatorRoutes(mux)
-	mux.Handle(peer.PeerPathPrefix, peer.NewPeerServer(&peerService{daemon: d}))
-	d.peerServer = &http.Server{Addr: d.settings.PeerListen, Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	mux.Handle(peer.PeerPathPrefix, peer.LimitRequests(peer.NewPeerServer(&peerService{daemon: d})))
+	d.peerServer = &http.Server{Addr: d.settings.PeerListen, Handler: mux, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeadBytes}
 	d.callerServer = newCallerServer(d.settings.Listen)
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -5,19 +5,31 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
+	"log/slog"
 	"net/http"
 	"time"
 
 	"kumquatcleat/internal/dial"
+	"kumquatcleat/internal/membudget"
 )
 
 // newPeerClient returns an HTTP client for calls to other VMs.
 func newPeerClient(localIP string, dialTimeout time.Duration) *http.Client {
 	dialer := dial.WithDeadPeerDetection(localIP, dialTimeout)
-	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second}}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second,
+		DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
+	}}
 }
 
+// Maximum sizes of messages between VMs. A request with the counts of all keys has less
+// than half of the maximum, a response with all rows of a site of 800 servers a tenth.
+const (
+	maxPeerRequestBytes  = 2 << 20
+	maxPeerResponseBytes = 8 << 20
+	maxHeadBytes         = 64 << 10 // head of a request or a response
+)
+
 // call posts a JSON request to another VM and decodes its response. It reads the
 // body to the end so that the connection can be reused.
 func call(ctx context.Context, client *http.Client, address, path string, request, response any) error {
@@ -34,7 +46,7 @@
 		return fmt.Errorf("peers: send request: %w", err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxPeerMessageBytes))
+	data, err := membudget.ReadAll(resp.Body, resp.ContentLength, maxPeerResponseBytes, nil)
 	if err != nil {
 		return fmt.Errorf("peers: read response: %w", err)
 	}
@@ -46,3 +58,18 @@
 	}
 	return nil
 }
+
+// decodeRequest decodes the JSON request of another VM. If it is invalid or too large, it
+// responds with an error and returns false.
+func decodeRequest(w http.ResponseWriter, r *http.Request, into any) bool {
+	data, err := membudget.ReadAll(r.Body, r.ContentLength, maxPeerRequestBytes, nil)
+	if err == nil {
+		err = json.Unmarshal(data, into)
+	}
+	if err == nil {
+		return true
+	}
+	slog.Warn("peers: request not understood", "path", r.URL.Path, "from", r.RemoteAddr, "error", err.Error())
+	http.Error(w, err.Error(), http.StatusBadRequest)
+	return false
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -211,7 +211,7 @@
 }
 
 func listenAndServe(address string, mux http.Handler, failed chan<- error) error {
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: maxHeadBytes}
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return fmt.Errorf("gateway: listen on %s: %w", address, err)
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"log/slog"
 	"maps"
 	"net/http"
@@ -133,8 +132,7 @@
 // receive handles a report from another VM.
 func (l *loadReporter) receive(w http.ResponseWriter, r *http.Request) {
 	var report keyspace.Report
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxPeerMessageBytes)).Decode(&report); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !decodeRequest(w, r, &report) {
 		return
 	}
 	if !l.isCoordinator() {
--- a/internal/gateway/packing.go
+++ b/internal/gateway/packing.go
@@ -4,9 +4,9 @@
 	"bytes"
 	"compress/gzip"
 	"fmt"
-	"io"
 	"sync"
 
+	"kumquatcleat/internal/membudget"
 	"kumquatcleat/internal/rows"
 )
 
@@ -14,6 +14,10 @@
 // A smaller value fits into a few packets either way.
 const minPackedSize = 4 << 10
 
+// maxUnpackedBytes bounds all values of a response together after decompression, which
+// can expand them a thousandfold.
+const maxUnpackedBytes = 16 << 20
+
 // packedValue is the gzip-compressed value of one row of a response.
 type packedValue struct {
 	Update int    `json:"update"` // index into the response's updates
@@ -90,6 +94,7 @@
 
 // unpack decompresses the packed values of a response into their rows.
 func (a *updatesAnswer) unpack() error {
+	left := int64(maxUnpackedBytes)
 	for _, packed := range a.Packed {
 		if packed.Update < 0 || packed.Update >= len(a.Updates) ||
 			packed.Row < 0 || packed.Row >= len(a.Updates[packed.Update].Page.Rows) {
@@ -99,10 +104,11 @@
 		if err != nil {
 			return fmt.Errorf("peers: unpack response: open gzip data: %w", err)
 		}
-		value, err := io.ReadAll(io.LimitReader(r, maxPeerMessageBytes))
+		value, err := membudget.ReadAll(r, -1, left, nil)
 		if err != nil {
 			return fmt.Errorf("peers: unpack response: decompress value: %w", err)
 		}
+		left -= int64(len(value))
 		a.Updates[packed.Update].Page.Rows[packed.Row].Value = value
 	}
 	a.Packed = nil
--- a/internal/gateway/standby.go
+++ b/internal/gateway/standby.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"log/slog"
 	"net/http"
 	"time"
@@ -41,8 +40,7 @@
 // serveStandby handles a request of the coordinator to its standby.
 func (s *viewSync) serveStandby(w http.ResponseWriter, r *http.Request) {
 	var q keyspace.StandbyRequest
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxPeerMessageBytes)).Decode(&q); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !decodeRequest(w, r, &q) {
 		return
 	}
 	if err := json.NewEncoder(w).Encode(s.answerStandby(r.Context(), q)); err != nil {
--- a/internal/gateway/view_sync.go
+++ b/internal/gateway/view_sync.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"log/slog"
 	"math"
 	"net/http"
@@ -52,8 +51,6 @@
 	secondSourceInterval = 500 * time.Millisecond
 	secondSourceMinAge   = 150 * time.Millisecond
 	retryPause           = 50 * time.Millisecond
-	// maxPeerMessageBytes is the maximum size of a request or answer from a peer.
-	maxPeerMessageBytes = 16 << 20
 )
 
 // viewSync copies changes from other VMs' views and serves the views of this VM.
@@ -215,8 +212,7 @@
 	mux.HandleFunc("POST "+pathStandby, s.serveStandby)
 	mux.HandleFunc("POST "+pathUpdates, func(w http.ResponseWriter, r *http.Request) {
 		var request updatesRequest
-		if err := json.NewDecoder(io.LimitReader(r.Body, maxPeerMessageBytes)).Decode(&request); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
+		if !decodeRequest(w, r, &request) {
 			return
 		}
 		if request.Coordinating && !s.isCoordinator() {
--- a/internal/peer/clients.go
+++ b/internal/peer/clients.go
@@ -15,8 +15,31 @@
 	requestTimeout      = time.Second
 	maxIdleConnsPerPeer = 4
 	idleConnTimeout     = time.Minute
+
+	maxHeadBytes = 64 << 10 // head of a request or a response
+	// maxMessageBytes bounds a message. The largest, the state of a group of slots, has
+	// about 100 bytes a slot.
+	maxMessageBytes = 4 << 20
 )
 
+// LimitRequests bounds the requests that a handler of messages from other VMs reads.
+// The generated code reads a body to its end.
+func LimitRequests(handler http.Handler) http.Handler {
+	return http.MaxBytesHandler(handler, maxMessageBytes)
+}
+
+// limitedTransport bounds the bodies of responses.
+type limitedTransport struct{ http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (t limitedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := t.RoundTripper.RoundTrip(r)
+	if err == nil {
+		resp.Body = http.MaxBytesReader(nil, resp.Body, maxMessageBytes)
+	}
+	return resp, err
+}
+
 // Clients creates and caches one client per peer address. Safe for concurrent use.
 type Clients struct {
 	http *http.Client
@@ -33,9 +56,11 @@
 		DialContext:         dial.From(localIP, dialTimeout).DialContext,
 		MaxIdleConnsPerHost: maxIdleConnsPerPeer,
 		IdleConnTimeout:     idleConnTimeout,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	return &Clients{
-		http:      &http.Client{Transport: transport, Timeout: requestTimeout},
+		http:      &http.Client{Transport: limitedTransport{transport}, Timeout: requestTimeout},
 		byAddress: map[string]Peer{},
 	}
 }
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -5,15 +5,16 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
+	"strings"
 	"time"
 
 	"github.com/zeromicro/go-zero/core/breaker"
 	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"kumquatcleat/internal/dial"
+	"kumquatcleat/internal/membudget"
 )
 
 // Paths of the platform's HTTP interface.
@@ -43,7 +44,9 @@
 
 const (
 	callTimeout    = 2 * time.Second
-	maxAnswerBytes = 64 << 20
+	maxAnswerBytes = 8 << 20  // answer about rows or VMs
+	maxObjectBytes = 64 << 20 // one object
+	maxHeadBytes   = 64 << 10 // head of an answer
 	breakerName    = "platform"
 )
 
@@ -67,6 +70,8 @@
 		DialContext:         dial.From(localIP, callTimeout).DialContext,
 		MaxIdleConnsPerHost: 16,
 		IdleConnTimeout:     30 * time.Second,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	client := &http.Client{Transport: transport, Timeout: callTimeout}
 	return &Client{base: "http://" + address, service: httpc.NewServiceWithClient(breakerName, client)}
@@ -155,7 +160,11 @@
 		return nil, fmt.Errorf("platform: %s %s: %w", method, path, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	limit := int64(maxAnswerBytes)
+	if strings.HasPrefix(path, PathObject) {
+		limit = maxObjectBytes
+	}
+	data, err := membudget.ReadAll(resp.Body, resp.ContentLength, limit, nil)
 	if err != nil {
 		return nil, fmt.Errorf("platform: %s %s: answer: %w", method, path, err)
 	}
--- a/internal/routing/transport.go
+++ b/internal/routing/transport.go
@@ -19,7 +19,7 @@
 	serverBreaker      = "server"
 	dialTimeout        = time.Second      // a failed VM does not answer a SYN; its keys must be served again within 3 s
 	serverIdleTimeout  = 10 * time.Second // below the idle timeout of common servers, so that they rarely close first
-	maxHeaderBytes     = 1 << 20
+	maxHeaderBytes     = 64 << 10
 	copyBufferBytes    = 32 << 10
 	defaultConnections = 64
 )
