--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BIN     := bin
 RUN     := run
 
-.PHONY: all build setup format vet lint generated unit test demo cluster stop clean
+.PHONY: all build setup format vet lint generated unit fuzz test demo cluster stop clean
 
 all: build
 
@@ -39,7 +39,18 @@
 unit:
 	$(GO) test -race -timeout 20m $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') ./...
 
-test: setup format vet lint generated unit
+# Fuzzes each decoder of foreign bytes for a few seconds, beyond its committed seeds, which
+# unit runs.
+FUZZ_TIME ?= 3s
+FUZZ_TARGETS := internal/serverconn:FuzzServerAnswer internal/entry:FuzzCallerRequests internal/entry:FuzzCheckHead \
+  internal/keyspace:FuzzOwnersRecord internal/gateway:FuzzPeerUpdates internal/gateway:FuzzLoadReport \
+  platform:FuzzRegistration platform:FuzzConfiguration
+
+fuzz:
+	@for target in $(FUZZ_TARGETS); do \
+	  $(GO) test -run '^$$' -fuzz "^$${target#*:}$$" -fuzztime $(FUZZ_TIME) -parallel 2 ./$${target%:*} || exit 1; done
+
+test: setup format vet lint generated unit fuzz
 
 # Runs one daemon with stand-ins of the platform and of three servers in the
 # foreground; Ctrl-C ends it.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -342,6 +342,7 @@
 	}
 }
 
+// FuzzCheckHead checks that each accepted head has a Host header.
 func FuzzCheckHead(f *testing.F) {
 	f.Add([]byte("GET /p/ HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, head []byte) {
--- /dev/null
+++ b/internal/gateway/fuzz_test.go
@@ -0,0 +1,46 @@
+package gateway
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"kumquatcleat/internal/keyspace"
+)
+
+// A response of another VM that is accepted can be applied to the views.
+func FuzzPeerUpdates(f *testing.F) {
+	value, err := compress([]byte("value"))
+	if err != nil {
+		f.Fatal(err)
+	}
+	packed, err := json.Marshal(value)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add([]byte(`{"updates":[{"table":"config","page":{"rows":[{"key":"c","version":3}],"version":3}}],"packed":[{"update":0,"row":0,"value":` + string(packed) + `}]}`))
+	f.Add([]byte(`{"updates":[{"table":"other","whole":true,"page":{"rows":[{"key":"c","deleted":true}]}}],"packed":[{"update":1}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var answer updatesAnswer
+		if json.Unmarshal(data, &answer) != nil || answer.unpack() != nil {
+			return
+		}
+		s, _ := newTestViewSync(t)
+		s.set.Apply(answer.Updates)
+	})
+}
+
+// A load report that is accepted can be planned with.
+func FuzzLoadReport(f *testing.F) {
+	f.Add([]byte(`{"requests":{"s":{"1":2,"65535":1e300,"4294967295":3,"7":-1}},"times":{"a":{"count":-1,"seconds":1e308}}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var report keyspace.Report
+		if json.Unmarshal(data, &report) != nil {
+			return
+		}
+		c := keyspace.NewCoordinator(keyspace.Options{
+			Settings: keyspace.CoordinatorSettings{Keys: 100}, Clock: func() time.Duration { return time.Second },
+		})
+		c.Report(report)
+	})
+}
--- a/internal/keyspace/coordinator.go
+++ b/internal/keyspace/coordinator.go
@@ -211,6 +211,10 @@
 			slog.Error("keyspace: cannot decode the owners record", "service", service, "error", err.Error())
 			return nil
 		}
+		if len(record.Ranges) > 0 && !record.covers(c.settings.Keys) {
+			slog.Error("keyspace: the owners record does not cover all keys", "service", service, "version", row.Version, "keys", c.settings.Keys)
+			return nil
+		}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/keyspace/record.go
+++ b/internal/keyspace/record.go
@@ -89,11 +89,28 @@
 		if r.Ranges[i].Token == 0 {
 			r.Ranges[i].Token = version
 		}
-		if i > 0 && r.Ranges[i].From != r.Ranges[i-1].To+1 {
-			return Record{}, fmt.Errorf("keyspace: owners record: range %d begins at key %d, want %d", i, r.Ranges[i].From, r.Ranges[i-1].To+1)
+	}
+	return r, r.check()
+}
+
+// check verifies that the ranges are adjacent and in ascending order.
+func (r *Record) check() error {
+	for i := range r.Ranges {
+		from, to := r.Ranges[i].From, r.Ranges[i].To
+		if from > to {
+			return fmt.Errorf("keyspace: owners record: range %d begins at key %d and ends at key %d", i, from, to)
+		}
+		if i > 0 && (from == 0 || from-1 != r.Ranges[i-1].To) {
+			return fmt.Errorf("keyspace: owners record: range %d begins at key %d after a range that ends at key %d", i, from, r.Ranges[i-1].To)
 		}
 	}
-	return r, nil
+	return nil
+}
+
+// covers reports whether the ranges cover all keys below a number.
+func (r *Record) covers(keys uint32) bool {
+	n := len(r.Ranges)
+	return n > 0 && r.Ranges[0].From == 0 && r.Ranges[n-1].To == keys-1
 }
 
 // raiseTokens sets the token of ranges with raiseToken to zero, the version of the
--- a/internal/keyspace/report.go
+++ b/internal/keyspace/report.go
@@ -13,6 +13,13 @@
 	ServiceTimes map[string]balance.Samples `json:"times,omitempty"`
 }
 
+// Bounds of one measurement in a report. A measurement outside them is not plausible and
+// would distort all plans.
+const (
+	maxReportedRequests = 1e6
+	maxReportedSeconds  = 1e6
+)
+
 // Report adds the measurements of a VM to the load on which plans are based.
 func (c *Coordinator) Report(r Report) {
 	c.mu.Lock()
@@ -20,11 +27,13 @@
 	for service, keys := range r.Requests {
 		w := c.requestCountsOf(service)
 		for key, requests := range keys {
-			w.Add(key, requests)
+			if key < c.settings.Keys && requests > 0 && requests < maxReportedRequests {
+				w.Add(key, requests)
+			}
 		}
 	}
 	for server, sample := range r.ServiceTimes {
-		if sample.Count > 0 {
+		if sample.Count > 0 && sample.Count < maxReportedRequests && sample.Seconds >= 0 && sample.Seconds < maxReportedSeconds {
 			c.serviceTimes[server] = c.serviceTimes[server].add(sample)
 		}
 	}
