Owners records as protobuf columns, bounded by the size of a row

Change: the record is stored as protobuf columns that name each server once; JSON of earlier versions is still read, but an earlier version cannot read the new form. The size of a row comes from the new setting row_bytes; from a number of ranges that depends on it plans cut no further ranges. Errors of the store that cannot succeed later (400, 403, 404, 413) are rows.ErrInvalid: the record is given up and planned anew after 2 s, with an error line that holds the store's reason. The first division of keys left out the last key if one member's share ended before it.

--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,9 @@
 generated: setup
 	@dir=$$(mktemp -d) && internal/peer/generate.sh $$dir \
 	  && diff -q $$dir/peer.pb.go internal/peer/peer.pb.go \
-	  && diff -q $$dir/peer.twirp.go internal/peer/peer.twirp.go && rm -r $$dir
+	  && diff -q $$dir/peer.twirp.go internal/peer/peer.twirp.go \
+	  && internal/keyspace/ownerspb/generate.sh $$dir \
+	  && diff -q $$dir/owners.pb.go internal/keyspace/ownerspb/owners.pb.go && rm -r $$dir
 
 # Tests that KNOWN-RED.txt names under "skip:" are passed over; CI prints that file.
 # Each element of a name gets anchors of its own: a parenthesis round the names would
--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -62,6 +62,7 @@
 		FirstPlanWait:  firstPlanWait,
 		ReleaseTimeout: releaseTimeout,
 		Keys:           keys,
+		RecordBytes:    s.RowBytes,
 		Table:          keysTable,
 	}
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -38,6 +38,7 @@
 	GraceS      float64 `json:"grace_s"`      // from SIGTERM to SIGKILL
 	DrainS      float64 `json:"drain_s"`      // a draining server gets no requests after this
 	HoldMaxS    float64 `json:"hold_max_s"`   // longest lease on keys that a server accepts
+	RowBytes    int     `json:"row_bytes"`    // largest value of a row in the store
 	RetryRatio  float64 `json:"retry_ratio"`  // retries per request, over all VMs
 	RetrySlack  float64 `json:"retry_slack"`  // additional retries per window, over all VMs
 	RetryWindow float64 `json:"retry_window"` // seconds
@@ -128,7 +129,7 @@
 	}
 	for field, value := range map[string]float64{
 		"memory_mb": s.MemoryMB, "processor": s.Processor, "link_mbps": s.LinkMbps, "grace_s": s.GraceS, "drain_s": s.DrainS, "hold_max_s": s.HoldMaxS,
-		"retry_window": s.RetryWindow, "descriptors": float64(s.Descriptors),
+		"retry_window": s.RetryWindow, "descriptors": float64(s.Descriptors), "row_bytes": float64(s.RowBytes),
 	} {
 		if value <= 0 {
 			wrong(field, fmt.Sprint(value), "more than 0")
--- a/internal/gateway/settings_test.go
+++ b/internal/gateway/settings_test.go
@@ -7,7 +7,7 @@
 
 const goodSettings = `{"vm":"a-1","failure_domain":"a","ip":"10.0.0.1","listen":"10.0.0.1:80","ready_listen":"10.0.0.1:81",
 "peer_listen":"10.0.0.1:82","metrics_listen":"10.0.0.1:83","store":"10.9.0.1:80","seeds":["10.0.0.2:82"],"log_level":"info",
-"memory_mb":284,"processor":0.32,"link_mbps":1000.0,"descriptors":4100,"grace_s":6,"drain_s":2,"hold_max_s":10,
+"memory_mb":284,"processor":0.32,"link_mbps":1000.0,"descriptors":4100,"grace_s":6,"drain_s":2,"hold_max_s":10,"row_bytes":65536,
 "retry_ratio":0.2,"retry_slack":64,"retry_window":10}`
 
 func TestInvalidSettingsAreRejected(t *testing.T) {
--- a/internal/keyspace/commit.go
+++ b/internal/keyspace/commit.go
@@ -14,13 +14,19 @@
 // commitRetryInterval is the interval between retries of a commit without an answer.
 const commitRetryInterval = 150 * time.Millisecond
 
+// invalidRecordDelay is how long no record is written after one that the store can't
+// accept.
+const invalidRecordDelay = 2 * time.Second
+
 // commit writes a record. It retries with exactly the same bytes until the outcome of
 // the write is known.
 func (c *Coordinator) commit(ctx context.Context, svc *serviceState, next Record, version uint64, reason string) {
 	value, err := next.encode()
+	if err == nil && len(value) > c.settings.RecordBytes {
+		err = fmt.Errorf("the record of %d ranges has %d bytes, a row of the store %d", len(next.Ranges), len(value), c.settings.RecordBytes)
+	}
 	if err != nil {
-		slog.Error("keyspace: cannot encode the owners record", "service", svc.service, "error", err.Error())
-		c.dropServiceState(svc)
+		c.withdraw(svc, next, reason, err)
 		return
 	}
 	for {
@@ -31,6 +37,10 @@
 		}
 		write := rows.Write{Table: c.settings.Table, Key: svc.service, Expect: version, Value: value}
 		written, err := c.store.Commit(ctx, []rows.Write{condition, write})
+		if errors.Is(err, rows.ErrInvalid) {
+			c.withdraw(svc, next, reason, err)
+			return
+		}
 		if err != nil {
 			written, err = c.writeOutcome(ctx, svc.service, next.WriteID, version, err)
 		}
@@ -72,6 +82,16 @@
 	return 0, fmt.Errorf("expected version %d of the owners record, found %d", version, row.Version)
 }
 
+// withdraw gives up a record that the store will never accept. The record in force stays,
+// and the next plan may differ.
+func (c *Coordinator) withdraw(svc *serviceState, record Record, reason string, cause error) {
+	slog.Error("keyspace: owners record not written", "service", svc.service, "reason", reason, "ranges", len(record.Ranges), "error", cause.Error())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	svc.committing = false
+	svc.pausedUntil = c.clock() + invalidRecordDelay
+}
+
 // dropServiceState discards the state of a service, so that its record is read again.
 func (c *Coordinator) dropServiceState(svc *serviceState) {
 	c.mu.Lock()
--- a/internal/keyspace/coordinator.go
+++ b/internal/keyspace/coordinator.go
@@ -49,6 +49,8 @@
 	ReleaseTimeout time.Duration
 	// Keys is the number of keys.
 	Keys uint32
+	// RecordBytes is the maximum size of an owners record, a row of the store.
+	RecordBytes int
 	// Table is the table of the store that holds the owners records and the address
 	// of the coordinator.
 	Table string
@@ -85,6 +87,7 @@
 	membersSince time.Duration // when members were first present
 	plannedAt    time.Duration
 	movedAt      time.Duration // when moves that balance load last started
+	pausedUntil  time.Duration // no record is written before
 }
 
 // Options are the dependencies and settings of a Coordinator. All are required.
@@ -176,7 +179,7 @@
 	for _, batch := range groupIntoBatches(svc.leases.Orders(now, c.members.State)) {
 		calls.Go(func() { c.sendBatch(ctx, svc, batch) })
 	}
-	if svc.committing {
+	if svc.committing || now < svc.pausedUntil {
 		return
 	}
 	next, reason := c.next(now, svc)
@@ -322,5 +325,7 @@
 	fastProfile, slowProfile := c.requestCountsOf(svc.service).profiles(now, c.settings.Keys)
 	fast, slow = newPlanner(c.settings.Plan, fastProfile, available), newPlanner(c.settings.Plan, slowProfile, available)
 	fast.acknowledged, slow.acknowledged = svc.leases.acknowledged, svc.leases.acknowledged
+	fast.maxRanges = maxRanges(c.settings.RecordBytes, members)
+	slow.maxRanges = fast.maxRanges
 	return fast, slow
 }
--- a/internal/keyspace/plan.go
+++ b/internal/keyspace/plan.go
@@ -37,10 +37,12 @@
 	// acknowledged reports whether a range's owner has acknowledged its keys. Only
 	// then may they move again.
 	acknowledged func(*Range) bool
+	// maxRanges is the number of ranges from which on no range is cut.
+	maxRanges int
 }
 
 func newPlanner(s PlanSettings, p profile, members []Member) *planner {
-	pl := &planner{settings: s, profile: p, members: members, load: map[string]float64{}, acknowledged: func(*Range) bool { return true }}
+	pl := &planner{settings: s, profile: p, members: members, load: map[string]float64{}, acknowledged: func(*Range) bool { return true }, maxRanges: math.MaxInt}
 	for _, m := range members {
 		pl.capacity += m.Capacity
 		pl.slots += m.Slots
@@ -114,13 +116,13 @@
 	from, all := uint32(0), uint32(len(p.profile.sums)-2)
 	for i, m := range p.members {
 		span := Span{from, all}
-		if i < len(p.members)-1 {
-			if from >= all {
-				break
-			}
+		if i < len(p.members)-1 && from < all {
 			span.To = p.profile.cutAt(span, p.total*m.Capacity/p.capacity)
 		}
 		ranges = append(ranges, Range{Span: span, Owner: m.Holder})
+		if span.To == all {
+			break
+		}
 		from = span.To + 1
 	}
 	return ranges
@@ -145,8 +147,10 @@
 			former = append(former, Former{r.Owner, r.Token})
 		}
 		former = withoutTerminated(former, terminated)
-		piece := max(p.profile.load(r.Span)/maxReassignPieces, p.total*minReassignShare)
-		spans := p.splitByLoad(r.Span, piece)
+		spans := []Span{r.Span}
+		if len(next)+len(ranges)-i < p.maxRanges {
+			spans = p.splitByLoad(r.Span, max(p.profile.load(r.Span)/maxReassignPieces, p.total*minReassignShare))
+		}
 		for j, span := range spans {
 			load := p.profile.load(span)
 			var adjacent []Range
@@ -158,7 +162,7 @@
 			}
 			to := p.preferAdjacent(adjacent, load, p.leastUtilized(load))
 			p.load[holderKey(to.Holder)] += load
-			next = append(next, p.pendingPieces(span, to.Holder, former)...)
+			next = append(next, p.pendingPieces(span, to.Holder, former, len(next)+len(ranges)-i)...)
 		}
 	}
 	return next, changed
@@ -171,11 +175,17 @@
 // pendingPieces returns the pending ranges of a move. A release is acknowledged once
 // the last running request on its keys has ended, so the keys of a move are released
 // in pieces of about one running request each: a long request then holds up only its
-// own piece. The pieces are merged again once the owner has acknowledged them.
-func (p *planner) pendingPieces(s Span, to Holder, former []Former) []Range {
+// own piece. The pieces are merged again once the owner has acknowledged them. count is
+// the number of ranges of the record so far: a record without room for pieces gets the
+// move as one range.
+func (p *planner) pendingPieces(s Span, to Holder, former []Former, count int) []Range {
 	var list []Range
-	perSlot := p.capacity / float64(max(p.slots, 1))
-	for _, span := range p.splitByLoad(s, max(perSlot, p.profile.load(s)/maxMovePieces)) {
+	spans := []Span{s}
+	if count+maxMovePieces <= p.maxRanges {
+		perSlot := p.capacity / float64(max(p.slots, 1))
+		spans = p.splitByLoad(s, max(perSlot, p.profile.load(s)/maxMovePieces))
+	}
+	for _, span := range spans {
 		list = append(list, Range{Span: span, Owner: to, Pending: true, Former: slices.Clone(former)})
 	}
 	return list
@@ -239,7 +249,7 @@
 // moveOnce moves keys from the busiest member that can give some to the least
 // utilized one.
 func (p *planner) moveOnce(ranges []Range) ([]Range, bool) {
-	if len(p.members) < 2 || p.total == 0 {
+	if len(p.members) < 2 || p.total == 0 || len(ranges) >= p.maxRanges {
 		return ranges, false
 	}
 	byUtilization := slices.Clone(p.members)
@@ -316,7 +326,7 @@
 	if (p.load[holderKey(to.Holder)]+p.profile.load(moved))/to.Capacity >= p.utilization(from) {
 		return ranges, false
 	}
-	pieces := p.pendingPieces(moved, to.Holder, []Former{{r.Owner, r.Token}})
+	pieces := p.pendingPieces(moved, to.Holder, []Former{{r.Owner, r.Token}}, len(ranges))
 	if rest.From <= rest.To {
 		kept := r
 		kept.Span = rest
--- a/internal/keyspace/record.go
+++ b/internal/keyspace/record.go
@@ -5,7 +5,6 @@
 package keyspace
 
 import (
-	"encoding/json"
 	"fmt"
 	"sort"
 )
@@ -76,23 +75,6 @@
 	Ranges  []Range `json:"ranges"` // adjacent, in ascending order, covering all keys
 }
 
-// encode returns the stored form of the record.
-func (r Record) encode() ([]byte, error) { return json.Marshal(r) }
-
-// DecodeRecord decodes a stored record. version is the version of its row.
-func DecodeRecord(data []byte, version uint64) (Record, error) {
-	var r Record
-	if err := json.Unmarshal(data, &r); err != nil {
-		return Record{}, fmt.Errorf("keyspace: decode owners record: %w", err)
-	}
-	for i := range r.Ranges {
-		if r.Ranges[i].Token == 0 {
-			r.Ranges[i].Token = version
-		}
-	}
-	return r, r.check()
-}
-
 // check verifies that the ranges are adjacent and in ascending order.
 func (r *Record) check() error {
 	for i := range r.Ranges {
--- a/internal/rows/rows.go
+++ b/internal/rows/rows.go
@@ -18,6 +18,9 @@
 	ErrHistoryGone = errors.New("rows: change history is no longer available")
 	// ErrRefused means that the store rejected the call and did nothing.
 	ErrRefused = errors.New("rows: call refused by the store")
+	// ErrInvalid means that the store did nothing and will never accept the call, for
+	// example because a value is too long.
+	ErrInvalid = errors.New("rows: call invalid for the store")
 )
 
 // Row is one versioned row of a table.
