Requests for an overloaded key owner are admitted by the load that all VMs report

Cause: a VM sees each of 200 key owners once in ten seconds, so it knows nothing of the queue that 86 others build up there.

Change: load reports hold the requests that a VM has at each key owner. The coordinator sums them up, compares them with the owner's capacity and the demand for its keys, and answers each report with the share of requests that each overloaded owner can take. VMs refuse the rest at once, the less urgent first (the route's priority is read now), with a Retry-After of a tenth of the objective: a caller that returns soon can still be answered in time.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -345,6 +345,20 @@
 	return sample, ok
 }
 
+// InFlight returns the requests that this VM has at servers, by server ID. Servers without
+// any are left out.
+func (b *Balancer) InFlight(servers []*registry.Server) map[string]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	inFlight := map[string]int{}
+	for _, s := range servers {
+		if st := b.servers[s.Instance()]; st != nil && st.inFlight > 0 {
+			inFlight[s.ID] = st.inFlight
+		}
+	}
+	return inFlight
+}
+
 // Sweep drops the statistics of servers for which keep returns false and that have no
 // request in flight.
 func (b *Balancer) Sweep(keep func(registry.Instance) bool) {
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"time"
 
 	"kumquatcleat/internal/balance"
 	"kumquatcleat/internal/fault"
+	"kumquatcleat/internal/overload"
 	"kumquatcleat/internal/registry"
 )
 
@@ -100,11 +102,26 @@
 		choice.Server.ID, choice.Expected.Round(time.Millisecond), left.Round(time.Millisecond), choice.Full)
 }
 
+// admitOverload refuses a request that an overloaded server has no room for, by the loads
+// that all VMs report.
+func (r *requestState) admitOverload(server *registry.Server) *Answer {
+	signal, admitted := r.core.Overload.Admit(time.Now(), r.service.Name, server.ID, r.route.Rank, rand.Float64())
+	if admitted {
+		return nil
+	}
+	hint := min(overload.RetryAfter(r.route.Objective, rand.Float64()), time.Until(r.deadline)/3)
+	return refuse(fault.Overloaded, max(hint, minRetryAfter), "server %s is overloaded: %.0f requests of all VMs, admitted share %.2f",
+		server.ID, signal.Load, signal.Admit)
+}
+
+// minRetryAfter is the shortest Retry-After hint for an overloaded server.
+const minRetryAfter = 20 * time.Millisecond
+
 // overloadRetryAfter returns the Retry-After hint for an overloaded server: the time
 // until its queue has halved, at most a third of the remaining time, as callers
 // do not honor a longer hint.
 func (r *requestState) overloadRetryAfter(choice balance.Choice, left time.Duration) time.Duration {
-	return max(min(choice.Expected/2, left/3), 20*time.Millisecond)
+	return max(min(choice.Expected/2, left/3), minRetryAfter)
 }
 
 // chooseOwner returns the owner of the request's key. It waits for a move of the
@@ -115,6 +132,9 @@
 		server, reason := r.owner()
 		if server != nil {
 			choice := r.core.Balancer.Estimate(time.Now(), server)
+			if refusal := r.admitOverload(server); refusal != nil {
+				return choice, refusal
+			}
 			return choice, r.admit(choice)
 		}
 		left := time.Until(until)
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -18,6 +18,7 @@
 	"kumquatcleat/internal/keyspace"
 	"kumquatcleat/internal/logging"
 	"kumquatcleat/internal/membudget"
+	"kumquatcleat/internal/overload"
 	"kumquatcleat/internal/registry"
 	"kumquatcleat/internal/retry"
 	"kumquatcleat/internal/routetable"
@@ -85,6 +86,7 @@
 	Balancer   *balance.Balancer
 	Sender     Sender
 	Budget     *Budget
+	Overload   *overload.Gate
 	Suspicions *Suspicions
 	CountKey   func(service string, key uint32)
 	Decisions  *logging.Decisions
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -17,6 +17,7 @@
 	"kumquatcleat/internal/fault"
 	"kumquatcleat/internal/keyspace"
 	"kumquatcleat/internal/logging"
+	"kumquatcleat/internal/overload"
 	"kumquatcleat/internal/registry"
 	"kumquatcleat/internal/retry"
 	"kumquatcleat/internal/routetable"
@@ -99,9 +100,9 @@
 		Settings: Settings{DefaultTimeout: time.Second, DrainOwnerGrace: time.Second},
 		Tables:   t, Registry: servers, Owners: owners,
 		Balancer: balance.New(balance.Settings{InitialServiceTime: time.Millisecond, MaxRequestsPerSlot: 4}), Sender: sender,
-		Budget:     NewBudget(BudgetSettings{Ratio: 0.2, Slack: 3, Window: 10 * time.Second, Share: 1}, func() int { return 1 }, time.Now),
-		Suspicions: NewSuspicions(retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now), time.Now),
-		CountKey:   func(string, uint32) {}, Decisions: logging.NewDecisions(m), Metrics: m, Dialect: &dialect.Dialect{},
+		Budget:   NewBudget(BudgetSettings{Ratio: 0.2, Slack: 3, Window: 10 * time.Second, Share: 1}, func() int { return 1 }, time.Now),
+		Overload: overload.NewGate(), Suspicions: NewSuspicions(retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now), time.Now),
+		CountKey: func(string, uint32) {}, Decisions: logging.NewDecisions(m), Metrics: m, Dialect: &dialect.Dialect{},
 	})
 	return &fixture{core, sender, servers, owners}
 }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -20,6 +20,7 @@
 	"kumquatcleat/internal/keyspace"
 	"kumquatcleat/internal/logging"
 	"kumquatcleat/internal/membudget"
+	"kumquatcleat/internal/overload"
 	"kumquatcleat/internal/registry"
 	"kumquatcleat/internal/retry"
 	"kumquatcleat/internal/routetable"
@@ -89,9 +90,9 @@
 		Settings: dispatch.Settings{DefaultTimeout: time.Second},
 		Tables:   table, Registry: servers, Owners: keyspace.NewOwners(),
 		Balancer: balance.New(balance.Settings{InitialServiceTime: time.Millisecond, MaxRequestsPerSlot: 100}), Sender: sender,
-		Budget:     dispatch.NewBudget(dispatch.BudgetSettings{Ratio: 1, Slack: 100, Window: 10 * time.Second, Share: 1}, func() int { return 1 }, time.Now),
-		Suspicions: dispatch.NewSuspicions(retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now), time.Now),
-		CountKey:   func(string, uint32) {}, Decisions: decisions, Metrics: metricsRegistry, Dialect: testDialect,
+		Budget:   dispatch.NewBudget(dispatch.BudgetSettings{Ratio: 1, Slack: 100, Window: 10 * time.Second, Share: 1}, func() int { return 1 }, time.Now),
+		Overload: overload.NewGate(), Suspicions: dispatch.NewSuspicions(retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now), time.Now),
+		CountKey: func(string, uint32) {}, Decisions: decisions, Metrics: metricsRegistry, Dialect: testDialect,
 	})
 	s := NewServer(Settings{
 		Limits: limits, MaxBodyBytes: 1 << 20, BodyTimeout: 200 * time.Millisecond,
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -11,6 +11,7 @@
 
 	"kumquatcleat/internal/balance"
 	"kumquatcleat/internal/keyspace"
+	"kumquatcleat/internal/overload"
 	"kumquatcleat/internal/rows"
 	"kumquatcleat/internal/wait"
 )
@@ -18,8 +19,11 @@
 // pathLoads accepts a keyspace.Report and responds with a reportResponse.
 const pathLoads = "/peer/loads"
 
-// reportResponse acknowledges a report. It has no fields.
-type reportResponse struct{}
+// reportResponse acknowledges a report.
+type reportResponse struct {
+	// Overloads holds the signals for overloaded servers, by server ID.
+	Overloads map[string]overload.Signal `json:"overloads,omitempty"`
+}
 
 const (
 	// reportInterval lets the coordinator detect newly busy keys in less than a second.
@@ -35,9 +39,13 @@
 	isCoordinator       func() bool
 	consecutiveFailures int // consecutive reports not accepted; used only by run
 
+	vm           string // this VM
 	selfAddress  string // this VM's peer address
 	report       func(keyspace.Report)
 	serviceTimes func(service string) map[string]balance.Samples
+	inFlight     func(service string) map[string]int
+	overloads    func() map[string]overload.Signal // of the coordinator
+	gate         *overload.Gate
 	client       *http.Client
 
 	mu          sync.Mutex                    // guards the fields below
@@ -46,7 +54,7 @@
 }
 
 func newLoadReporter(s *Settings, report func(keyspace.Report), times func(string) map[string]balance.Samples) *loadReporter {
-	return &loadReporter{selfAddress: s.PeerListen, report: report, serviceTimes: times, client: newPeerClient(s.IP, peerDialTimeout), counts: map[string]map[uint32]float64{}}
+	return &loadReporter{vm: s.VM, selfAddress: s.PeerListen, gate: overload.NewGate(), report: report, serviceTimes: times, client: newPeerClient(s.IP, peerDialTimeout), counts: map[string]map[uint32]float64{}}
 }
 
 // count counts a request for a key.
@@ -80,9 +88,10 @@
 func (l *loadReporter) takeReport() (keyspace.Report, string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	report := keyspace.Report{Requests: l.counts, ServiceTimes: map[string]balance.Samples{}}
+	report := keyspace.Report{VM: l.vm, Requests: l.counts, ServiceTimes: map[string]balance.Samples{}, InFlight: map[string]int{}}
 	for service := range l.counts {
 		maps.Copy(report.ServiceTimes, l.serviceTimes(service))
+		maps.Copy(report.InFlight, l.inFlight(service))
 	}
 	l.counts = map[string]map[uint32]float64{}
 	return report, l.coordinator
@@ -96,6 +105,7 @@
 		case len(report.Requests) == 0 || coordinator == "":
 		case coordinator == l.selfAddress:
 			l.report(report)
+			l.gate.Update(time.Now(), l.overloads())
 		default:
 			l.recordDelivery(l.send(ctx, coordinator, report))
 		}
@@ -126,6 +136,7 @@
 		slog.Debug("loads: report not delivered to the coordinator", "coordinator", to, "error", err.Error())
 		return false
 	}
+	l.gate.Update(time.Now(), response.Overloads)
 	return true
 }
 
@@ -140,7 +151,7 @@
 		return
 	}
 	l.report(report)
-	if err := json.NewEncoder(w).Encode(reportResponse{}); err != nil {
+	if err := json.NewEncoder(w).Encode(reportResponse{Overloads: l.overloads()}); err != nil {
 		slog.Debug("loads: response to a report not sent", "error", err.Error())
 	}
 }
--- a/internal/gateway/loads_test.go
+++ b/internal/gateway/loads_test.go
@@ -4,8 +4,10 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"kumquatcleat/internal/keyspace"
+	"kumquatcleat/internal/overload"
 )
 
 // A VM that is no longer the coordinator refuses load reports. After two consecutive
@@ -13,6 +15,7 @@
 func TestCoordinatorIsSuspectedAfterTwoRefusedReports(t *testing.T) {
 	accepted := 0
 	coordinator := newLoadReporter(testSettings("c", "a"), func(keyspace.Report) { accepted++ }, nil)
+	coordinator.overloads = func() map[string]overload.Signal { return map[string]overload.Signal{"s": {Admit: 0}} }
 	coordinating := true
 	coordinator.isCoordinator = func() bool { return coordinating }
 	server := httptest.NewServer((&viewSync{loads: coordinator}).mux())
@@ -31,6 +34,9 @@
 			t.Fatalf("step %+v: got %d suspicions", step, suspicions)
 		}
 	}
+	if _, admitted := vm.gate.Admit(time.Now(), "svc", "s", 1, 0.5); admitted {
+		t.Error("the VM does not follow the signals in the responses to its reports")
+	}
 	if accepted != 2 {
 		t.Fatalf("got %d accepted reports, want 2", accepted)
 	}
--- a/internal/gateway/provision.go
+++ b/internal/gateway/provision.go
@@ -12,6 +12,7 @@
 	"kumquatcleat/internal/entry"
 	"kumquatcleat/internal/keyspace"
 	"kumquatcleat/internal/membudget"
+	"kumquatcleat/internal/overload"
 	"kumquatcleat/internal/retry"
 	"kumquatcleat/internal/routetable"
 	"kumquatcleat/internal/rows"
@@ -73,6 +74,8 @@
 	g.vms.OnApply(g.peers.apply)
 	g.keys.OnApply(g.owners.Apply)
 	g.loads = newLoadReporter(g.settings, func(r keyspace.Report) { g.coordinator.Report(r) }, g.serviceTimes)
+	g.loads.inFlight = func(service string) map[string]int { return g.balancer.InFlight(g.registry.Usable(service)) }
+	g.loads.overloads = func() map[string]overload.Signal { return g.coordinator.Overloads() }
 	g.loads.isCoordinator = func() bool { return g.coordinatorLease.Held() }
 	g.loads.suspectCoordinator = func() { g.coordinatorLease.SuspectCoordinator() }
 	g.keys.OnApply(g.loads.apply)
@@ -142,7 +145,7 @@
 			DefaultTimeout:  defaultTimeout,
 		},
 		Tables: g, Registry: g.registry, Owners: g.owners, Balancer: g.balancer, Sender: g.sender,
-		Budget: g.budget, Suspicions: g.suspicions,
+		Budget: g.budget, Overload: g.loads.gate, Suspicions: g.suspicions,
 		CountKey:  g.loads.count,
 		Decisions: g.decisions, Metrics: g.metrics, Dialect: g.adapter.Dialect,
 	})
--- a/internal/keyspace/coordinator.go
+++ b/internal/keyspace/coordinator.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"kumquatcleat/internal/bootclock"
+	"kumquatcleat/internal/overload"
 	"kumquatcleat/internal/rows"
 	"kumquatcleat/internal/wait"
 )
@@ -75,6 +76,9 @@
 	requestCounts map[string]*RequestCounts
 	serviceTimes  map[string]serviceTime // by server: smoothed time that it takes per request
 	writeCount    uint64
+	inFlight      *overload.Totals           // requests at servers, as VMs report them
+	signals       map[string]overload.Signal // computed at signalsAt
+	signalsAt     time.Duration
 
 	wake chan struct{} // signaled after a record was written: orders may be due
 }
@@ -110,7 +114,7 @@
 		settings: o.Settings, store: o.Store, lease: o.CoordinatorLease, control: o.Control, members: o.Members,
 		owners: o.Owners, services: o.Services, clock: o.Clock, address: o.Address, writeID: o.WriteID,
 		serviceStates: map[string]*serviceState{}, requestCounts: map[string]*RequestCounts{}, serviceTimes: map[string]serviceTime{},
-		wake: make(chan struct{}, 1),
+		inFlight: overload.NewTotals(), wake: make(chan struct{}, 1),
 	}
 }
 
--- /dev/null
+++ b/internal/keyspace/overload.go
@@ -0,0 +1,46 @@
+package keyspace
+
+import (
+	"time"
+
+	"kumquatcleat/internal/overload"
+)
+
+// overloadInterval is how often the signals for overloaded servers are computed, half of the
+// interval at which VMs report.
+const overloadInterval = 200 * time.Millisecond
+
+// Overloads returns the signals for the overloaded servers of all keyed services, by
+// server ID.
+func (c *Coordinator) Overloads() map[string]overload.Signal {
+	services := c.services()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock()
+	if c.signals != nil && now-c.signalsAt < overloadInterval {
+		return c.signals
+	}
+	signals, loads := map[string]overload.Signal{}, c.inFlight.Loads(now)
+	for _, service := range services {
+		if svc := c.serviceStates[service]; svc != nil && len(svc.leases.record.Ranges) > 0 {
+			c.addSignals(now, svc, loads, signals)
+		}
+	}
+	c.signals, c.signalsAt = signals, now
+	return signals
+}
+
+// addSignals adds the signals for the overloaded servers of a service.
+func (c *Coordinator) addSignals(now time.Duration, svc *serviceState, loads map[string]float64, signals map[string]overload.Signal) {
+	members := c.withReportedCapacity(c.members.Members(svc.service))
+	demand, _ := c.planners(now, svc, members)
+	demand.computeLoads(svc.leases.record.Ranges)
+	for _, m := range members {
+		signal, overloaded := overload.SignalFor(overload.Server{
+			Slots: m.Slots, Capacity: m.Capacity, Demand: demand.load[holderKey(m.Holder)], Load: loads[m.Server],
+		})
+		if overloaded {
+			signals[m.Server] = signal
+		}
+	}
+}
--- a/internal/keyspace/report.go
+++ b/internal/keyspace/report.go
@@ -9,6 +9,10 @@
 type Report struct {
 	// Requests holds the request counts by service and key.
 	Requests map[string]map[uint32]float64 `json:"requests"`
+	// VM is the name of the VM.
+	VM string `json:"vm,omitempty"`
+	// InFlight holds the requests that the VM has at servers now, by server ID.
+	InFlight map[string]int `json:"in_flight,omitempty"`
 	// ServiceTimes holds the service times by server ID.
 	ServiceTimes map[string]balance.Samples `json:"times,omitempty"`
 }
@@ -32,6 +36,7 @@
 			}
 		}
 	}
+	c.inFlight.Add(c.clock(), r.VM, r.InFlight)
 	for server, sample := range r.ServiceTimes {
 		if sample.Count > 0 && sample.Count < maxReportedRequests && sample.Seconds >= 0 && sample.Seconds < maxReportedSeconds {
 			c.serviceTimes[server] = c.serviceTimes[server].add(sample)
--- /dev/null
+++ b/internal/overload/overload.go
@@ -0,0 +1,173 @@
+// Package overload limits the requests that all VMs together send to one server. A VM sees
+// only its own requests, and a server that is the only one to own a key can't hand them
+// to another. So each VM reports how many of its requests are at each server, one VM sums
+// the reports up, and tells the others which share of their requests an overloaded
+// server can take. What it can't take is refused at once.
+package overload
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+// Signal tells VMs about one overloaded server.
+type Signal struct {
+	// Load is the number of requests that all VMs together have at the server.
+	Load float64 `json:"load"`
+	// Admit is the share of the requests for the server that may be sent, 0 to 1.
+	Admit float64 `json:"admit"`
+}
+
+// Server is what is known of one server.
+type Server struct {
+	Slots    int
+	Capacity float64 // requests per second that it can execute
+	Demand   float64 // requests per second that callers send for it
+	Load     float64 // requests that all VMs together have at the server
+}
+
+const (
+	// targetPerSlot is the number of requests per slot, running and waiting, up to which
+	// a server is loaded. A request then waits for half of a service time on average.
+	targetPerSlot = 1.5
+	// horizon is the time until a signal has taken effect at all VMs and their next
+	// reports show it: two reporting intervals on average.
+	horizon = 800 * time.Millisecond
+)
+
+// SignalFor returns the signal for a server, and false if all requests may be sent.
+func SignalFor(s Server) (Signal, bool) {
+	if s.Demand <= 0 || s.Capacity <= 0 {
+		return Signal{}, false
+	}
+	target := targetPerSlot * float64(s.Slots)
+	room := target - s.Load + s.Capacity*horizon.Seconds()
+	admit := room / (s.Demand * horizon.Seconds())
+	if admit >= 1 {
+		return Signal{}, false
+	}
+	return Signal{Load: s.Load, Admit: max(admit, 0)}, true
+}
+
+// reportLife is how long the last report of a VM counts. A VM reports several times in
+// this time.
+const reportLife = 1500 * time.Millisecond
+
+// Totals sums up the requests in flight that VMs report. It is not safe for concurrent
+// use.
+type Totals struct {
+	reports map[string]report // by VM
+}
+
+type report struct {
+	at       time.Duration
+	inFlight map[string]int // by server
+}
+
+// NewTotals returns totals without any report.
+func NewTotals() *Totals { return &Totals{reports: map[string]report{}} }
+
+// Add replaces the report of a VM.
+func (t *Totals) Add(now time.Duration, vm string, inFlight map[string]int) {
+	t.reports[vm] = report{now, inFlight}
+}
+
+// Loads returns the requests in flight by server and forgets old reports.
+func (t *Totals) Loads(now time.Duration) map[string]float64 {
+	loads := map[string]float64{}
+	for vm, r := range t.reports {
+		if now-r.at > reportLife {
+			delete(t.reports, vm)
+			continue
+		}
+		for server, n := range r.inFlight {
+			loads[server] += float64(n)
+		}
+	}
+	return loads
+}
+
+// retryAfterShare is the Retry-After hint of a refused request as a share of the time
+// within which its answer should arrive. A caller that returns soon can still be answered
+// in time, and whether it is admitted then does not depend on when it returns.
+const retryAfterShare = 0.1
+
+// RetryAfter returns the Retry-After hint for a request with an objective. random is
+// uniformly distributed below 1 and keeps callers from returning together.
+func RetryAfter(objective time.Duration, random float64) time.Duration {
+	return time.Duration((0.5 + random) * retryAfterShare * float64(objective))
+}
+
+// signalLife is how long a VM follows a signal after it was received: longer than one lost
+// report, shorter than the change of the coordinator.
+const signalLife = 1200 * time.Millisecond
+
+// Gate admits requests on one VM by the signals that it received. It is safe for
+// concurrent use.
+type Gate struct {
+	mu       sync.Mutex // guards the fields below
+	signals  map[string]Signal
+	received time.Time
+	mixes    map[string]*mix // by service
+}
+
+// NewGate returns a gate that admits all requests.
+func NewGate() *Gate { return &Gate{mixes: map[string]*mix{}} }
+
+// Update replaces the signals.
+func (g *Gate) Update(now time.Time, signals map[string]Signal) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.signals, g.received = signals, now
+}
+
+// Admit decides whether a request may be sent to a server. Requests of lower rank number
+// are more urgent and go first: the others share what is left. random is a uniformly
+// distributed number below 1. If the request is not admitted, Admit returns the signal.
+func (g *Gate) Admit(now time.Time, service, server string, rank int, random float64) (Signal, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m := g.mixes[service]
+	if m == nil {
+		m = &mix{counts: map[int]float64{}}
+		g.mixes[service] = m
+	}
+	m.count(now, rank)
+	signal, overloaded := g.signals[server]
+	if !overloaded || now.Sub(g.received) > signalLife {
+		return Signal{}, true
+	}
+	return signal, random < m.share(rank, signal.Admit)
+}
+
+// mixDecay is the time constant with which the counts of a mix decay.
+const mixDecay = 5 * time.Second
+
+// mix holds the recent requests of a service by rank.
+type mix struct {
+	counts map[int]float64
+	at     time.Time
+}
+
+func (m *mix) count(now time.Time, rank int) {
+	decay := math.Exp(-now.Sub(m.at).Seconds() / mixDecay.Seconds())
+	for r := range m.counts {
+		m.counts[r] *= decay
+	}
+	m.at = now
+	m.counts[rank]++
+}
+
+// share returns the share of the requests of a rank that may be sent if admit is the
+// share of all requests.
+func (m *mix) share(rank int, admit float64) float64 {
+	total, before := 0.0, 0.0
+	for r, n := range m.counts {
+		total += n
+		if r < rank {
+			before += n
+		}
+	}
+	return min(max((admit*total-before)/m.counts[rank], 0), 1)
+}
--- /dev/null
+++ b/internal/overload/overload_test.go
@@ -0,0 +1,80 @@
+package overload
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+// Whatever the load, the admitted share lies between 0 and 1 and falls with the load and
+// with the demand.
+func TestAdmittedShareFallsWithLoad(t *testing.T) {
+	properties := gopter.NewProperties(nil)
+	admitted := func(s Server) float64 {
+		signal, overloaded := SignalFor(s)
+		if !overloaded {
+			return 1
+		}
+		return signal.Admit
+	}
+	properties.Property("share", prop.ForAll(
+		func(slots int, capacity, demand, load, more float64) bool {
+			s := Server{Slots: slots, Capacity: capacity, Demand: demand, Load: load}
+			loaded, demanded := s, s
+			loaded.Load += more
+			demanded.Demand += more
+			share := admitted(s)
+			return share >= 0 && share <= 1 && admitted(loaded) <= share && admitted(demanded) <= share
+		},
+		gen.IntRange(1, 20), gen.Float64Range(0.1, 100), gen.Float64Range(0, 500), gen.Float64Range(0, 200), gen.Float64Range(0, 100)))
+	properties.TestingRun(t)
+}
+
+// Urgent requests are admitted first, and all ranks together keep to the admitted share.
+func TestUrgentRequestsAreAdmittedFirst(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := NewGate()
+	g.Update(now, map[string]Signal{"s": {Admit: 0.5}})
+	admitted := map[int]float64{}
+	const requests = 10_000
+	for i := range requests {
+		rank := 2
+		if i%10 < 3 {
+			rank = 1
+		}
+		if _, ok := g.Admit(now, "svc", "s", rank, float64(i*7919%requests)/requests); ok {
+			admitted[rank]++
+		}
+	}
+	if share := admitted[1] / (0.3 * requests); share < 0.98 {
+		t.Errorf("got share %.2f of urgent requests admitted, want all", share)
+	}
+	if share := (admitted[1] + admitted[2]) / requests; math.Abs(share-0.5) > 0.02 {
+		t.Errorf("got share %.2f of all requests admitted, want 0.5", share)
+	}
+}
+
+func TestOldSignalsAndReportsAreForgotten(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := NewGate()
+	g.Update(now, map[string]Signal{"s": {Admit: 0}})
+	if _, ok := g.Admit(now.Add(time.Second), "svc", "s", 1, 0); ok {
+		t.Error("admitted a request to a server without room")
+	}
+	if _, ok := g.Admit(now.Add(2*time.Second), "svc", "s", 1, 0.99); !ok {
+		t.Error("refused a request by a signal of 2 s ago")
+	}
+	totals := NewTotals()
+	totals.Add(0, "a", map[string]int{"s": 3})
+	totals.Add(time.Second, "b", map[string]int{"s": 4})
+	if got := totals.Loads(time.Second)["s"]; got != 7 {
+		t.Errorf("got load %v, want 7", got)
+	}
+	if got := totals.Loads(2 * time.Second)["s"]; got != 4 {
+		t.Errorf("got load %v after the report of one VM expired, want 4", got)
+	}
+}
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -28,6 +28,7 @@
 	// Timeout is the maximum time that a caller waits for an answer.
 	Timeout     time.Duration
 	MaxAttempts int // maximum number of servers to which one request is sent
+	Rank        int // requests of a lower rank are served first when a server is overloaded
 
 	totalWeight float64
 	pickCount   *atomic.Uint64
