Target load of an overloaded owner from the objective of its service

Change: owners are loaded up to a mean latency of 0.7 of the shortest objective of their service's routes, between 1.2 and 3 requests a slot.

--- a/internal/gateway/provision.go
+++ b/internal/gateway/provision.go
@@ -205,13 +205,14 @@
 		bootclock.Now, g.peers.rank, g.askStandby)
 	g.coordinator = keyspace.NewCoordinator(keyspace.Options{
 		Settings: s, Store: g.adapter.Store, CoordinatorLease: g.coordinatorLease,
-		Control:  g.adapter.NewControl(g.newControlSender(), g.registry.MarkTerminated),
-		Members:  &members{registry: g.registry, balancer: g.balancer},
-		Owners:   g.owners,
-		Services: func() []string { return keyedServices(g.Current()) },
-		Clock:    bootclock.Now,
-		Address:  g.settings.PeerListen,
-		WriteID:  g.settings.VM + "/" + g.startID,
+		Control:   g.adapter.NewControl(g.newControlSender(), g.registry.MarkTerminated),
+		Members:   &members{registry: g.registry, balancer: g.balancer},
+		Owners:    g.owners,
+		Services:  func() []string { return keyedServices(g.Current()) },
+		Objective: func(service string) time.Duration { return objectiveOf(g.Current(), service) },
+		Clock:     bootclock.Now,
+		Address:   g.settings.PeerListen,
+		WriteID:   g.settings.VM + "/" + g.startID,
 	})
 }
 
@@ -231,6 +232,14 @@
 	return t.KeyedServices()
 }
 
+// objectiveOf returns the objective of a service, or 0 if unknown.
+func objectiveOf(t *routetable.Table, service string) time.Duration {
+	if t == nil {
+		return 0
+	}
+	return t.Objective(service)
+}
+
 // serviceTimes returns the service times measured at each server of a service since
 // the last call.
 func (g *Gateway) serviceTimes(service string) map[string]balance.Samples {
--- a/internal/keyspace/coordinator.go
+++ b/internal/keyspace/coordinator.go
@@ -60,16 +60,17 @@
 // Coordinator maintains the owners records of all keyed services while this VM holds
 // the coordinator lease, and does nothing otherwise.
 type Coordinator struct {
-	settings CoordinatorSettings
-	store    rows.Store
-	lease    *CoordinatorLease
-	control  Control
-	members  Members
-	owners   *Owners
-	services func() []string
-	clock    bootclock.Clock
-	address  string
-	writeID  string
+	settings  CoordinatorSettings
+	store     rows.Store
+	lease     *CoordinatorLease
+	control   Control
+	members   Members
+	owners    *Owners
+	services  func() []string
+	objective func(service string) time.Duration
+	clock     bootclock.Clock
+	address   string
+	writeID   string
 
 	mu            sync.Mutex // guards the fields below
 	serviceStates map[string]*serviceState
@@ -103,6 +104,7 @@
 	Members          Members
 	Owners           *Owners
 	Services         func() []string
+	Objective        func(service string) time.Duration // latency within which answers should arrive
 	Clock            bootclock.Clock
 	Address          string // peer address to which other VMs send load reports
 	WriteID          string // write ID prefix unique to this process
@@ -112,7 +114,7 @@
 func NewCoordinator(o Options) *Coordinator {
 	return &Coordinator{
 		settings: o.Settings, store: o.Store, lease: o.CoordinatorLease, control: o.Control, members: o.Members,
-		owners: o.Owners, services: o.Services, clock: o.Clock, address: o.Address, writeID: o.WriteID,
+		owners: o.Owners, services: o.Services, objective: o.Objective, clock: o.Clock, address: o.Address, writeID: o.WriteID,
 		serviceStates: map[string]*serviceState{}, requestCounts: map[string]*RequestCounts{}, serviceTimes: map[string]serviceTime{},
 		inFlight: overload.NewTotals(), wake: make(chan struct{}, 1),
 	}
--- a/internal/keyspace/overload.go
+++ b/internal/keyspace/overload.go
@@ -38,6 +38,7 @@
 	for _, m := range members {
 		signal, overloaded := overload.SignalFor(overload.Server{
 			Slots: m.Slots, Capacity: m.Capacity, Demand: demand.load[holderKey(m.Holder)], Load: loads[m.Server],
+			Objective: c.objective(svc.service),
 		})
 		if overloaded {
 			signals[m.Server] = signal
--- a/internal/overload/hotserver_test.go
+++ b/internal/overload/hotserver_test.go
@@ -90,7 +90,7 @@
 	h.totals.Add(now, fmt.Sprint(vm), map[string]int{"hot": h.inFlight[vm]})
 	signals := map[string]Signal{}
 	capacity := hotSlots / hotServiceTime.Seconds()
-	if s, overloaded := SignalFor(Server{Slots: hotSlots, Capacity: capacity, Demand: h.demandRate(), Load: h.totals.Loads(now)["hot"]}); overloaded {
+	if s, overloaded := SignalFor(Server{Slots: hotSlots, Capacity: capacity, Demand: h.demandRate(), Load: h.totals.Loads(now)["hot"], Objective: hotObjective}); overloaded {
 		signals["hot"] = s
 	}
 	h.gates[vm].Update(h.now, signals)
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -25,12 +25,17 @@
 	Capacity float64 // requests per second that it can execute
 	Demand   float64 // requests per second that callers send for it
 	Load     float64 // requests that all VMs together have at the server
+	// Objective is the latency within which its answers should arrive.
+	Objective time.Duration
 }
 
 const (
-	// targetPerSlot is the number of requests per slot, running and waiting, up to which
-	// a server is loaded. A request then waits for half of a service time on average.
-	targetPerSlot = 1.5
+	// latencyShare is the mean latency up to which a server is loaded, as a share of the
+	// objective. Single answers take up to about twice the mean.
+	latencyShare = 0.7
+	// minPerSlot and maxPerSlot bound the requests per slot, running and waiting, up to
+	// which a server is loaded, whatever the objective.
+	minPerSlot, maxPerSlot = 1.2, 3.0
 	// horizon is the time until a signal has taken effect at all VMs and their next
 	// reports show it: two reporting intervals on average.
 	horizon = 800 * time.Millisecond
@@ -41,7 +46,9 @@
 	if s.Demand <= 0 || s.Capacity <= 0 {
 		return Signal{}, false
 	}
-	target := targetPerSlot * float64(s.Slots)
+	serviceTime := float64(s.Slots) / s.Capacity
+	perSlot := latencyShare * s.Objective.Seconds() / serviceTime
+	target := min(max(perSlot, minPerSlot), maxPerSlot) * float64(s.Slots)
 	room := target - s.Load + s.Capacity*horizon.Seconds()
 	admit := room / (s.Demand * horizon.Seconds())
 	if admit >= 1 {
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -23,7 +23,7 @@
 	}
 	properties.Property("share", prop.ForAll(
 		func(slots int, capacity, demand, load, more float64) bool {
-			s := Server{Slots: slots, Capacity: capacity, Demand: demand, Load: load}
+			s := Server{Slots: slots, Capacity: capacity, Demand: demand, Load: load, Objective: time.Second}
 			loaded, demanded := s, s
 			loaded.Load += more
 			demanded.Demand += more
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -64,6 +64,8 @@
 	Limits   Limits
 	hosts    map[string]map[string]*Route // host, then prefix
 	services map[string]Service
+	// objectives holds the shortest objective of the routes to a service.
+	objectives map[string]time.Duration
 }
 
 // Compile builds the route table of a configuration.
@@ -73,6 +75,8 @@
 		Limits:   c.Limits,
 		hosts:    map[string]map[string]*Route{},
 		services: map[string]Service{},
+
+		objectives: map[string]time.Duration{},
 	}
 	for _, s := range c.Services {
 		t.services[s.Name] = s
@@ -82,6 +86,9 @@
 		route.pickCount = &atomic.Uint64{}
 		for _, target := range route.Targets {
 			route.totalWeight += target.Weight
+			if known := t.objectives[target.Service]; route.Objective > 0 && (known == 0 || route.Objective < known) {
+				t.objectives[target.Service] = route.Objective
+			}
 		}
 		host := strings.ToLower(route.Host)
 		if t.hosts[host] == nil {
@@ -92,6 +99,10 @@
 	return t
 }
 
+// Objective returns the shortest objective of the routes to a service, or 0 if none has
+// one.
+func (t *Table) Objective(service string) time.Duration { return t.objectives[service] }
+
 // Match returns the route of a host with the longest matching path prefix, or nil.
 func (t *Table) Match(host, path string) *Route {
 	prefixes := t.hosts[hostName(host)]
