A VM keeps to the servers of its domain that it used recently

Change: with more than eight servers in its domain, a VM compares three of those it used in the last 6 s; an unused one is taken into account with the cost of its new connection, and at no disadvantage for 2 % of the requests, so that servers that join get some. All are compared when the best is full.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -110,6 +110,7 @@
 			far = append(far, s)
 		}
 	}
+	near, unused := b.splitByUse(now, near)
 	best, minLoss, found := Choice{}, math.Inf(1), false
 	consider := func(list []*registry.Server, limit int, cost float64) {
 		for range min(limit, len(list)) {
@@ -128,14 +129,56 @@
 		}
 	}
 	consider(near, candidates, 0)
+	if rand.Float64() < exploreShare {
+		consider(unused, 1, 0)
+	} else {
+		consider(unused, 1, unusedCost)
+	}
+	if best.Full || !found {
+		consider(unused, len(unused), unusedCost)
+	}
 	farCandidates := candidates - 1
-	if len(near) == 0 || best.Full || b.expectedFailureLoss(now, best.Server) >= pausedPenalty {
+	if len(near)+len(unused) == 0 || best.Full || b.expectedFailureLoss(now, best.Server) >= pausedPenalty {
 		farCandidates = len(far)
 	}
 	consider(far, farCandidates, b.settings.CrossDomainCost)
 	return best, found
 }
 
+const (
+	// usedServers is the number of servers of the VM's own failure domain that it keeps
+	// using while they are not busy. With few servers it meets each one often: it has an
+	// open connection and a recent load report.
+	usedServers = 8
+	// usedTime is how long a server counts as used after an answer. Servers close
+	// connections that are idle for longer.
+	usedTime = 6 * time.Second
+	// unusedCost is the cost of the new connection that an unused server takes, as a loss.
+	unusedCost = 0.03
+	// exploreShare is the share of requests for which an unused server is not at a
+	// disadvantage, so that servers that join get requests.
+	exploreShare = 0.02
+)
+
+// splitByUse separates the servers that this VM used recently from the others. All count
+// as used while fewer than usedServers are.
+func (b *Balancer) splitByUse(now time.Time, servers []*registry.Server) (used, unused []*registry.Server) {
+	if len(servers) <= usedServers {
+		return servers, nil
+	}
+	for _, s := range servers {
+		if st := b.servers[s.Instance()]; st != nil && (st.inFlight > 0 || now.Sub(st.answeredAt) < usedTime) {
+			used = append(used, s)
+		} else {
+			unused = append(unused, s)
+		}
+	}
+	if len(used) < usedServers {
+		return servers, nil
+	}
+	return used, unused
+}
+
 // Losses and penalties. A loss of 1 is the worth of an answer that arrives in time.
 const (
 	fullPenalty    = 60.0 // ranks a full server behind all that are not full
