Revert "Idle connections carry non-idempotent requests while servers keep them"

With a new connection a server behind a cut refuses or times out before a byte is sent, and the caller learns that the request has not run. That is worth more to a caller than the connection costs.

--- a/internal/serverconn/conn.go
+++ b/internal/serverconn/conn.go
@@ -58,8 +58,7 @@
 // boundedReader reads from a connection until a limit.
 type boundedReader struct {
 	io.Reader
-	left  int64 // bytes that may still be read
-	total int64 // bytes read
+	left int64 // bytes that may still be read
 }
 
 // Read implements io.Reader.
@@ -69,7 +68,6 @@
 	}
 	n, err := r.Reader.Read(p[:min(int64(len(p)), r.left)])
 	r.left -= int64(n)
-	r.total += int64(n)
 	return n, err
 }
 
@@ -123,14 +121,6 @@
 	return c.noPendingInput()
 }
 
-// idleFor returns how long a connection from the pool has been idle, and 0 for a new one.
-func (c *conn) idleFor() time.Duration {
-	if c.neverPooled {
-		return 0
-	}
-	return time.Since(c.idleSince)
-}
-
 // noPendingInput reports whether the socket has neither unread bytes nor an end of stream.
 func (c *conn) noPendingInput() bool {
 	tcp, ok := c.Conn.(syscall.Conn)
--- a/internal/serverconn/exchange.go
+++ b/internal/serverconn/exchange.go
@@ -5,11 +5,9 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"kumquatcleat/internal/dialect"
@@ -74,11 +72,17 @@
 // Unwrap returns the cause.
 func (f *Failure) Unwrap() error { return f.Err }
 
+const (
+	// maxIdleNonIdempotent is how long a connection may have been idle to carry a
+	// request that must not be repeated. If the server closed the connection while the
+	// request was in transit, the outcome would be unknown.
+	maxIdleNonIdempotent = 2 * time.Second
+)
+
 // Sender sends requests to servers, one attempt per call.
 type Sender struct {
 	pool         *Pool
 	dialect      *dialect.Dialect
-	reuse        reuseRecord
 	maxBodyBytes int64 // bounds the body of one answer, which is buffered completely
 }
 
@@ -90,7 +94,10 @@
 
 // Do sends a request once and reads the answer. ctx is done when the caller disconnects.
 func (s *Sender) Do(ctx context.Context, r *Request) (*Response, *Failure) {
-	maxIdle := s.reuse.maxIdle(r.Idempotent)
+	maxIdle := maxIdleNonIdempotent
+	if r.Idempotent {
+		maxIdle = time.Hour // only the connection's idle timeout applies
+	}
 	if r.Repeat {
 		maxIdle = -1
 	}
@@ -112,9 +119,7 @@
 func (s *Sender) exchange(ctx context.Context, c *conn, r *Request) (*Response, *Failure) {
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	_ = c.SetDeadline(r.Deadline)
-	idle, before := c.idleFor(), c.input.total
 	response, reuse, err := s.roundTrip(c, r)
-	s.reuse.record(idle, isReset(err) && c.input.total == before)
 	if !stop() || err != nil {
 		c.reset()
 		reuse = false
@@ -130,11 +135,6 @@
 	return response, nil
 }
 
-// isReset reports whether the other side closed or reset a connection.
-func isReset(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
-}
-
 // errInvalidAnswer marks input that is not an answer to the request.
 var errInvalidAnswer = errors.New("invalid answer to this request")
 
