A panic in an attempt or in a request ends only these

Cause: requests and attempts run in goroutines of their own, where nothing recovered: an unexpected error in one request ended the process, with all requests of the VM. Only the goroutine that reads a caller's connection did.

Change: an attempt that panics counts as sent without an answer; a request that panics is answered 500, which promises nothing.

Test: TestPanicEndsOnlyItsRequest (ended the test process before).

--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net/http"
+	"runtime/debug"
 	"slices"
 	"strconv"
 	"time"
@@ -100,13 +102,26 @@
 		Memory:     r.request.AnswerMemory,
 	}
 	go func() {
-		response, failure := r.core.Sender.Do(ctx, request)
+		response, failure := r.send(ctx, request)
 		now := time.Now()
 		r.core.Balancer.Finished(now, server, balanceOutcome(ctx, now.Sub(began), response, failure))
 		results <- attemptResult{choice, now.Sub(began), response, failure}
 	}()
 }
 
+// send sends a request to one server. A panic ends the attempt, not the process: an attempt
+// shares no state with other requests but the statistics of its server, which are
+// updated by the caller.
+func (r *requestState) send(ctx context.Context, request *serverconn.Request) (response *serverconn.Response, failure *serverconn.Failure) {
+	defer func() {
+		if p := recover(); p != nil {
+			slog.Error("dispatch: panic in an attempt", "request", request.ID, "server", request.Server.ID, "panic", fmt.Sprint(p), "stack", string(debug.Stack()))
+			response, failure = nil, &serverconn.Failure{Progress: serverconn.Sent, Err: fmt.Errorf("server %s: internal error", request.Server.ID)}
+		}
+	}()
+	return r.core.Sender.Do(ctx, request)
+}
+
 // finishAttempt turns the result of an attempt into an answer. The second result
 // reports whether a retry may succeed.
 func (r *requestState) finishAttempt(ctx context.Context, e attemptResult) (answer *Answer, retryable bool) {
--- a/internal/entry/conn.go
+++ b/internal/entry/conn.go
@@ -4,13 +4,17 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"kumquatcleat/internal/dispatch"
+	"kumquatcleat/internal/fault"
 	"kumquatcleat/internal/membudget"
 	"kumquatcleat/internal/routetable"
 )
@@ -117,12 +121,24 @@
 			if previous != nil && !mayRunConcurrently(request) {
 				<-previous.written
 			}
-			p.answer <- c.server.core.Serve(ctx, request)
+			p.answer <- c.serveRequest(ctx, request)
 		}(previous)
 		previous = p
 	}
 }
 
+// serveRequest answers a request. A panic ends the request, not the process. The request
+// may have been sent by then, so the answer does not promise that it did not run.
+func (c *callerConn) serveRequest(ctx context.Context, request *dispatch.Request) (answer *dispatch.Answer) {
+	defer func() {
+		if p := recover(); p != nil {
+			slog.Error("entry: panic while serving a request", "request", request.ID, "panic", fmt.Sprint(p), "stack", string(debug.Stack()))
+			answer = refuseWithStatus(http.StatusInternalServerError, fault.ConnectionLost, "internal error")
+		}
+	}()
+	return c.server.core.Serve(ctx, request)
+}
+
 // admit counts a new request. It returns false once the connection's last answer
 // has been determined.
 func (c *callerConn) admit() bool {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -77,8 +77,8 @@
 	t.Helper()
 	limits := routetable.Limits{HeaderBytes: 8192, BodyBytes: testBodyBytes, HeaderTimeout: 200 * time.Millisecond, IdleTimeout: time.Second}
 	table := fixedTable{routetable.Compile(routetable.Config{
-		Version: 1, Limits: limits, Services: []routetable.Service{{Name: "svc"}},
-		Routes: []routetable.Route{{Name: "r", Host: "h", Prefix: "/p/", Idempotent: true, MaxAttempts: 2, Timeout: 5 * time.Second,
+		Version: 1, Limits: limits, Services: []routetable.Service{{Name: "svc"}, {Name: "keyed", DividedByKey: true}},
+		Routes: []routetable.Route{{Name: "k", Host: "h", Prefix: "/k/", Targets: []routetable.Target{{Service: "keyed", Weight: 1}}}, {Name: "r", Host: "h", Prefix: "/p/", Idempotent: true, MaxAttempts: 2, Timeout: 5 * time.Second,
 			Targets: []routetable.Target{{Service: "svc", Weight: 1}}}},
 	})}
 	servers := registry.New()
@@ -92,7 +92,7 @@
 		Balancer: balance.New(balance.Settings{InitialServiceTime: time.Millisecond, MaxRequestsPerSlot: 100}), Sender: sender,
 		Budget:   dispatch.NewBudget(dispatch.BudgetSettings{Ratio: 1, Slack: 100, Window: 10 * time.Second, Share: 1}, func() int { return 1 }, time.Now),
 		Overload: overload.NewGate(), Suspicions: dispatch.NewSuspicions(retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now), time.Now),
-		CountKey: func(string, uint32) {}, Decisions: decisions, Metrics: metricsRegistry, Dialect: testDialect,
+		CountKey: func(string, uint32) { panic("counts are not kept here") }, Decisions: decisions, Metrics: metricsRegistry, Dialect: testDialect,
 	})
 	s := NewServer(Settings{
 		Limits: limits, MaxBodyBytes: 1 << 20, BodyTimeout: 200 * time.Millisecond,
@@ -285,6 +285,28 @@
 	}
 }
 
+// An unexpected error in one request ends that request with an answer that promises
+// nothing, and no other request.
+func TestPanicEndsOnlyItsRequest(t *testing.T) {
+	s, _ := startServer(t, func(ctx context.Context, r *serverconn.Request) (*serverconn.Response, *serverconn.Failure) {
+		if r.ID == "attempt" {
+			panic("in an attempt")
+		}
+		return answerOK(ctx, r)
+	})
+	for id, want := range map[string]int{"attempt": http.StatusBadGateway, "admission": http.StatusInternalServerError, "sound": http.StatusOK} {
+		c := dial(t, s)
+		path := "/p/"
+		if id == "admission" {
+			path = "/k/" // counting its key panics
+		}
+		_, _ = fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nKey: 5\r\n\r\n", path, id)
+		if status, _, _ := read(t, bufio.NewReader(c)); status != want {
+			t.Errorf("request %s: got status %d, want %d", id, status, want)
+		}
+	}
+}
+
 func TestChunkedBodyIsForwardedWhole(t *testing.T) {
 	s, sender := startServer(t, answerOK)
 	c := dial(t, s)
