Late copies of answers to control calls are recognized by an ID

Cause: control calls had no request ID. A second copy of an answer to a grant that arrives when the connection is in use again, just after the look at the socket, was taken for the answer to the next grant: a range counted as acknowledged, or as rejected, by a server that had not said so.

Change: each control call has an ID. An answer that echoes another one is skipped, as for requests, and its connection is not used again. Answers without an ID are taken as before.

Test: TestLateCopyOfControlAnswerIsSkipped.

--- a/internal/serverconn/control.go
+++ b/internal/serverconn/control.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"time"
 
+	"github.com/google/uuid"
+
 	"kumquatcleat/internal/registry"
 )
 
@@ -44,6 +46,8 @@
 	var b bytes.Buffer
 	b.WriteString("POST " + call.Path + " HTTP/1.1\r\nHost: " + server.Address + "\r\n")
 	b.WriteString(s.dialect.TargetServer + ": " + server.ID + "\r\n")
+	id := uuid.NewString()
+	b.WriteString(s.dialect.RequestID + ": " + id + "\r\n")
 	b.WriteString("Content-Type: application/json\r\nContent-Length: " + strconv.Itoa(len(call.Body)) + "\r\n\r\n")
 	b.Write(call.Body)
 	if !call.Guard() {
@@ -56,7 +60,7 @@
 		_ = c.SetDeadline(deadline)
 	}
 	sentAt := time.Now()
-	status, header, reusable, err := c.call(b.Bytes())
+	status, header, reusable, err := s.controlRoundTrip(c, id, b.Bytes())
 	if err != nil {
 		c.reset()
 		return ControlAnswer{}, s.failure(ctx, &Request{Server: server}, err)
@@ -75,19 +79,26 @@
 
 var errGuardRefused = errors.New("control call not sent: its guard returned false")
 
-// call writes a control call and reads the answer.
-func (c *conn) call(request []byte) (int, http.Header, bool, error) {
+// controlRoundTrip writes a control call and reads its answer. Late copies of answers to
+// earlier calls are skipped; servers that do not echo the ID are taken at their word.
+func (s *Sender) controlRoundTrip(c *conn, id string, request []byte) (int, http.Header, bool, error) {
 	if _, err := c.Write(request); err != nil {
 		return 0, nil, false, err
 	}
-	resp, err := c.readFinal(http.MethodPost)
-	if err != nil {
-		return 0, nil, false, err
-	}
-	if err := discard(resp.Body); err != nil {
-		return 0, nil, false, err
+	for skipped := range maxSkippedAnswers + 1 {
+		resp, err := c.readFinal(http.MethodPost)
+		if err != nil {
+			return 0, nil, false, err
+		}
+		if err := discard(resp.Body); err != nil {
+			return 0, nil, false, err
+		}
+		if echoed := resp.Header.Get(s.dialect.RequestID); echoed != "" && echoed != id {
+			continue
+		}
+		c.idleTimeout = idleTimeout(resp.Header)
+		framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+		return resp.StatusCode, resp.Header, framed && !resp.Close && skipped == 0, nil
 	}
-	c.idleTimeout = idleTimeout(resp.Header)
-	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	return resp.StatusCode, resp.Header, framed && !resp.Close, nil
+	return 0, nil, false, fmt.Errorf("%w: more than %d answers to other requests", errInvalidAnswer, maxSkippedAnswers)
 }
--- a/internal/serverconn/exchange_test.go
+++ b/internal/serverconn/exchange_test.go
@@ -261,6 +261,19 @@
 	}
 }
 
+// A second copy of the answer to a grant that arrives late, on a connection of the session
+// that is in use again, is not taken for the answer to the next grant.
+func TestLateCopyOfControlAnswerIsSkipped(t *testing.T) {
+	const granted = "HTTP/1.1 200 OK\r\nRequest-Id: earlier\r\nContent-Length: 0\r\n\r\n"
+	const rejected = "HTTP/1.1 409 Conflict\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n"
+	server, _ := rawServer(t, granted+rejected)
+	s := newSender()
+	answer, f := s.Call(context.Background(), ControlCall{Server: server, Path: "/grant", Guard: func() bool { return true }})
+	if f != nil || answer.Status != http.StatusConflict {
+		t.Fatalf("got answer %+v, failure %v; want the status of the second answer", answer, f)
+	}
+}
+
 // A session survives when the server closes a connection after an answer: the spare
 // connection was opened while the first one was open, so it reaches the same process.
 func TestSessionSurvivesConnectionClose(t *testing.T) {
