The order of VMs is computed when their list changes

Cause: each VM looked up its position among the VMs of its domain 20 times a second or more (four followers, each 0.2 s, and the exchange of views); each look-up sorted all VMs and hashed both names in each comparison.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -28,6 +28,11 @@
 	name     string
 	address  string
 	strength float64
+	hash     uint64 // of the name
+}
+
+func newPeer(name, address string, strength float64) peer {
+	return peer{name: name, address: address, strength: strength, hash: hashName(name)}
 }
 
 // peers tracks the VMs: the rows they wrote to the store and which of them do not
@@ -45,6 +50,7 @@
 
 	mu        sync.Mutex // guards the fields below
 	vms       map[string]vmRow
+	ordered   map[string][]peer    // vms by failure domain, in order; nil: to be computed
 	skipUntil map[string]time.Time // by address: no requests are sent to it before
 	// nextSeed selects the next seed: seeds are tried in turn, as one may start later
 	// than this VM.
@@ -62,6 +68,7 @@
 func (p *peers) apply(changed []rows.Row) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.ordered = nil
 	for _, row := range changed {
 		if row.Deleted {
 			delete(p.vms, row.Key)
@@ -87,10 +94,10 @@
 func (p *peers) rank() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	self := peer{name: p.settings.VM, strength: strength(p.settings)}
+	self := newPeer(p.settings.VM, "", strength(p.settings))
 	rank := 0
 	for name, vm := range p.vms {
-		if name != p.settings.VM && comparePeers(peer{name: name, strength: vm.Strength}, self) < 0 {
+		if name != p.settings.VM && comparePeers(newPeer(name, "", vm.Strength), self) < 0 {
 			rank++
 		}
 	}
@@ -107,7 +114,7 @@
 
 // comparePeers orders VMs by descending strength, then by a hash of their names.
 func comparePeers(a, b peer) int {
-	return cmp.Or(cmp.Compare(b.strength, a.strength), cmp.Compare(hashName(a.name), hashName(b.name)))
+	return cmp.Or(cmp.Compare(b.strength, a.strength), cmp.Compare(a.hash, b.hash))
 }
 
 func hashName(s string) uint64 {
@@ -121,19 +128,40 @@
 // old version.
 const readersPerDomain = 2
 
-// peersByDomain returns the VMs that may be sent requests, by failure domain and in order.
-// It includes this VM.
-func (p *peers) peersByDomain(now time.Time) map[string][]peer {
-	domains := map[string][]peer{}
+// domains returns all VMs by failure domain and in order, including this VM. The caller
+// must not modify the result.
+func (p *peers) domains() map[string][]peer {
+	if p.ordered != nil {
+		return p.ordered
+	}
+	p.ordered = map[string][]peer{}
 	for name, vm := range p.vms {
-		if name == p.settings.VM || !now.Before(p.skipUntil[vm.PeerAddress]) {
-			domains[vm.FailureDomain] = append(domains[vm.FailureDomain], peer{name, vm.PeerAddress, vm.Strength})
-		}
+		p.ordered[vm.FailureDomain] = append(p.ordered[vm.FailureDomain], newPeer(name, vm.PeerAddress, vm.Strength))
 	}
-	for _, list := range domains {
+	for _, list := range p.ordered {
 		slices.SortFunc(list, comparePeers)
 	}
-	return domains
+	return p.ordered
+}
+
+// mayAsk reports whether a VM may be sent requests, or is this one.
+func (p *peers) mayAsk(now time.Time, v *peer) bool {
+	return v.name == p.settings.VM || !now.Before(p.skipUntil[v.address])
+}
+
+// responsive returns up to limit VMs of a failure domain that may be sent requests, in order
+// and including this VM.
+func (p *peers) responsive(now time.Time, domain string, limit int) []peer {
+	var list []peer
+	for _, v := range p.domains()[domain] {
+		if len(list) == limit {
+			break
+		}
+		if p.mayAsk(now, &v) {
+			list = append(list, v)
+		}
+	}
+	return list
 }
 
 // sources returns the VMs to follow. first is nil if this VM is the first of its
@@ -144,19 +172,19 @@
 	if len(p.vms) == 0 && now.Sub(p.startedAt) < seedPhase {
 		return p.pickSeed(now), nil
 	}
-	domains := p.peersByDomain(now)
-	local := domains[p.settings.FailureDomain]
-	self := slices.IndexFunc(local, func(v peer) bool { return v.name == p.settings.VM })
+	self := p.position(now)
+	local := p.responsive(now, p.settings.FailureDomain, readersPerDomain)
 	if self > 0 {
 		first = &local[0]
 	}
 	if self >= readersPerDomain {
 		return first, &local[1]
 	}
-	delete(domains, p.settings.FailureDomain)
 	var remote []peer
-	for _, list := range domains {
-		remote = append(remote, list[:min(readersPerDomain, len(list))]...)
+	for domain := range p.domains() {
+		if domain != p.settings.FailureDomain {
+			remote = append(remote, p.responsive(now, domain, readersPerDomain)...)
+		}
 	}
 	if len(remote) > 0 {
 		second = &remote[rand.IntN(len(remote))]
@@ -170,15 +198,15 @@
 func (p *peers) standby(now time.Time) *peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	domains := p.peersByDomain(now)
-	local := slices.DeleteFunc(domains[p.settings.FailureDomain], func(v peer) bool { return v.name == p.settings.VM })
-	delete(domains, p.settings.FailureDomain)
 	var best []peer
-	for _, list := range domains {
-		best = append(best, list[0])
+	for domain := range p.domains() {
+		if domain != p.settings.FailureDomain {
+			best = append(best, p.responsive(now, domain, 1)...)
+		}
 	}
 	if len(best) == 0 {
-		best = local
+		best = p.responsive(now, p.settings.FailureDomain, 2)
+		best = slices.DeleteFunc(best, func(v peer) bool { return v.name == p.settings.VM })
 	}
 	if len(best) == 0 {
 		return nil
@@ -230,8 +258,22 @@
 		}
 		return 0
 	}
-	local := p.peersByDomain(now)[p.settings.FailureDomain]
-	return max(0, slices.IndexFunc(local, func(v peer) bool { return v.name == p.settings.VM }))
+	return max(0, p.position(now))
+}
+
+// position returns this VM's position among the responsive VMs of its domain, or -1 if
+// its own row is not known.
+func (p *peers) position(now time.Time) int {
+	position := 0
+	for _, v := range p.domains()[p.settings.FailureDomain] {
+		if v.name == p.settings.VM {
+			return position
+		}
+		if p.mayAsk(now, &v) {
+			position++
+		}
+	}
+	return -1
 }
 
 // markFailed records that a VM did not respond.
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -198,3 +198,22 @@
 		t.Fatalf("got standby %+v although no VM responds, want none", last)
 	}
 }
+
+// A VM looks up its position many times a second; with hundreds of VMs that must not sort
+// them each time.
+func TestPositionAmongManyVMsIsCheap(t *testing.T) {
+	p := newPeers(testSettings("vm-7", "a"), nil)
+	var changed []rows.Row
+	for i := range 300 {
+		changed = append(changed, rows.Row{Key: fmt.Sprint("vm-", i), Value: fmt.Appendf(nil, `{"peer_address":"10.0.0.%d:1","failure_domain":"%c","strength":%d}`, i, 'a', i%3)})
+	}
+	p.apply(changed)
+	now := time.Now()
+	want := p.domainPosition(now)
+	if allocations := testing.AllocsPerRun(100, func() { p.domainPosition(now) }); allocations > 0 {
+		t.Errorf("got %v allocations, want none", allocations)
+	}
+	if want == 0 || want >= 300 {
+		t.Errorf("got position %d of 300", want)
+	}
+}
