Retry-After hints stay within the third of the time left that callers honor

Change: each of these hints is shortened as that of a VM that starts.

Test: TestRetryAfterIsWithinWhatCallersHonor (400 and 300 ms of 100 before).

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -80,7 +80,7 @@
 	}
 	choice, ok := r.untried()
 	if !ok {
-		return choice, refuse(fault.NoServer, unreachedRetryAfter, "service %q: %d servers, %d tried",
+		return choice, refuse(fault.NoServer, r.honored(unreachedRetryAfter), "service %q: %d servers, %d tried",
 			r.service.Name, len(r.core.Registry.Usable(r.service.Name)), len(r.tried))
 	}
 	return choice, r.admit(choice)
@@ -109,8 +109,8 @@
 	if admitted {
 		return nil
 	}
-	hint := min(overload.RetryAfter(r.route.Objective, rand.Float64()), time.Until(r.deadline)/3)
-	return refuse(fault.Overloaded, max(hint, minRetryAfter), "server %s is overloaded: %.0f requests of all VMs, admitted share %.2f",
+	hint := r.honored(overload.RetryAfter(r.route.Objective, rand.Float64()))
+	return refuse(fault.Overloaded, hint, "server %s is overloaded: %.0f requests of all VMs, admitted share %.2f",
 		server.ID, signal.Load, signal.Admit)
 }
 
@@ -139,7 +139,7 @@
 		}
 		left := time.Until(until)
 		if left <= 0 || ctx.Err() != nil {
-			return balance.Choice{}, refuse(fault.NoOwner, ownerRetryAfter, "key %d of service %q: %s", r.request.Key, r.service.Name, reason)
+			return balance.Choice{}, refuse(fault.NoOwner, r.honored(ownerRetryAfter), "key %d of service %q: %s", r.request.Key, r.service.Name, reason)
 		}
 		r.core.Owners.Wait(ctx, min(left, registryPollInterval))
 	}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -171,7 +171,7 @@
 	name := r.route.Pick(r.core.Settings.SplitOffset)
 	service, ok := r.table.Service(name)
 	if !ok {
-		return refuse(fault.NoServer, configRetryAfter, "route %q names service %q, which configuration version %d does not have", r.route.Name, name, r.table.Version)
+		return refuse(fault.NoServer, r.honored(configRetryAfter), "route %q names service %q, which configuration version %d does not have", r.route.Name, name, r.table.Version)
 	}
 	r.service = service
 	if service.DividedByKey && !r.request.HasKey {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -107,8 +107,10 @@
 	return &fixture{core, sender, servers, owners}
 }
 
-func (b *fixture) serve(path string, key int) *Answer {
-	r := &Request{ID: "id", Method: "GET", Target: path, Path: path, Host: "h", Arrived: time.Now(), Timeout: time.Second}
+func (b *fixture) serve(path string, key int) *Answer { return b.serveWithin(path, key, time.Second) }
+
+func (b *fixture) serveWithin(path string, key int, timeout time.Duration) *Answer {
+	r := &Request{ID: "id", Method: "GET", Target: path, Path: path, Host: "h", Arrived: time.Now(), Timeout: timeout}
 	if key >= 0 {
 		r.Key, r.HasKey = uint32(key), true
 	}
@@ -380,3 +382,24 @@
 		}
 	}
 }
+
+// Callers with little time left are told to return within the third of it that they honor.
+func TestRetryAfterIsWithinWhatCallersHonor(t *testing.T) {
+	const timeout = 300 * time.Millisecond
+	for name, serve := range map[string]func() *Answer{
+		"unreachable owner": func() *Answer {
+			f := newFixture(true, fails(serverconn.NotSent))
+			f.setOwners(1, ownedByK0)
+			return f.serveWithin("/k/", 5, timeout)
+		},
+		"unknown owner": func() *Answer { return newFixture(true, answers(200)).serveWithin("/k/", 5, timeout) },
+		"no server": func() *Answer {
+			f := newFixture(true, fails(serverconn.NotSent))
+			return f.serveWithin("/p/", -1, timeout)
+		},
+	} {
+		if answer := serve(); answer.Status != http.StatusServiceUnavailable || answer.RetryAfter <= 0 || answer.RetryAfter > timeout/3 {
+			t.Errorf("%s: got status %d, Retry-After %v; want 503 and at most %v", name, answer.Status, answer.RetryAfter, timeout/3)
+		}
+	}
+}
--- a/internal/dispatch/results.go
+++ b/internal/dispatch/results.go
@@ -42,7 +42,7 @@
 		r.core.Registry.MarkTerminated(server.ID, server.Incarnation, "server "+response.ServerID+" answers at its address")
 	}
 	r.notOwnerAt = time.Now()
-	return refuse(fault.NotOwner, ownerRetryAfter, "server %s does not own key %d, record %d", server.ID, r.request.Key, r.recordVersion), true
+	return refuse(fault.NotOwner, r.honored(ownerRetryAfter), "server %s does not own key %d, record %d", server.ID, r.request.Key, r.recordVersion), true
 }
 
 // hasCapacity reports whether a server that did not start a request may accept it
@@ -69,7 +69,7 @@
 		}
 		// The keys of an unreachable owner move only after its lease expires. Until
 		// then the caller may reach it through another VM, so refuse at once.
-		return refuse(fault.ConnectFailed, unreachedRetryAfter, "%v", failure), !r.service.DividedByKey
+		return refuse(fault.ConnectFailed, r.honored(unreachedRetryAfter), "%v", failure), !r.service.DividedByKey
 	}
 	r.sends++
 	if failure.Reset {
