Records of owners stay readable for VMs of an earlier version

Cause: records in columns can't be read by VMs of the version before, so a rolling upgrade would have left their callers without the keys that moved.

Change: each VM announces in its row the newest format that it reads; records are written in the oldest of all, JSON until each VM reads columns. A record that does not fit into a row as JSON is written in columns, as it could not be written at all.

Tests: TestRecordsStayReadableForEarlierVersions, TestRecordFormatIsTheOldestOfAllVMs.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"kumquatcleat/internal/keyspace"
 	"kumquatcleat/internal/rows"
 	"kumquatcleat/internal/wait"
 )
@@ -21,6 +22,8 @@
 	FailureDomain string `json:"failure_domain"`
 	// Strength ranks VMs for tasks that one VM does for others.
 	Strength float64 `json:"strength"`
+	// RecordFormat is the newest format of owners records that the VM reads.
+	RecordFormat keyspace.RecordFormat `json:"record_format,omitempty"`
 }
 
 // peer is a VM in the order of a failure domain, possibly this one.
@@ -90,6 +93,17 @@
 	return max(len(p.vms), 1)
 }
 
+// recordFormat returns the newest format of owners records that all known VMs read.
+func (p *peers) recordFormat() keyspace.RecordFormat {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	format := keyspace.FormatColumns
+	for _, vm := range p.vms {
+		format = min(format, vm.RecordFormat)
+	}
+	return format
+}
+
 // rank returns this VM's position in an order of all VMs that is the same on each VM.
 func (p *peers) rank() int {
 	p.mu.Lock()
@@ -292,7 +306,7 @@
 
 // announce writes this VM's row to the store if it is missing or outdated.
 func (p *peers) announce(ctx context.Context, vms *rows.View) {
-	value, err := json.Marshal(vmRow{PeerAddress: p.settings.PeerListen, FailureDomain: p.settings.FailureDomain, Strength: strength(p.settings)})
+	value, err := json.Marshal(vmRow{PeerAddress: p.settings.PeerListen, FailureDomain: p.settings.FailureDomain, Strength: strength(p.settings), RecordFormat: keyspace.FormatColumns})
 	if err != nil {
 		slog.Error("peers: encode row of this VM failed", "error", err.Error())
 		return
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -217,3 +217,16 @@
 		t.Errorf("got position %d of 300", want)
 	}
 }
+
+// Records are written in columns once each listed VM reads them.
+func TestRecordFormatIsTheOldestOfAllVMs(t *testing.T) {
+	p := newPeers(testSettings("vm-0", "a"), nil)
+	p.apply([]rows.Row{{Key: "vm-0", Value: []byte(`{"record_format":1}`)}, {Key: "vm-1", Value: []byte(`{"peer_address":"h:1"}`)}})
+	if got := p.recordFormat(); got != keyspace.FormatJSON {
+		t.Errorf("with a VM of an earlier version: got format %d, want %d", got, keyspace.FormatJSON)
+	}
+	p.apply([]rows.Row{{Key: "vm-1", Value: []byte(`{"peer_address":"h:1","record_format":1}`)}})
+	if got := p.recordFormat(); got != keyspace.FormatColumns {
+		t.Errorf("with VMs of this version: got format %d, want %d", got, keyspace.FormatColumns)
+	}
+}
--- a/internal/gateway/provision.go
+++ b/internal/gateway/provision.go
@@ -210,6 +210,7 @@
 		Owners:    g.owners,
 		Services:  func() []string { return keyedServices(g.Current()) },
 		Objective: func(service string) time.Duration { return objectiveOf(g.Current(), service) },
+		Format:    g.peers.recordFormat,
 		Clock:     bootclock.Now,
 		Address:   g.settings.PeerListen,
 		WriteID:   g.settings.VM + "/" + g.startID,
--- a/internal/keyspace/commit.go
+++ b/internal/keyspace/commit.go
@@ -21,7 +21,7 @@
 // commit writes a record. It retries with exactly the same bytes until the outcome of
 // the write is known.
 func (c *Coordinator) commit(ctx context.Context, svc *serviceState, next Record, version uint64, reason string) {
-	value, err := next.encode()
+	value, err := next.encodeFor(c.format(), c.settings.RecordBytes)
 	if err == nil && len(value) > c.settings.RecordBytes {
 		err = fmt.Errorf("the record of %d ranges has %d bytes, a row of the store %d", len(next.Ranges), len(value), c.settings.RecordBytes)
 	}
--- a/internal/keyspace/coordinator.go
+++ b/internal/keyspace/coordinator.go
@@ -68,6 +68,7 @@
 	owners    *Owners
 	services  func() []string
 	objective func(service string) time.Duration
+	format    func() RecordFormat
 	clock     bootclock.Clock
 	address   string
 	writeID   string
@@ -105,6 +106,7 @@
 	Owners           *Owners
 	Services         func() []string
 	Objective        func(service string) time.Duration // latency within which answers should arrive
+	Format           func() RecordFormat                // newest format of records that all VMs read
 	Clock            bootclock.Clock
 	Address          string // peer address to which other VMs send load reports
 	WriteID          string // write ID prefix unique to this process
@@ -114,7 +116,7 @@
 func NewCoordinator(o Options) *Coordinator {
 	return &Coordinator{
 		settings: o.Settings, store: o.Store, lease: o.CoordinatorLease, control: o.Control, members: o.Members,
-		owners: o.Owners, services: o.Services, objective: o.Objective, clock: o.Clock, address: o.Address, writeID: o.WriteID,
+		owners: o.Owners, services: o.Services, objective: o.Objective, format: o.Format, clock: o.Clock, address: o.Address, writeID: o.WriteID,
 		serviceStates: map[string]*serviceState{}, requestCounts: map[string]*RequestCounts{}, serviceTimes: map[string]serviceTime{},
 		inFlight: overload.NewTotals(), wake: make(chan struct{}, 1),
 	}
--- a/internal/keyspace/record_codec.go
+++ b/internal/keyspace/record_codec.go
@@ -10,8 +10,29 @@
 	"kumquatcleat/internal/keyspace/ownerspb"
 )
 
-// encode returns the stored form of the record. A server is stored once, however many
-// ranges it owns.
+// RecordFormat is the format of stored records that this version reads. VMs announce it, so
+// that records stay readable for all VMs while versions are mixed.
+type RecordFormat int
+
+const (
+	// FormatJSON is the format of versions that announce none.
+	FormatJSON RecordFormat = iota
+	// FormatColumns names each server once, however many ranges it owns.
+	FormatColumns
+)
+
+// encodeFor returns the stored form of the record in a format that all VMs read, if it
+// fits into a row of the store, and in columns otherwise.
+func (r Record) encodeFor(format RecordFormat, rowBytes int) ([]byte, error) {
+	if format == FormatJSON {
+		if value, err := json.Marshal(r); err != nil || len(value) <= rowBytes {
+			return value, err
+		}
+	}
+	return r.encode()
+}
+
+// encode returns the record in columns.
 func (r Record) encode() ([]byte, error) {
 	stored := &ownerspb.Record{WriteId: r.WriteID}
 	indexes := map[Holder]uint32{}
@@ -62,7 +83,7 @@
 	return r, r.check()
 }
 
-// decodeJSON decodes the form in which earlier versions stored records.
+// decodeJSON decodes FormatJSON.
 func decodeJSON(data []byte) (Record, error) {
 	var r Record
 	err := json.Unmarshal(data, &r)
--- a/internal/keyspace/record_test.go
+++ b/internal/keyspace/record_test.go
@@ -59,6 +59,32 @@
 	}
 }
 
+// While a VM of an earlier version is listed, records stay in its format, unless they would
+// not fit into a row.
+func TestRecordsStayReadableForEarlierVersions(t *testing.T) {
+	small, large := largeRecord(10, 20, 5), largeRecord(361, 600, 200)
+	for name, c := range map[string]struct {
+		record Record
+		format RecordFormat
+		json   bool
+	}{
+		"mixed versions":               {small, FormatJSON, true},
+		"one version":                  {small, FormatColumns, false},
+		"mixed versions, large record": {large, FormatJSON, false},
+	} {
+		value, err := c.record.encodeFor(c.format, storeRowBytes)
+		if err != nil || len(value) > storeRowBytes {
+			t.Fatalf("%s: got %d bytes, error %v", name, len(value), err)
+		}
+		if got := value[0] == '{'; got != c.json {
+			t.Errorf("%s: got JSON %v, want %v", name, got, c.json)
+		}
+		if got, err := DecodeRecord(value, 7); err != nil || !reflect.DeepEqual(got, c.record) {
+			t.Errorf("%s: decoded record differs from the original, error %v", name, err)
+		}
+	}
+}
+
 func TestRecordRoundTrip(t *testing.T) {
 	properties := gopter.NewProperties(nil)
 	properties.Property("decode returns what was encoded", prop.ForAll(
