--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -114,7 +114,7 @@
 		server.ID, signal.Load, signal.Admit)
 }
 
-// minRetryAfter is the shortest Retry-After hint for an overloaded server.
+// minRetryAfter is the shortest Retry-After hint.
 const minRetryAfter = 20 * time.Millisecond
 
 // overloadRetryAfter returns the Retry-After hint for an overloaded server: the time
