Callers refused by an overloaded owner return when it has room

Cause: the hint was a tenth of the objective, also when the owner had work for longer than that; who returned was refused again.

Change: the hint is the time in which the owner works off what exceeds its target, and a tenth of the objective at least.

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -9,7 +9,6 @@
 
 	"kumquatcleat/internal/balance"
 	"kumquatcleat/internal/fault"
-	"kumquatcleat/internal/overload"
 	"kumquatcleat/internal/registry"
 )
 
@@ -109,7 +108,7 @@
 	if admitted {
 		return nil
 	}
-	hint := r.honored(overload.RetryAfter(r.route.Objective, rand.Float64()))
+	hint := r.honored(signal.RetryAfter(r.route.Objective, rand.Float64()))
 	return refuse(fault.Overloaded, hint, "server %s is overloaded: %.0f requests of all VMs, admitted share %.2f",
 		server.ID, signal.Load, signal.Admit)
 }
--- a/internal/overload/hotserver_test.go
+++ b/internal/overload/hotserver_test.go
@@ -80,11 +80,11 @@
 	vm := h.Rand.IntN(hotVMs)
 	left := hotTimeout - h.Now.Sub(first)
 	choice := h.vms[vm].Estimate(h.Now, h.entry)
-	_, admitted := h.gates[vm].Admit(h.Now, "keyed", "hot", 1, h.Rand.Float64())
+	signal, admitted := h.gates[vm].Admit(h.Now, "keyed", "hot", 1, h.Rand.Float64())
 	if !admitted || choice.Full || choice.Expected >= left {
 		h.refused++
 		if attempt == 0 {
-			h.After(min(RetryAfter(hotObjective, h.Rand.Float64()), left/3), func() { h.request(first, 1) })
+			h.After(min(signal.RetryAfter(hotObjective, h.Rand.Float64()), left/3), func() { h.request(first, 1) })
 		}
 		return
 	}
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -17,6 +17,8 @@
 	Load float64 `json:"load"`
 	// Admit is the share of the requests for the server that may be sent, 0 to 1.
 	Admit float64 `json:"admit"`
+	// WaitS is the time in seconds until the server has worked off what exceeds its target.
+	WaitS float64 `json:"wait_s,omitempty"`
 }
 
 // Server is what is known of one server.
@@ -61,7 +63,7 @@
 	if admit >= 1 {
 		return Signal{}, false
 	}
-	return Signal{Load: s.Load, Admit: max(admit, 0)}, true
+	return Signal{Load: s.Load, Admit: max(admit, 0), WaitS: max(s.Load-target, 0) / s.Capacity}, true
 }
 
 // reportLife is how long the last report of a VM counts. A VM reports several times in
@@ -102,15 +104,17 @@
 	return loads
 }
 
-// retryAfterShare is the Retry-After hint of a refused request as a share of the time
-// within which its answer should arrive. A caller that returns soon can still be answered
-// in time, and whether it is admitted then does not depend on when it returns.
+// retryAfterShare is the shortest Retry-After hint as a share of the time within which an
+// answer should arrive. While a server is at its target, whether a caller is admitted does
+// not depend on when it returns, and one that returns soon can still be answered in time.
 const retryAfterShare = 0.1
 
-// RetryAfter returns the Retry-After hint for a request with an objective. random is
-// uniformly distributed below 1 and keeps callers from returning together.
-func RetryAfter(objective time.Duration, random float64) time.Duration {
-	return time.Duration((0.5 + random) * retryAfterShare * float64(objective))
+// RetryAfter returns the Retry-After hint for a request with an objective: when the server
+// is expected to have room. random is uniformly distributed below 1 and keeps callers from
+// returning together.
+func (s Signal) RetryAfter(objective time.Duration, random float64) time.Duration {
+	shortest := retryAfterShare * objective.Seconds()
+	return time.Duration((0.5 + random) * max(shortest, s.WaitS) * float64(time.Second))
 }
 
 // signalLife is how long a VM follows a signal after it was received: longer than one lost
