--- a/internal/balance/subset_test.go
+++ b/internal/balance/subset_test.go
@@ -15,6 +15,7 @@
 // second. The model counts connections: a server closes one that is idle for too long.
 type domainModel struct {
 	*loadmodel.Sim
+	domains  int                // of the same size
 	entries  []*registry.Server // the servers as VMs know them
 	servers  []*loadmodel.Server
 	speeds   []float64
@@ -23,6 +24,7 @@
 	opened   int
 	requests int
 	served   []int
+	far      int // requests sent to another domain
 	late     int
 	latency  time.Duration
 }
@@ -39,23 +41,26 @@
 	modelLoad        = 0.69 // of the capacity of all servers
 )
 
-func newDomainModel(seed uint64) *domainModel {
-	m := &domainModel{Sim: loadmodel.NewSim(seed)}
-	for range modelServers {
+func newDomainModel(seed uint64, domains int) *domainModel {
+	m := &domainModel{Sim: loadmodel.NewSim(seed), domains: domains}
+	for range modelServers * domains {
 		m.addServer()
 	}
-	for range modelVMs {
-		m.vms = append(m.vms, New(Settings{FailureDomain: "a", CrossDomainCost: 0.05, InitialServiceTime: 100 * time.Millisecond, MaxRequestsPerSlot: 4.5}))
+	for i := range modelVMs * domains {
+		m.vms = append(m.vms, New(Settings{FailureDomain: m.domain(i), CrossDomainCost: 0.05, InitialServiceTime: 100 * time.Millisecond, MaxRequestsPerSlot: 4.5}))
 		m.idle = append(m.idle, map[int][]time.Time{})
 	}
 	return m
 }
 
+// domain returns the failure domain of the VM or server with a number.
+func (m *domainModel) domain(i int) string { return string(rune('a' + i%m.domains)) }
+
 func (m *domainModel) addServer() {
 	i := len(m.servers)
-	m.entries = append(m.entries, &registry.Server{ID: fmt.Sprint("s", i), Service: "svc", FailureDomain: "a", Slots: modelSlots, Incarnation: 1})
+	m.entries = append(m.entries, &registry.Server{ID: fmt.Sprint("s", i), Service: "svc", FailureDomain: m.domain(i), Slots: modelSlots, Incarnation: 1})
 	m.servers = append(m.servers, &loadmodel.Server{Sim: m.Sim, Slots: modelSlots, Queue: math.MaxInt})
-	m.speeds = append(m.speeds, []float64{0.5, 1, 1, 1.5}[i%4])
+	m.speeds = append(m.speeds, []float64{0.5, 1, 1, 1.5}[i/m.domains%4])
 	m.served = append(m.served, 0)
 }
 
@@ -74,12 +79,15 @@
 }
 
 func (m *domainModel) request() {
-	vm := m.Rand.IntN(modelVMs)
+	vm := m.Rand.IntN(len(m.vms))
 	m.requests++
 	choice, _ := m.vms[vm].Choose(m.Now, m.entries, modelObjective, none)
 	var i int
 	_, _ = fmt.Sscanf(choice.Server.ID, "s%d", &i)
 	m.connect(vm, i)
+	if choice.Server.FailureDomain != m.domain(vm) {
+		m.far++
+	}
 	m.vms[vm].Started(choice.Server)
 	sent, server := m.Now, m.servers[i]
 	work := time.Duration(float64(m.LogNormal(modelServiceTime, modelSpread)) / m.speeds[i])
@@ -116,7 +124,7 @@
 		maxLateShare   = 0.02
 	)
 	for seed := range uint64(3) {
-		m := newDomainModel(seed)
+		m := newDomainModel(seed, 1)
 		m.play()
 		least := m.requests
 		for _, n := range m.served {
@@ -145,7 +153,7 @@
 		patience = 4 * time.Second
 		minShare = 0.2 // of the mean of all servers
 	)
-	m := newDomainModel(1)
+	m := newDomainModel(1, 1)
 	m.After(joinedAt, func() {
 		for range joined {
 			m.addServer()
@@ -162,3 +170,20 @@
 	})
 	m.play()
 }
+
+// VMs that keep to a few servers of their own domain do not send more requests to another
+// one: the load reports of the used servers are fresher than those of the others, which
+// must not count in favor of the others.
+func TestFewRequestsCrossDomains(t *testing.T) {
+	const maxFarShare = 0.02
+	for seed := range uint64(2) {
+		m := newDomainModel(seed, 2)
+		m.play()
+		far := float64(m.far) / float64(m.requests)
+		t.Logf("seed %d: %.3f of the requests cross, opened %.3f, mean latency %v", seed, far,
+			float64(m.opened)/float64(m.requests), (m.latency / time.Duration(m.requests)).Round(time.Millisecond))
+		if far > maxFarShare {
+			t.Errorf("seed %d: got share %.3f of requests for another domain, want at most %.2f", seed, far, maxFarShare)
+		}
+	}
+}
