Signals of overloaded owners cost few bytes

Cause: each answer to a load report held all signals with their numbers in full, 96 bytes each.

Change: a signal is three whole numbers, 27 bytes with its server, and 12,000 signals are sent in one interval at most, to all VMs together: the ones that turn away most.

Tests: TestSignalsAreSmall (19,191 bytes for 200 servers before), TestAllSignalsAreSentToFewVMs.

--- a/internal/keyspace/overload.go
+++ b/internal/keyspace/overload.go
@@ -21,19 +21,19 @@
 	if c.signals != nil && now-c.signalsAt < overloadInterval {
 		return c.signals
 	}
-	signals, loads := map[string]overload.Signal{}, c.inFlight.Loads(now)
+	signals, demands, loads := map[string]overload.Signal{}, map[string]float64{}, c.inFlight.Loads(now)
 	for _, service := range services {
 		if svc := c.serviceStates[service]; svc != nil && len(svc.leases.record.Ranges) > 0 {
-			c.addSignals(now, svc, loads, signals)
+			c.addSignals(now, svc, loads, signals, demands)
 		}
 	}
-	c.signals, c.signalsAt = signals, now
-	return signals
+	c.signals, c.signalsAt = overload.Strongest(signals, demands, c.inFlight.VMs()), now
+	return c.signals
 }
 
 // addSignals adds the signals for the overloaded servers of a service. While none is busy,
 // it does not compute the demand.
-func (c *Coordinator) addSignals(now time.Duration, svc *serviceState, loads map[string]float64, signals map[string]overload.Signal) {
+func (c *Coordinator) addSignals(now time.Duration, svc *serviceState, loads map[string]float64, signals map[string]overload.Signal, demands map[string]float64) {
 	members := c.withReportedCapacity(c.members.Members(svc.service))
 	if !slices.ContainsFunc(members, func(m Member) bool { return overload.Busy(loads[m.Server], m.Slots) }) {
 		return
@@ -45,7 +45,7 @@
 			Slots: m.Slots, Capacity: m.Capacity, Demand: demand[m.Holder], Load: loads[m.Server], Objective: objective,
 		})
 		if overloaded {
-			signals[m.Server] = signal
+			signals[m.Server], demands[m.Server] = signal, demand[m.Holder]
 		}
 	}
 }
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -6,7 +6,12 @@
 package overload
 
 import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"sync"
 	"time"
 )
@@ -14,11 +19,27 @@
 // Signal tells VMs about one overloaded server.
 type Signal struct {
 	// Load is the number of requests that all VMs together have at the server.
-	Load float64 `json:"load"`
+	Load float64
 	// Admit is the share of the requests for the server that may be sent, 0 to 1.
-	Admit float64 `json:"admit"`
+	Admit float64
 	// WaitS is the time in seconds until the server has worked off what exceeds its target.
-	WaitS float64 `json:"wait_s,omitempty"`
+	WaitS float64
+}
+
+// MarshalJSON implements json.Marshaler. Signals are sent to all VMs several times a second,
+// so they are encoded as three whole numbers: load, percent and milliseconds.
+func (s Signal) MarshalJSON() ([]byte, error) {
+	return json.Marshal([3]int{int(math.Round(s.Load)), int(math.Round(100 * s.Admit)), int(math.Round(1000 * s.WaitS))})
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (s *Signal) UnmarshalJSON(data []byte) error {
+	var n [3]int
+	if err := json.Unmarshal(data, &n); err != nil {
+		return fmt.Errorf("overload signal: %w", err)
+	}
+	*s = Signal{Load: float64(n[0]), Admit: float64(n[1]) / 100, WaitS: float64(n[2]) / 1000}
+	return nil
 }
 
 // Server is what is known of one server.
@@ -66,6 +87,28 @@
 	return Signal{Load: s.Load, Admit: max(admit, 0), WaitS: max(s.Load-target, 0) / s.Capacity}, true
 }
 
+// maxSentSignals bounds the signals that are sent to all VMs together in one reporting
+// interval, about 300 kB.
+const maxSentSignals = 12_000
+
+// Strongest returns the signals that turn away the most requests, as many as may be sent to
+// each of a number of VMs. demands holds the demand by server.
+func Strongest(signals map[string]Signal, demands map[string]float64, vms int) map[string]Signal {
+	limit := maxSentSignals / max(vms, 1)
+	if len(signals) <= limit {
+		return signals
+	}
+	turnedAway := func(server string) float64 { return (1 - signals[server].Admit) * demands[server] }
+	servers := slices.SortedFunc(maps.Keys(signals), func(a, b string) int {
+		return cmp.Or(cmp.Compare(turnedAway(b), turnedAway(a)), cmp.Compare(a, b))
+	})
+	strongest := map[string]Signal{}
+	for _, server := range servers[:limit] {
+		strongest[server] = signals[server]
+	}
+	return strongest
+}
+
 // reportLife is how long the last report of a VM counts. A VM reports several times in
 // this time.
 const reportLife = 1500 * time.Millisecond
@@ -89,6 +132,9 @@
 	t.reports[vm] = report{now, inFlight}
 }
 
+// VMs returns the number of VMs that reported recently, as of the last call of Loads.
+func (t *Totals) VMs() int { return len(t.reports) }
+
 // Loads returns the requests in flight by server and forgets old reports.
 func (t *Totals) Loads(now time.Duration) map[string]float64 {
 	loads := map[string]float64{}
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -1,6 +1,8 @@
 package overload
 
 import (
+	"encoding/json"
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -78,3 +80,48 @@
 		t.Errorf("got load %v after the report of one VM expired, want 4", got)
 	}
 }
+
+// With few VMs all signals are sent.
+func TestAllSignalsAreSentToFewVMs(t *testing.T) {
+	signals := map[string]Signal{}
+	for i := range 200 {
+		signals[fmt.Sprint(i)] = Signal{}
+	}
+	if got := len(Strongest(signals, nil, 60)); got != 200 {
+		t.Errorf("got %d signals for 60 VMs, want all 200", got)
+	}
+}
+
+// Signals are small, because each goes to hundreds of VMs several times a second.
+func TestSignalsAreSmall(t *testing.T) {
+	signals, demands := map[string]Signal{}, map[string]float64{}
+	for i := range 200 {
+		server := fmt.Sprintf("i-%010d", i)
+		signals[server] = Signal{Load: 10 + float64(i)/7, Admit: float64(i%100) / 103, WaitS: float64(i) / 301}
+		demands[server] = float64(i)
+	}
+	strongest := Strongest(signals, demands, 300)
+	data, err := json.Marshal(strongest)
+	if err != nil || len(data) > 1200 {
+		t.Fatalf("got %d bytes, error %v; want at most 1,200 for 200 overloaded servers", len(data), err)
+	}
+	var got map[string]Signal
+	if err := json.Unmarshal(data, &got); err != nil {
+		t.Fatal(err)
+	}
+	for server, want := range strongest {
+		s := got[server]
+		if math.Abs(s.Load-want.Load) > 0.5 || math.Abs(s.Admit-want.Admit) > 0.005 || math.Abs(s.WaitS-want.WaitS) > 0.0005 {
+			t.Errorf("server %s: got %+v, want %+v", server, s, want)
+		}
+	}
+	weakest := math.Inf(1)
+	for server, s := range strongest {
+		weakest = min(weakest, (1-s.Admit)*demands[server])
+	}
+	for server, s := range signals {
+		if _, kept := strongest[server]; !kept && (1-s.Admit)*demands[server] > weakest {
+			t.Errorf("server %s: left out, although it turns away more requests than others", server)
+		}
+	}
+}
