Bounds of the daemon's messages fit what they carry; the endless server allocates nothing

Cause: found by running the tests again beside load. The bound of 4 MB on messages between daemons would have refused copies of large claim tables for ever (100,000 keys at most, one message), and 8 MB lists of rows that are never deleted. The generated code reads a body with garbage of several times its size (TestEndlessRequestOfPeerIsCut: 16.5 MB of 16, once in 15 runs). TestEndlessResponseOfPeerIsCut failed in 3 of 11 runs with 16.4 to 16.5 MB: the stand-in copied each block that it wrote, and its garbage counted as the reader's.

Change: claim tables and lists of rows up to 64 MB, other messages of daemons 2 MB; the stand-in writes its block without a copy.

Tests: TestLargeClaimTableIsCopied; the Endless tests 5 times each with the race detector.

--- a/internal/endless/endless.go
+++ b/internal/endless/endless.go
@@ -53,7 +53,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	block := strings.Repeat(a.Repeated, 1+blockBytes/len(a.Repeated))
+	block := []byte(strings.Repeat(a.Repeated, 1+blockBytes/len(a.Repeated)))
 	go func() {
 		for {
 			c, err := listener.Accept()
@@ -66,15 +66,17 @@
 	return listener.Addr().String()
 }
 
-func send(c net.Conn, head, block string) {
+func send(c net.Conn, head string, block []byte) {
 	defer func() { _ = c.Close() }()
 	r, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
 		return
 	}
 	_, _ = io.Copy(io.Discard, r.Body)
+	// The block is written without a copy: garbage of the sender would count as memory of
+	// the reader.
 	for _, err = io.WriteString(c, head); err == nil; {
-		_, err = io.WriteString(c, block)
+		_, err = c.Write(block)
 	}
 }
 
--- a/internal/peer/clients.go
+++ b/internal/peer/clients.go
@@ -19,13 +19,24 @@
 	maxHeadBytes = 64 << 10 // head of a request or a response
 	// maxMessageBytes bounds a message. The largest, the state of a group of slots, has
 	// about 100 bytes a slot.
-	maxMessageBytes = 4 << 20
+	// maxMessageBytes bounds a message. The largest but copies of claims, the state of a
+	// group of 1,024 slots, has about 100 bytes a slot.
+	maxMessageBytes = 2 << 20
+	// maxClaimsBytes bounds a copy of a whole claim table, about 300 bytes a claim.
+	maxClaimsBytes = 64 << 20
 )
 
 // LimitRequests bounds the requests that a handler of messages from other VMs reads.
 // The generated code reads a body to its end.
 func LimitRequests(handler http.Handler) http.Handler {
-	return http.MaxBytesHandler(handler, maxMessageBytes)
+	small, claims := http.MaxBytesHandler(handler, maxMessageBytes), http.MaxBytesHandler(handler, maxClaimsBytes)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == PeerPathPrefix+"CopyClaims" {
+			claims.ServeHTTP(w, r)
+			return
+		}
+		small.ServeHTTP(w, r)
+	})
 }
 
 // limitedTransport bounds the bodies of responses.
--- a/internal/peer/endless_test.go
+++ b/internal/peer/endless_test.go
@@ -43,3 +43,28 @@
 		})
 	}
 }
+
+// claimsReceiver accepts copies of claims.
+type claimsReceiver struct {
+	Peer
+	received int
+}
+
+// CopyClaims implements Peer.
+func (r *claimsReceiver) CopyClaims(_ context.Context, in *ClaimsCopy) (*ClaimsCopied, error) {
+	r.received = len(in.GetBook())
+	return &ClaimsCopied{}, nil
+}
+
+// A claim table is copied to a new standby in one message, which may be larger than any
+// other.
+func TestLargeClaimTableIsCopied(t *testing.T) {
+	receiver := &claimsReceiver{}
+	server := httptest.NewServer(LimitRequests(NewPeerServer(receiver)))
+	defer server.Close()
+	const size = 8 << 20
+	client := NewClients("").For(strings.TrimPrefix(server.URL, "http://"))
+	if _, err := client.CopyClaims(context.Background(), &ClaimsCopy{Book: make([]byte, size)}); err != nil || receiver.received != size {
+		t.Fatalf("got %d bytes at the standby, error %v; want %d bytes", receiver.received, err, size)
+	}
+}
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -44,8 +44,8 @@
 
 const (
 	callTimeout    = 2 * time.Second
-	maxAnswerBytes = 8 << 20  // answer about rows or VMs
-	maxObjectBytes = 64 << 20 // one object
+	maxRowBytes    = 8 << 20  // answer with one row
+	maxAnswerBytes = 64 << 20 // any other answer: lists of rows grow with the site, objects have any size
 	maxHeadBytes   = 64 << 10 // head of an answer
 	breakerName    = "platform"
 )
@@ -161,8 +161,8 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	limit := int64(maxAnswerBytes)
-	if strings.HasPrefix(path, PathObject) {
-		limit = maxObjectBytes
+	if strings.HasPrefix(path, PathRow+"?") {
+		limit = maxRowBytes
 	}
 	data, err := membudget.ReadAll(resp.Body, resp.ContentLength, limit, nil)
 	if err != nil {
