Remove a doubled comment and a method that only a test used

Registry.RetainUntil had no caller but a test, which makes the same change through Update now; its assertions are unchanged. Behavior is as it was.

--- a/internal/peer/clients.go
+++ b/internal/peer/clients.go
@@ -17,8 +17,6 @@
 	idleConnTimeout     = time.Minute
 
 	maxHeadBytes = 64 << 10 // head of a request or a response
-	// maxMessageBytes bounds a message. The largest, the state of a group of slots, has
-	// about 100 bytes a slot.
 	// maxMessageBytes bounds a message. The largest but copies of claims, the state of a
 	// group of 1,024 slots, has about 100 bytes a slot.
 	maxMessageBytes = 2 << 20
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -68,11 +68,6 @@
 // Remove removes a server whose registration was deleted or is invalid.
 func (r *Registry) Remove(id, reason string) { r.Update(func(e *Edit) { e.Remove(id, reason) }) }
 
-// RetainUntil is Edit.RetainUntil as a change of its own.
-func (r *Registry) RetainUntil(id string, until time.Time) {
-	r.Update(func(e *Edit) { e.RetainUntil(id, until) })
-}
-
 // Edit is a set of changes that take effect together.
 type Edit struct {
 	registry *Registry
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -44,7 +44,7 @@
 	now := time.Now()
 	for _, id := range []string{"back", "gone"} {
 		r.Put(Server{ID: id, Service: "svc", Incarnation: 1})
-		r.RetainUntil(id, now.Add(time.Second))
+		r.Update(func(e *Edit) { e.RetainUntil(id, now.Add(time.Second)) })
 	}
 	r.Sweep(now)
 	if got := usable(r); len(got) != 2 {
