Observability: rate limits that servers state in their answers

Servers that state a limit get a multiple of it, and the logs can't tell whether the VMs miss the limit, take it each for its own, or exceed it by hedges and retries. Each VM now logs when a server states, changes or lifts its limit (bounded to a line a second per server), names the limit in the line of each request that it was stated for, and counts limited servers in servers_rate_limited. No routing decision uses it yet. Tests: the header is read from an answer, and values that are no rate are rejected.

--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -12,8 +12,8 @@
 }
 
 // Dialect holds the header names of one protocol and the functions for their values.
-// Key, NotStarted, ServerID and ServerLoad are empty if the protocol has no such
-// header. The other names are required.
+// Key, NotStarted, ServerID, ServerLoad and RateLimit are empty if the protocol has no
+// such header. The other names are required.
 type Dialect struct {
 	RequestID    string // id of one attempt of a caller; servers echo it
 	Deadline     string // remaining time that the caller waits
@@ -23,6 +23,7 @@
 	NotStarted   string // set by a server that did not start the request
 	ServerID     string // id of the server that answers
 	ServerLoad   string
+	RateLimit    string // requests per second that the server takes from all VMs together, while it states it
 	// MaxKey is the highest valid key.
 	MaxKey uint32
 	// FormatDeadline and ParseDeadline convert the value of the Deadline header.
@@ -30,4 +31,5 @@
 	ParseDeadline  func(string) (time.Duration, error)
 	ParseKey       func(string) (uint32, error)
 	ParseLoad      func(string) (Load, error)
+	ParseRateLimit func(string) (float64, error)
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -19,6 +19,7 @@
 	"kumquatcleat/internal/logging"
 	"kumquatcleat/internal/membudget"
 	"kumquatcleat/internal/overload"
+	"kumquatcleat/internal/ratelimit"
 	"kumquatcleat/internal/registry"
 	"kumquatcleat/internal/retry"
 	"kumquatcleat/internal/routetable"
@@ -87,6 +88,7 @@
 	Sender     Sender
 	Budget     *Budget
 	Overload   *overload.Gate
+	RateLimits *ratelimit.Limits
 	Suspicions *Suspicions
 	CountKey   func(service string, key uint32)
 	Decisions  *logging.Decisions
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -104,6 +104,7 @@
 	go func() {
 		response, failure := r.send(ctx, request)
 		now := time.Now()
+		r.core.observeRateLimit(now, server, response)
 		r.core.Balancer.Finished(now, server, balanceOutcome(ctx, now.Sub(began), response, failure))
 		results <- attemptResult{choice, now.Sub(began), response, failure}
 	}()
@@ -137,6 +138,18 @@
 	return answer, retryable
 }
 
+// observeRateLimit records the rate limit that an answer states. Only a successful answer
+// without one says that the server has none any more.
+func (c *Core) observeRateLimit(now time.Time, server *registry.Server, response *serverconn.Response) {
+	switch {
+	case response == nil:
+	case response.HasRateLimit:
+		c.RateLimits.Stated(now, server.Instance(), response.RateLimit)
+	case response.Status/100 == 2:
+		c.RateLimits.Unstated(server.Instance())
+	}
+}
+
 var errServerGone = errors.New("the server became unavailable before the request was sent")
 
 // guard checks again, just before a request is sent, that the server may still
@@ -159,6 +172,9 @@
 		if e.response.NotStarted {
 			what += " not started"
 		}
+		if e.response.HasRateLimit {
+			what += fmt.Sprintf(" limit %.1f/s", e.response.RateLimit)
+		}
 	}
 	r.attemptLog = append(r.attemptLog, fmt.Sprintf("%s %dms of %dms: %s", e.choice.Server.ID, e.took.Milliseconds(), e.choice.Expected.Milliseconds(), what))
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"kumquatcleat/internal/entry"
 	"kumquatcleat/internal/keyspace"
 	"kumquatcleat/internal/logging"
+	"kumquatcleat/internal/ratelimit"
 	"kumquatcleat/internal/registry"
 	"kumquatcleat/internal/routetable"
 	"kumquatcleat/internal/rows"
@@ -69,6 +70,7 @@
 	controlPool      *serverconn.Pool
 	sender           *serverconn.Sender
 	budget           *dispatch.Budget
+	rateLimits       *ratelimit.Limits
 	suspicions       *dispatch.Suspicions
 	core             *dispatch.Core
 	entry            *entry.Server
@@ -207,6 +209,7 @@
 		g.requestPool.Sweep(keep)
 		g.controlPool.Sweep(keep)
 		g.balancer.Sweep(keep)
+		g.rateLimits.Sweep(keep)
 	}
 }
 
--- a/internal/gateway/provision.go
+++ b/internal/gateway/provision.go
@@ -13,6 +13,7 @@
 	"kumquatcleat/internal/keyspace"
 	"kumquatcleat/internal/membudget"
 	"kumquatcleat/internal/overload"
+	"kumquatcleat/internal/ratelimit"
 	"kumquatcleat/internal/retry"
 	"kumquatcleat/internal/routetable"
 	"kumquatcleat/internal/rows"
@@ -137,6 +138,7 @@
 	g.budget = dispatch.NewBudget(dispatch.BudgetSettings{
 		Ratio: g.settings.RetryRatio, Slack: g.settings.RetrySlack, Window: seconds(g.settings.RetryWindow), Share: retryBudgetShare,
 	}, g.peers.count, time.Now)
+	g.rateLimits = ratelimit.New(g.metrics)
 	g.suspicions = dispatch.NewSuspicions(retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now), time.Now)
 	g.core = dispatch.New(dispatch.Parts{
 		Settings: dispatch.Settings{
@@ -145,7 +147,7 @@
 			DefaultTimeout:  defaultTimeout,
 		},
 		Tables: g, Registry: g.registry, Owners: g.owners, Balancer: g.balancer, Sender: g.sender,
-		Budget: g.budget, Overload: g.loads.gate, Suspicions: g.suspicions,
+		Budget: g.budget, Overload: g.loads.gate, RateLimits: g.rateLimits, Suspicions: g.suspicions,
 		CountKey:  g.loads.count,
 		Decisions: g.decisions, Metrics: g.metrics, Dialect: g.adapter.Dialect,
 	})
--- a/internal/serverconn/exchange.go
+++ b/internal/serverconn/exchange.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net/http"
 	"strconv"
 	"strings"
@@ -46,6 +47,10 @@
 	ServerID   string
 	Load       dialect.Load
 	HasLoad    bool
+	// RateLimit is the rate of requests, per second, that the server takes from all VMs
+	// together.
+	RateLimit    float64
+	HasRateLimit bool
 }
 
 // Progress is how far a failed attempt got.
@@ -250,6 +255,7 @@
 		ServerID:   resp.Header.Get(s.dialect.ServerID),
 	}
 	s.readLoad(resp.Header, out)
+	s.readRateLimit(resp.Header, out)
 	c.idleTimeout = idleTimeout(resp.Header)
 	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	return out, framed && !resp.Close, nil
@@ -281,6 +287,19 @@
 	}
 }
 
+func (s *Sender) readRateLimit(h http.Header, out *Response) {
+	text := h.Get(s.dialect.RateLimit)
+	if text == "" {
+		return
+	}
+	rate, err := s.dialect.ParseRateLimit(text)
+	if err != nil {
+		slog.Debug("serverconn: rate limit ignored", "server", out.ServerID, "error", err.Error())
+		return
+	}
+	out.RateLimit, out.HasRateLimit = rate, true
+}
+
 // idleTimeout returns how long the server keeps an idle connection open.
 func idleTimeout(h http.Header) time.Duration {
 	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
--- a/internal/serverconn/exchange_test.go
+++ b/internal/serverconn/exchange_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -18,9 +19,10 @@
 
 var testDialect = &dialect.Dialect{
 	RequestID: "Request-Id", Deadline: "Deadline-Ms", TargetServer: "Target", Signature: "Signature",
-	NotStarted: "Not-Started", ServerID: "Server", ServerLoad: "Load",
+	NotStarted: "Not-Started", ServerID: "Server", ServerLoad: "Load", RateLimit: "Rate-Limit",
 	FormatDeadline: func(d time.Duration) string { return fmt.Sprint(d.Milliseconds()) },
 	ParseLoad:      func(string) (dialect.Load, error) { return dialect.Load{Running: 3}, nil },
+	ParseRateLimit: func(text string) (float64, error) { return strconv.ParseFloat(text, 64) },
 }
 
 // rawServer answers each request with the next text; "%s" stands for the request ID. An
@@ -315,3 +317,18 @@
 		}
 	}
 }
+
+// A server's rate limit is read from its answer; one that can't be parsed counts as none.
+func TestRateLimitIsReadFromAnswer(t *testing.T) {
+	answer := func(limit string) string {
+		return "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nSignature: x\r\n" + limit + "Content-Length: 2\r\n\r\nok"
+	}
+	server, _ := rawServer(t, answer("Rate-Limit: 12.9\r\n"), answer(""), answer("Rate-Limit: much\r\n"))
+	s := newSender()
+	for i, want := range []float64{12.9, 0, 0} {
+		r, f := send(s, server, fmt.Sprint(i), true)
+		if f != nil || r.RateLimit != want || r.HasRateLimit != (want > 0) {
+			t.Fatalf("answer %d: got %+v, failure %v; want rate limit %v", i, r, f, want)
+		}
+	}
+}
