Failing test: VMs together exceed the rate limit that a server states

Counted as the operators count: 4 s windows from 3 s after the first statement, requests of VMs that had been told half a second before.

--- /dev/null
+++ b/internal/dispatch/ratelimit_test.go
@@ -0,0 +1,199 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"kumquatcleat/internal/balance"
+	"kumquatcleat/internal/dialect"
+	"kumquatcleat/internal/keyspace"
+	"kumquatcleat/internal/logging"
+	"kumquatcleat/internal/overload"
+	"kumquatcleat/internal/ratelimit"
+	"kumquatcleat/internal/registry"
+	"kumquatcleat/internal/retry"
+	"kumquatcleat/internal/routetable"
+	"kumquatcleat/internal/rows"
+	"kumquatcleat/internal/serverconn"
+)
+
+// limitedFleet is several VMs before the servers of a plain and of a keyed service, some of
+// which state a rate limit for a while. It runs in the virtual time of a synctest bubble.
+type limitedFleet struct {
+	vms     []*Core
+	stated  map[string]float64 // rate limit by server ID
+	from    time.Time          // limits are stated from here
+	until   time.Time          // up to here
+	service time.Duration      // mean service time
+
+	mu       sync.Mutex             // guards the fields below
+	arrivals map[string][]arrival   // by server ID
+	told     map[string][]time.Time // by server ID: when each VM first got an answer with the limit
+	answers  map[int]int            // count by status
+}
+
+type arrival struct {
+	at time.Time
+	vm int
+}
+
+// limitedSender is the sender of one VM.
+type limitedSender struct {
+	fleet *limitedFleet
+	vm    int
+}
+
+func (s limitedSender) Do(ctx context.Context, r *serverconn.Request) (*serverconn.Response, *serverconn.Failure) {
+	f := s.fleet
+	f.mu.Lock()
+	f.arrivals[r.Server.ID] = append(f.arrivals[r.Server.ID], arrival{time.Now(), s.vm})
+	f.mu.Unlock()
+	select {
+	case <-time.After(time.Duration((0.3 + rand.ExpFloat64()*0.7) * float64(f.service))):
+	case <-ctx.Done():
+		return nil, &serverconn.Failure{Progress: serverconn.Sent, Err: ctx.Err()}
+	}
+	response := &serverconn.Response{Status: http.StatusOK, Header: http.Header{}, HasLoad: true, Load: dialect.Load{Running: 1, Slots: 6}}
+	now := time.Now()
+	if rate, limited := f.stated[r.Server.ID]; limited && !now.Before(f.from) && now.Before(f.until) {
+		response.RateLimit, response.HasRateLimit = rate, true
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if f.told[r.Server.ID] == nil {
+			f.told[r.Server.ID] = make([]time.Time, len(f.vms))
+		}
+		if f.told[r.Server.ID][s.vm].IsZero() {
+			f.told[r.Server.ID][s.vm] = now
+		}
+	}
+	return response, nil
+}
+
+const limitedDomains = 3
+
+func newLimitedFleet(vms, servers int, stated map[string]float64) *limitedFleet {
+	f := &limitedFleet{stated: stated, service: 60 * time.Millisecond, arrivals: map[string][]arrival{}, told: map[string][]time.Time{}, answers: map[int]int{}}
+	for vm := range vms {
+		r := registry.New()
+		for i := range servers {
+			for _, service := range []string{"plain", "keyed"} {
+				r.Put(registry.Server{ID: fmt.Sprintf("%s%d", service, i), Service: service, Slots: 6, Incarnation: 1, FailureDomain: fmt.Sprint(i % limitedDomains)})
+			}
+		}
+		route := func(prefix, service string) routetable.Route {
+			return routetable.Route{Name: prefix, Host: "h", Prefix: prefix, Idempotent: true, MaxAttempts: 2,
+				Timeout: 800 * time.Millisecond, Objective: 300 * time.Millisecond, Targets: []routetable.Target{{Service: service, Weight: 1}}}
+		}
+		t := table{routetable.Compile(routetable.Config{
+			Version: 1, Routes: []routetable.Route{route("/p/", "plain"), route("/k/", "keyed")},
+			Services: []routetable.Service{{Name: "plain"}, {Name: "keyed", DividedByKey: true}},
+		})}
+		owners := keyspace.NewOwners()
+		ranges := ""
+		for i := range servers {
+			ranges += fmt.Sprintf(`,{"from":%d,"to":%d,"owner":{"server":"keyed%d","incarnation":1},"fence":1}`, i*100, i*100+99, i)
+		}
+		owners.Apply([]rows.Row{{Key: "keyed", Version: 1, Value: []byte(`{"ranges":[` + ranges[1:] + `]}`)}})
+		m := metrics.NewRegistry()
+		f.vms = append(f.vms, New(Parts{
+			Settings: Settings{DefaultTimeout: time.Second, DrainOwnerGrace: time.Second},
+			Tables:   t, Registry: r, Owners: owners,
+			Balancer: balance.New(balance.Settings{FailureDomain: fmt.Sprint(vm % limitedDomains), CrossDomainCost: 0.05, InitialServiceTime: f.service, MaxRequestsPerSlot: 4.5}),
+			Sender:   limitedSender{f, vm},
+			Budget:   NewBudget(BudgetSettings{Ratio: 0.2, Slack: 64, Window: 10 * time.Second, Share: 0.8}, func() int { return vms }, time.Now),
+			Overload: overload.NewGate(), RateLimits: ratelimit.New(m), Suspicions: NewSuspicions(retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now), time.Now),
+			CountKey: func(string, uint32) {}, Decisions: logging.NewDecisions(m), Metrics: m, Dialect: &dialect.Dialect{},
+		}))
+	}
+	return f
+}
+
+// load sends requests at a rate per second to random VMs, until a time.
+func (f *limitedFleet) load(path string, keys int, rate func() float64, until time.Time, requests *sync.WaitGroup) {
+	for time.Now().Before(until) {
+		time.Sleep(time.Duration(rand.ExpFloat64() / rate() * float64(time.Second)))
+		vm := f.vms[rand.IntN(len(f.vms))]
+		r := &Request{ID: "id", Method: "GET", Target: path, Path: path, Host: "h", Arrived: time.Now(), Timeout: 800 * time.Millisecond}
+		r.Key, r.HasKey = uint32(rand.IntN(keys)), true
+		requests.Go(func() {
+			answer := vm.Serve(context.Background(), r)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.answers[answer.Status]++
+		})
+	}
+}
+
+const (
+	limitWindow = 4 * time.Second
+	limitSettle = 3 * time.Second // from the first answer that states a limit
+	toldDelay   = 500 * time.Millisecond
+)
+
+// excess returns the largest number of requests that a server got in one window from VMs
+// that knew its limit, and what it should get at most.
+func (f *limitedFleet) excess(server string) (got int, allowed float64) {
+	told := f.told[server]
+	var counted []time.Time
+	for _, a := range f.arrivals[server] {
+		if !a.at.Before(f.from.Add(limitSettle)) && a.at.Before(f.until) && !told[a.vm].IsZero() && a.at.Sub(told[a.vm]) >= toldDelay {
+			counted = append(counted, a.at)
+		}
+	}
+	for i := range counted {
+		end, _ := slices.BinarySearchFunc(counted, counted[i].Add(limitWindow), time.Time.Compare)
+		got = max(got, end-i)
+	}
+	return got, 1.5*f.stated[server]*limitWindow.Seconds() + 5
+}
+
+// Guards against servers that state a rate limit for all VMs together and are sent a
+// multiple of it.
+func TestVMsTogetherKeepToRateLimitOfServer(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		vms, servers int
+		plain, keyed float64 // requests per second
+		stated       map[string]float64
+	}{
+		{"few VMs", 12, 13, 430, 60, map[string]float64{"plain0": 20.8, "plain1": 1.3, "keyed2": 3, "keyed3": 0.4}},
+		{"many VMs", 80, 40, 900, 300, map[string]float64{"plain0": 12.9, "plain1": 0.5, "keyed2": 5}},
+		{"every server of a service", 12, 4, 200, 40, map[string]float64{"plain0": 8, "plain1": 8, "plain2": 8, "plain3": 8}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				start := time.Now()
+				f := newLimitedFleet(c.vms, c.servers, c.stated)
+				f.from, f.until = start.Add(2*time.Second), start.Add(22*time.Second)
+				var requests sync.WaitGroup
+				requests.Go(func() { f.load("/p/", 1, func() float64 { return c.plain }, f.until, &requests) })
+				// A burst after a quiet time must not spend what was saved up.
+				keyed := func() float64 {
+					if at := time.Since(start); at > 8*time.Second && at < 12*time.Second {
+						return c.keyed / 10
+					}
+					return c.keyed
+				}
+				requests.Go(func() { f.load("/k/", c.servers*100, keyed, f.until, &requests) })
+				requests.Wait()
+				for server := range c.stated {
+					got, allowed := f.excess(server)
+					t.Logf("%s: at most %d requests in %v, %.0f allowed; %d in all", server, got, limitWindow, allowed, len(f.arrivals[server]))
+					if float64(got) > allowed {
+						t.Errorf("%s states a limit of %v/s: got %d requests in %v from VMs that knew it, want at most %.0f", server, c.stated[server], got, limitWindow, allowed)
+					}
+				}
+				t.Logf("answers by status: %v", f.answers)
+			})
+		})
+	}
+}
