VMs together keep to the rate limit that a server states

Callers saw nothing: their answers arrived.

Cause: no code read the limit. The choice of a server knows load, service time and failures only, and each VM decides alone: a budget of the whole fleet that no part of the router counted.

A VM now sends its share of the limit, limit / VMs, to a server that states one, first sends and hedges alike, and chooses among the others; if only limits keep a request from all servers it is refused at once, with the time until there is room. Owners of keys get the share of requests that fits, by the demand that all VMs report, and plans take the limit for their capacity. Statements go through the load reports, so that the end of a limit reaches all VMs.

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -9,6 +9,7 @@
 
 	"kumquatcleat/internal/balance"
 	"kumquatcleat/internal/fault"
+	"kumquatcleat/internal/overload"
 	"kumquatcleat/internal/registry"
 )
 
@@ -79,16 +80,47 @@
 	}
 	choice, ok := r.untried()
 	if !ok {
+		if refusal := r.refuseRateLimited(r.core.Registry.Usable(r.service.Name)); refusal != nil {
+			return choice, refusal
+		}
 		return choice, refuse(fault.NoServer, r.honored(unreachedRetryAfter), "service %q: %d servers, %d tried",
 			r.service.Name, len(r.core.Registry.Usable(r.service.Name)), len(r.tried))
 	}
 	return choice, r.admit(choice)
 }
 
-// untried returns the best server that this request has not tried.
+// untried returns the best server that this request has not tried and whose rate limit
+// leaves room.
 func (r *requestState) untried() (balance.Choice, bool) {
-	tried := func(s *registry.Server) bool { return slices.Contains(r.tried, s) }
-	return r.core.Balancer.Choose(time.Now(), r.core.Registry.Usable(r.service.Name), r.route.Objective, tried)
+	now := time.Now()
+	excluded := func(s *registry.Server) bool {
+		return slices.Contains(r.tried, s) || r.core.RateLimits.Wait(now, s.Instance()) > 0
+	}
+	for {
+		choice, ok := r.core.Balancer.Choose(now, r.core.Registry.Usable(r.service.Name), r.route.Objective, excluded)
+		// Another request may have taken the room meanwhile.
+		if !ok || r.core.RateLimits.Take(now, choice.Server.Instance()) {
+			return choice, ok
+		}
+	}
+}
+
+// refuseRateLimited refuses a request if only rate limits keep it from the servers that it
+// has not tried.
+func (r *requestState) refuseRateLimited(servers []*registry.Server) *Answer {
+	now := time.Now()
+	var first *registry.Server
+	var wait time.Duration
+	for _, s := range servers {
+		if w := r.core.RateLimits.Wait(now, s.Instance()); !slices.Contains(r.tried, s) && (first == nil || w < wait) {
+			first, wait = s, w
+		}
+	}
+	if first == nil {
+		return nil
+	}
+	hint := overload.Signal{WaitS: wait.Seconds()}.RetryAfter(r.route.Objective, rand.Float64())
+	return refuse(fault.Overloaded, r.honored(hint), "server %s: its rate limit leaves this VM no room for %v", first.ID, wait.Round(time.Millisecond))
 }
 
 // admit refuses a request that the server would not answer before the deadline.
@@ -101,12 +133,18 @@
 		choice.Server.ID, choice.Expected.Round(time.Millisecond), left.Round(time.Millisecond), choice.Full)
 }
 
-// admitOverload refuses a request that an overloaded server has no room for, by the loads
-// that all VMs report.
-func (r *requestState) admitOverload(server *registry.Server) *Answer {
-	signal, admitted := r.core.Overload.Admit(time.Now(), r.service.Name, server.ID, r.route.Rank, rand.Float64())
-	if admitted {
+// admitOwner refuses a request that the owner of its key has no room for: by the loads that
+// all VMs report and by its rate limit.
+func (r *requestState) admitOwner(server *registry.Server) *Answer {
+	now := time.Now()
+	signal, admitted := r.core.Overload.Admit(now, r.service.Name, server.ID, r.route.Rank, rand.Float64())
+	switch {
+	case admitted && signal.RateLimited:
+		return nil // the signal divides the rate among the VMs by their requests
+	case admitted && r.core.RateLimits.Take(now, server.Instance()):
 		return nil
+	case admitted:
+		return r.refuseRateLimited([]*registry.Server{server})
 	}
 	hint := r.honored(signal.RetryAfter(r.route.Objective, rand.Float64()))
 	return refuse(fault.Overloaded, hint, "server %s is overloaded: %.0f requests of all VMs, admitted share %.2f",
@@ -131,7 +169,7 @@
 		server, reason := r.owner()
 		if server != nil {
 			choice := r.core.Balancer.Estimate(time.Now(), server)
-			if refusal := r.admitOverload(server); refusal != nil {
+			if refusal := r.admitOwner(server); refusal != nil {
 				return choice, refusal
 			}
 			return choice, r.admit(choice)
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -146,7 +146,7 @@
 	case response.HasRateLimit:
 		c.RateLimits.Stated(now, server.Instance(), response.RateLimit)
 	case response.Status/100 == 2:
-		c.RateLimits.Unstated(server.Instance())
+		c.RateLimits.Unstated(now, server.Instance())
 	}
 }
 
--- a/internal/dispatch/ratelimit_test.go
+++ b/internal/dispatch/ratelimit_test.go
@@ -110,7 +110,7 @@
 			Balancer: balance.New(balance.Settings{FailureDomain: fmt.Sprint(vm % limitedDomains), CrossDomainCost: 0.05, InitialServiceTime: f.service, MaxRequestsPerSlot: 4.5}),
 			Sender:   limitedSender{f, vm},
 			Budget:   NewBudget(BudgetSettings{Ratio: 0.2, Slack: 64, Window: 10 * time.Second, Share: 0.8}, func() int { return vms }, time.Now),
-			Overload: overload.NewGate(), RateLimits: ratelimit.New(m), Suspicions: NewSuspicions(retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now), time.Now),
+			Overload: overload.NewGate(), RateLimits: ratelimit.New(func() int { return vms }, m), Suspicions: NewSuspicions(retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now), time.Now),
 			CountKey: func(string, uint32) {}, Decisions: logging.NewDecisions(m), Metrics: m, Dialect: &dialect.Dialect{},
 		}))
 	}
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -33,6 +33,7 @@
 // A load report that is accepted can be planned with.
 func FuzzLoadReport(f *testing.F) {
 	f.Add([]byte(`{"requests":{"s":{"1":2,"65535":1e300,"4294967295":3,"7":-1}},"times":{"a":{"count":-1,"seconds":1e308}}}`))
+	f.Add([]byte(`{"rate_limits":[{"server":"s","incarnation":1,"rate":1e308,"age_ms":-1},{"server":"s","lifted":true,"age_ms":9e18}]}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var report keyspace.Report
 		if json.Unmarshal(data, &report) != nil {
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -12,6 +12,7 @@
 	"kumquatcleat/internal/balance"
 	"kumquatcleat/internal/keyspace"
 	"kumquatcleat/internal/overload"
+	"kumquatcleat/internal/ratelimit"
 	"kumquatcleat/internal/rows"
 	"kumquatcleat/internal/wait"
 )
@@ -23,6 +24,9 @@
 type reportResponse struct {
 	// Overloads holds the signals for overloaded servers, by server ID.
 	Overloads map[string]overload.Signal `json:"overloads,omitempty"`
+	// RateLimits holds the rate limits that servers stated first, changed or lifted
+	// recently.
+	RateLimits []ratelimit.Statement `json:"rate_limits,omitempty"`
 }
 
 const (
@@ -46,7 +50,10 @@
 	inFlight     func(service string) map[string]int
 	overloads    func() map[string]overload.Signal // of the coordinator
 	gate         *overload.Gate
-	client       *http.Client
+	// rateLimits are those of this VM, rateLimitChanges those of the coordinator.
+	rateLimits       *ratelimit.Limits
+	rateLimitChanges func() []ratelimit.Statement
+	client           *http.Client
 
 	mu          sync.Mutex                    // guards the fields below
 	counts      map[string]map[uint32]float64 // by service and key
@@ -93,6 +100,7 @@
 		maps.Copy(report.ServiceTimes, l.serviceTimes(service))
 		maps.Copy(report.InFlight, l.inFlight(service))
 	}
+	report.RateLimits = l.rateLimits.TakeStatements(time.Now())
 	l.counts = map[string]map[uint32]float64{}
 	return report, l.coordinator
 }
@@ -102,10 +110,10 @@
 	for wait.For(ctx, reportInterval) {
 		report, coordinator := l.takeReport()
 		switch {
-		case len(report.Requests) == 0 || coordinator == "":
+		case len(report.Requests) == 0 && len(report.RateLimits) == 0 || coordinator == "":
 		case coordinator == l.selfAddress:
 			l.report(report)
-			l.gate.Update(time.Now(), l.overloads())
+			l.follow(l.response())
 		default:
 			l.recordDelivery(l.send(ctx, coordinator, report))
 		}
@@ -136,10 +144,22 @@
 		slog.Debug("loads: report not delivered to the coordinator", "coordinator", to, "error", err.Error())
 		return false
 	}
-	l.gate.Update(time.Now(), response.Overloads)
+	l.follow(response)
 	return true
 }
 
+// response returns this VM's response to a report, as the coordinator.
+func (l *loadReporter) response() reportResponse {
+	return reportResponse{Overloads: l.overloads(), RateLimits: l.rateLimitChanges()}
+}
+
+// follow applies the coordinator's response to a report.
+func (l *loadReporter) follow(response reportResponse) {
+	now := time.Now()
+	l.gate.Update(now, response.Overloads)
+	l.rateLimits.Learn(now, response.RateLimits)
+}
+
 // receive handles a report from another VM.
 func (l *loadReporter) receive(w http.ResponseWriter, r *http.Request) {
 	var report keyspace.Report
@@ -151,7 +171,7 @@
 		return
 	}
 	l.report(report)
-	if err := json.NewEncoder(w).Encode(reportResponse{Overloads: l.overloads()}); err != nil {
+	if err := json.NewEncoder(w).Encode(l.response()); err != nil {
 		slog.Debug("loads: response to a report not sent", "error", err.Error())
 	}
 }
--- a/internal/gateway/loads_test.go
+++ b/internal/gateway/loads_test.go
@@ -6,8 +6,12 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"kumquatcleat/internal/keyspace"
 	"kumquatcleat/internal/overload"
+	"kumquatcleat/internal/ratelimit"
+	"kumquatcleat/internal/registry"
 )
 
 // A VM that is no longer the coordinator refuses load reports. After two consecutive
@@ -17,12 +21,15 @@
 	coordinator := newLoadReporter(testSettings("c", "a"), func(keyspace.Report) { accepted++ }, nil)
 	coordinator.overloads = func() map[string]overload.Signal { return map[string]overload.Signal{"s": {Admit: 0}} }
 	coordinating := true
+	limited := ratelimit.Statement{Server: "limited", Incarnation: 1, Rate: 0.5}
+	coordinator.rateLimitChanges = func() []ratelimit.Statement { return []ratelimit.Statement{limited} }
 	coordinator.isCoordinator = func() bool { return coordinating }
 	server := httptest.NewServer((&viewSync{loads: coordinator}).mux())
 	defer server.Close()
 	to := strings.TrimPrefix(server.URL, "http://")
 	suspicions := 0
 	vm := newLoadReporter(testSettings("vm", "a"), nil, nil)
+	vm.rateLimits = ratelimit.New(func() int { return 100 }, metrics.NewRegistry())
 	vm.suspectCoordinator = func() { suspicions++ }
 	for _, step := range []struct {
 		coordinating bool
@@ -37,6 +44,9 @@
 	if _, admitted := vm.gate.Admit(time.Now(), "svc", "s", 1, 0.5); admitted {
 		t.Error("the VM does not follow the signals in the responses to its reports")
 	}
+	if wait := vm.rateLimits.Wait(time.Now(), registry.Instance{ID: "limited", Incarnation: 1}); wait == 0 {
+		t.Error("the VM does not follow the rate limits in the responses to its reports")
+	}
 	if accepted != 2 {
 		t.Fatalf("got %d accepted reports, want 2", accepted)
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -93,6 +93,13 @@
 	return max(len(p.vms), 1)
 }
 
+// known returns the number of VMs, 0 if none are known yet.
+func (p *peers) known() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.vms)
+}
+
 // recordFormat returns the newest format of owners records that all known VMs read.
 func (p *peers) recordFormat() keyspace.RecordFormat {
 	p.mu.Lock()
--- a/internal/gateway/provision.go
+++ b/internal/gateway/provision.go
@@ -76,6 +76,9 @@
 	g.keys.OnApply(g.owners.Apply)
 	g.loads = newLoadReporter(g.settings, func(r keyspace.Report) { g.coordinator.Report(r) }, g.serviceTimes)
 	g.loads.inFlight = func(service string) map[string]int { return g.balancer.InFlight(g.registry.Usable(service)) }
+	g.rateLimits = ratelimit.New(g.peers.known, g.metrics)
+	g.loads.rateLimits = g.rateLimits
+	g.loads.rateLimitChanges = func() []ratelimit.Statement { return g.coordinator.RateLimitChanges() }
 	g.loads.overloads = func() map[string]overload.Signal { return g.coordinator.Overloads() }
 	g.loads.isCoordinator = func() bool { return g.coordinatorLease.Held() }
 	g.loads.suspectCoordinator = func() { g.coordinatorLease.SuspectCoordinator() }
@@ -138,7 +141,6 @@
 	g.budget = dispatch.NewBudget(dispatch.BudgetSettings{
 		Ratio: g.settings.RetryRatio, Slack: g.settings.RetrySlack, Window: seconds(g.settings.RetryWindow), Share: retryBudgetShare,
 	}, g.peers.count, time.Now)
-	g.rateLimits = ratelimit.New(g.metrics)
 	g.suspicions = dispatch.NewSuspicions(retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now), time.Now)
 	g.core = dispatch.New(dispatch.Parts{
 		Settings: dispatch.Settings{
--- a/internal/keyspace/coordinator.go
+++ b/internal/keyspace/coordinator.go
@@ -10,6 +10,7 @@
 
 	"kumquatcleat/internal/bootclock"
 	"kumquatcleat/internal/overload"
+	"kumquatcleat/internal/ratelimit"
 	"kumquatcleat/internal/rows"
 	"kumquatcleat/internal/wait"
 )
@@ -79,6 +80,7 @@
 	serviceTimes  map[string]serviceTime // by server: smoothed time that it takes per request
 	writeCount    uint64
 	inFlight      *overload.Totals           // requests at servers, as VMs report them
+	rateLimits    *ratelimit.Board
 	signals       map[string]overload.Signal // computed at signalsAt
 	signalsAt     time.Duration
 
@@ -118,7 +120,7 @@
 		settings: o.Settings, store: o.Store, lease: o.CoordinatorLease, control: o.Control, members: o.Members,
 		owners: o.Owners, services: o.Services, objective: o.Objective, format: o.Format, clock: o.Clock, address: o.Address, writeID: o.WriteID,
 		serviceStates: map[string]*serviceState{}, requestCounts: map[string]*RequestCounts{}, serviceTimes: map[string]serviceTime{},
-		inFlight: overload.NewTotals(), wake: make(chan struct{}, 1),
+		inFlight: overload.NewTotals(), rateLimits: ratelimit.NewBoard(), wake: make(chan struct{}, 1),
 	}
 }
 
--- a/internal/keyspace/overload.go
+++ b/internal/keyspace/overload.go
@@ -31,18 +31,24 @@
 	return c.signals
 }
 
-// addSignals adds the signals for the overloaded servers of a service. While none is busy,
-// it does not compute the demand.
+// addSignals adds the signals for the overloaded and the rate-limited servers of a service.
+// While there are none, it does not compute the demand.
 func (c *Coordinator) addSignals(now time.Duration, svc *serviceState, loads map[string]float64, signals map[string]overload.Signal, demands map[string]float64) {
 	members := c.withReportedCapacity(c.members.Members(svc.service))
-	if !slices.ContainsFunc(members, func(m Member) bool { return overload.Busy(loads[m.Server], m.Slots) }) {
+	mayNeedSignal := func(m Member) bool {
+		_, limited := c.rateLimitOf(m.Holder)
+		return limited || overload.Busy(loads[m.Server], m.Slots)
+	}
+	if !slices.ContainsFunc(members, mayNeedSignal) {
 		return
 	}
 	demand := c.requestCountsOf(svc.service).ownerRates(now, &svc.leases.record)
 	objective := c.objective(svc.service)
 	for _, m := range members {
+		rate, limited := c.rateLimitOf(m.Holder)
 		signal, overloaded := overload.SignalFor(overload.Server{
 			Slots: m.Slots, Capacity: m.Capacity, Demand: demand[m.Holder], Load: loads[m.Server], Objective: objective,
+			RateLimit: rate, HasRateLimit: limited,
 		})
 		if overloaded {
 			signals[m.Server], demands[m.Server] = signal, demand[m.Holder]
--- a/internal/keyspace/overload_test.go
+++ b/internal/keyspace/overload_test.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"kumquatcleat/internal/ratelimit"
 )
 
 // The rates of owners, which are computed from the counted keys alone, agree with the
@@ -60,3 +62,39 @@
 		t.Errorf("got signals %v after the reports expired, want none", got)
 	}
 }
+
+// Guards against an owner with a rate limit that gets the requests for all its keys: the
+// signal keeps the requests of all VMs within the limit, and plans take it for the owner's
+// capacity. A limit that ends leaves no trace.
+func TestOwnerIsKeptWithinItsRateLimit(t *testing.T) {
+	members := planMembers(3)
+	now := 10 * time.Second
+	c := NewCoordinator(Options{
+		Settings: CoordinatorSettings{Keys: planKeys, Plan: testPlan}, Members: fixedMembers(members),
+		Services: func() []string { return []string{"keyed"} }, Objective: func(string) time.Duration { return time.Second },
+		Clock: func() time.Duration { return now },
+	})
+	record := Record{Ranges: newPlanner(testPlan, evenProfile(100), members).initialRanges()}
+	c.serviceStates["keyed"] = &serviceState{service: "keyed", leases: NewLeaseTracker(Timing{}, record, 1, now, 0)}
+	limited := record.Ranges[1]
+	const rate = 4.0
+	statement := ratelimit.Statement{Server: limited.Owner.Server, Incarnation: limited.Owner.Incarnation, Rate: rate}
+	report := func(s ratelimit.Statement) {
+		c.Report(Report{VM: "a", Requests: map[string]map[uint32]float64{"keyed": {limited.From: 10}}, RateLimits: []ratelimit.Statement{s}})
+	}
+	report(statement)
+	demand := c.requestCountsOf("keyed").ownerRates(now, &record)[limited.Owner]
+	s := c.Overloads()[limited.Owner.Server]
+	if sent := s.Admit * demand; !s.RateLimited || sent > rate || sent < rate/2 {
+		t.Errorf("got signal %+v, %.1f of %.1f requests per second sent; want at most %v", s, sent, demand, rate)
+	}
+	if got := c.withReportedCapacity(c.members.Members("keyed"))[1].Capacity; got != rate {
+		t.Errorf("got capacity %v, want the rate limit %v", got, rate)
+	}
+	now += time.Second
+	statement.Lifted = true
+	report(statement)
+	if got := c.Overloads(); len(got) != 0 {
+		t.Errorf("got signals %v after the limit was lifted, want none", got)
+	}
+}
--- a/internal/keyspace/report.go
+++ b/internal/keyspace/report.go
@@ -2,6 +2,8 @@
 
 import (
 	"kumquatcleat/internal/balance"
+	"kumquatcleat/internal/ratelimit"
+	"kumquatcleat/internal/registry"
 )
 
 // Report holds the requests and service times that a VM measured for keyed services
@@ -15,6 +17,8 @@
 	InFlight map[string]int `json:"in_flight,omitempty"`
 	// ServiceTimes holds the service times by server ID.
 	ServiceTimes map[string]balance.Samples `json:"times,omitempty"`
+	// RateLimits holds what answers since the last report said about rate limits.
+	RateLimits []ratelimit.Statement `json:"rate_limits,omitempty"`
 }
 
 // Bounds of one measurement in a report. A measurement outside them is not plausible and
@@ -37,6 +41,7 @@
 		}
 	}
 	c.inFlight.Add(c.clock(), r.VM, r.InFlight)
+	c.rateLimits.Add(c.clock(), r.RateLimits)
 	for server, sample := range r.ServiceTimes {
 		if sample.Count > 0 && sample.Count < maxReportedRequests && sample.Seconds >= 0 && sample.Seconds < maxReportedSeconds {
 			c.serviceTimes[server] = c.serviceTimes[server].add(sample)
@@ -66,14 +71,31 @@
 // to be used.
 const minServiceTimeSamples = 5
 
+// RateLimitChanges returns the rate limits that servers stated first, changed or lifted
+// recently.
+func (c *Coordinator) RateLimitChanges() []ratelimit.Statement {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.rateLimits.Changes(c.clock())
+}
+
+// rateLimitOf returns the rate limit of a server, and false if it has none. The caller holds
+// the lock.
+func (c *Coordinator) rateLimitOf(h Holder) (float64, bool) {
+	return c.rateLimits.Rate(registry.Instance{ID: h.Server, Incarnation: h.Incarnation})
+}
+
 // withReportedCapacity replaces this VM's capacity estimates by those from reported
-// service times.
+// service times and rate limits.
 func (c *Coordinator) withReportedCapacity(members []Member) []Member {
 	for i := range members {
 		s := c.serviceTimes[members[i].Server].samples
 		if s.Count >= minServiceTimeSamples && s.Seconds > 0 {
 			members[i].Capacity = float64(members[i].Slots) * s.Count / s.Seconds
 		}
+		if rate, limited := c.rateLimitOf(members[i].Holder); limited {
+			members[i].Capacity = min(members[i].Capacity, rate)
+		}
 	}
 	return members
 }
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -24,21 +24,32 @@
 	Admit float64
 	// WaitS is the time in seconds until the server has worked off what exceeds its target.
 	WaitS float64
+	// RateLimited says that Admit keeps the requests of all VMs within the server's rate
+	// limit.
+	RateLimited bool
 }
 
 // MarshalJSON implements json.Marshaler. Signals are sent to all VMs several times a second,
-// so they are encoded as three whole numbers: load, percent and milliseconds.
+// so they are encoded as whole numbers: load, percent, milliseconds. For a server with a rate
+// limit, whose share may be far below a percent, its parts per million plus one follow.
 func (s Signal) MarshalJSON() ([]byte, error) {
-	return json.Marshal([3]int{int(math.Round(s.Load)), int(math.Round(100 * s.Admit)), int(math.Round(1000 * s.WaitS))})
+	n := []int{int(math.Round(s.Load)), int(math.Round(100 * s.Admit)), int(math.Round(1000 * s.WaitS))}
+	if s.RateLimited {
+		n = append(n, 1+int(math.Round(1e6*s.Admit)))
+	}
+	return json.Marshal(n)
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (s *Signal) UnmarshalJSON(data []byte) error {
-	var n [3]int
+	var n [4]int
 	if err := json.Unmarshal(data, &n); err != nil {
 		return fmt.Errorf("overload signal: %w", err)
 	}
 	*s = Signal{Load: float64(n[0]), Admit: float64(n[1]) / 100, WaitS: float64(n[2]) / 1000}
+	if n[3] > 0 {
+		s.RateLimited, s.Admit = true, float64(n[3]-1)/1e6
+	}
 	return nil
 }
 
@@ -50,6 +61,9 @@
 	Load     float64 // requests that all VMs together have at the server
 	// Objective is the latency within which its answers should arrive.
 	Objective time.Duration
+	// RateLimit is the rate of requests that the server states it takes.
+	RateLimit    float64
+	HasRateLimit bool
 }
 
 const (
@@ -71,8 +85,29 @@
 // Busy reports whether a server has so many requests that it may be overloaded.
 func Busy(load float64, slots int) bool { return load >= busyPerSlot*float64(slots) }
 
-// SignalFor returns the signal for a server, and false if all requests may be sent.
+// rateLimitShare is the share of a server's rate limit that is sent: whether a request is
+// sent is decided at random, and the demand is known only for the last seconds.
+const rateLimitShare = 0.8
+
+// SignalFor returns the signal for a server, and false if all requests may be sent. A server
+// with a rate limit always has a signal.
 func SignalFor(s Server) (Signal, bool) {
+	signal, overloaded := loadSignal(s)
+	if !s.HasRateLimit {
+		return signal, overloaded
+	}
+	if !overloaded {
+		signal = Signal{Load: s.Load, Admit: 1}
+	}
+	signal.RateLimited = true
+	if allowed := rateLimitShare * s.RateLimit; allowed < s.Demand {
+		signal.Admit = min(signal.Admit, allowed/s.Demand)
+	}
+	return signal, true
+}
+
+// loadSignal returns the signal for a server by its load alone.
+func loadSignal(s Server) (Signal, bool) {
 	if !Busy(s.Load, s.Slots) || s.Demand <= 0 || s.Capacity <= 0 {
 		return Signal{}, false
 	}
@@ -186,9 +221,10 @@
 	g.signals, g.received = signals, now
 }
 
-// Admit decides whether a request may be sent to a server. Requests of lower rank number
+// Admit decides whether a request may be sent to a server, and returns the signal that it
+// followed, if any. Requests of lower rank number
 // are more urgent and go first: the others share what is left. random is a uniformly
-// distributed number below 1. If the request is not admitted, Admit returns the signal.
+// distributed number below 1.
 func (g *Gate) Admit(now time.Time, service, server string, rank int, random float64) (Signal, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -125,3 +125,18 @@
 		}
 	}
 }
+
+// Whatever the load and the demand, a server with a rate limit gets no more than that, and
+// the signal that VMs decode says so to within a millionth of the demand.
+func TestRateLimitBoundsAdmittedRequests(t *testing.T) {
+	properties := gopter.NewProperties(nil)
+	properties.Property("rate", prop.ForAll(
+		func(rate, demand, load float64) bool {
+			sent, ok := SignalFor(Server{Slots: 6, Capacity: 50, Demand: demand, Load: load, Objective: time.Second, RateLimit: rate, HasRateLimit: true})
+			data, err := json.Marshal(sent)
+			var s Signal
+			return ok && err == nil && json.Unmarshal(data, &s) == nil && s.RateLimited && s.Admit >= 0 && s.Admit <= 1 && s.Admit*demand <= rate+1e-6*demand
+		},
+		gen.Float64Range(0.1, 100), gen.Float64Range(0, 5000), gen.Float64Range(0, 200)))
+	properties.TestingRun(t)
+}
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -1,10 +1,15 @@
-// Package ratelimit tracks the rate limits that servers state in their answers. Such a limit
-// is for the requests of all VMs together and holds until the server answers without it.
+// Package ratelimit keeps the requests that all VMs together send to a server within the
+// rate limit that the server states in its answers. A limit holds until the server answers
+// without it. Each VM sends its share of the limit, whatever the others do; what one VM
+// learns from an answer reaches the others as a Statement.
 package ratelimit
 
 import (
 	"log/slog"
+	"math"
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -12,66 +17,159 @@
 	"kumquatcleat/internal/registry"
 )
 
-// limit is what is known of the rate limit of one server.
+// limit is the rate limit of one server and this VM's share of it.
 type limit struct {
-	rate float64 // requests per second from all VMs together
+	rate   float64   // requests per second from all VMs together
+	stated time.Time // when the server last stated it, to this or another VM
+	// credit grows with this VM's share of the rate. A request takes one.
+	credit   float64
+	creditAt time.Time
+
 	// loggedAt and loggedRate bound the log lines of a server whose limit changes with
 	// each answer.
 	loggedAt   time.Time
 	loggedRate float64
 }
 
-// Limits holds the rate limits that servers state. It is safe for concurrent use.
+// Limits holds the rate limits of servers on one VM. It is safe for concurrent use.
 type Limits struct {
-	known metrics.Gauge
+	// vms returns the number of VMs that share the limits, 0 if unknown.
+	vms   func() int
+	gauge metrics.Gauge
+	count atomic.Int64 // of limits; without any, requests take no lock
 
-	mu     sync.Mutex // guards limits
+	mu     sync.Mutex // guards the fields below
 	limits map[registry.Instance]*limit
+	news   map[registry.Instance]Statement // from answers since the last TakeStatements
 }
 
 // New returns limits of no server. The number of limited servers is the metric
 // servers_rate_limited.
-func New(m metrics.Registry) *Limits {
-	return &Limits{known: metrics.GetOrRegisterGauge("servers_rate_limited", m), limits: map[registry.Instance]*limit{}}
+func New(vms func() int, m metrics.Registry) *Limits {
+	return &Limits{
+		vms: vms, gauge: metrics.GetOrRegisterGauge("servers_rate_limited", m),
+		limits: map[registry.Instance]*limit{}, news: map[registry.Instance]Statement{},
+	}
+}
+
+// Stated records that a server stated a rate limit in an answer.
+func (l *Limits) Stated(now time.Time, server registry.Instance, rate float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.set(now, server, rate, now)
+	l.news[server] = Statement{Server: server.ID, Incarnation: server.Incarnation, Rate: rate, at: now}
 }
 
+// Unstated records that a server answered without a rate limit.
+func (l *Limits) Unstated(now time.Time, server registry.Instance) {
+	if l.count.Load() == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.limits[server] == nil {
+		return
+	}
+	l.lift(server)
+	l.news[server] = Statement{Server: server.ID, Incarnation: server.Incarnation, Lifted: true, at: now}
+}
+
+// minRate is the rate in requests per second that is sent even to a server that takes
+// fewer: only its answers show when the limit ends.
+const minRate = 0.25
+
 const (
 	// logInterval and logChange bound the lines about one server.
 	logInterval = time.Second
 	logChange   = 1.1 // factor
 )
 
-// Stated records that a server stated a rate limit in an answer.
-func (l *Limits) Stated(now time.Time, server registry.Instance, rate float64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+func (l *Limits) set(now time.Time, server registry.Instance, rate float64, stated time.Time) {
 	known := l.limits[server]
 	if known == nil {
-		known = &limit{}
+		// VMs learn of a limit at about the same time. A random start keeps them from
+		// sending together.
+		known = &limit{credit: rand.Float64(), creditAt: now}
 		l.limits[server] = known
-		l.known.Update(int64(len(l.limits)))
+		l.updateCount()
 	}
-	known.rate = rate
+	l.accrue(now, known)
+	known.rate, known.stated = max(rate, minRate), stated
 	changed := rate > known.loggedRate*logChange || rate*logChange < known.loggedRate
 	if known.loggedAt.IsZero() || changed && now.Sub(known.loggedAt) >= logInterval {
-		slog.Info("ratelimit: server states a limit", "server", server.ID, "incarnation", server.Incarnation, "rate_per_s", rate, "logged_before", known.loggedRate)
+		slog.Info("ratelimit: server states a limit", "server", server.ID, "incarnation", server.Incarnation, "rate_per_s", rate, "logged_before", known.loggedRate, "vms", l.vms(), "age", now.Sub(stated))
 		known.loggedAt, known.loggedRate = now, rate
 	}
 }
 
-// Unstated records that a server answered without a rate limit.
-func (l *Limits) Unstated(server registry.Instance) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if known := l.limits[server]; known != nil {
-		slog.Info("ratelimit: server states no limit any more", "server", server.ID, "incarnation", server.Incarnation, "rate_per_s", known.rate)
-		l.forget(server)
-	}
+func (l *Limits) lift(server registry.Instance) {
+	slog.Info("ratelimit: server states no limit any more", "server", server.ID, "incarnation", server.Incarnation, "rate_per_s", l.limits[server].rate)
+	l.forget(server)
 }
 
 func (l *Limits) forget(server registry.Instance) {
 	delete(l.limits, server)
-	l.known.Update(int64(len(l.limits)))
+	l.updateCount()
+}
+
+func (l *Limits) updateCount() {
+	l.count.Store(int64(len(l.limits)))
+	l.gauge.Update(int64(len(l.limits)))
+}
+
+// creditLife is how long a VM may save up the right to send a request. A longer one lets
+// more requests arrive together after a quiet time, a shorter one leaves a share unused
+// while requests are rare.
+const creditLife = time.Second
+
+// accrue adds the credit since the last call. What was saved up for longer than creditLife
+// is lost, one request at a time, so that VMs stay out of step.
+func (l *Limits) accrue(now time.Time, known *limit) {
+	vms := l.vms()
+	if vms == 0 {
+		known.creditAt = now
+		return
+	}
+	share := known.rate / float64(vms)
+	known.credit += share * max(now.Sub(known.creditAt).Seconds(), 0)
+	known.creditAt = now
+	if excess := known.credit - 1 - share*creditLife.Seconds(); excess > 0 {
+		known.credit -= math.Ceil(excess)
+	}
+}
+
+// Take takes the right to send a request to a server, and reports whether there was one.
+func (l *Limits) Take(now time.Time, server registry.Instance) bool {
+	return l.wait(now, server, true) == 0
+}
+
+// Wait returns the time until this VM may send a request to a server, 0 if it may now.
+func (l *Limits) Wait(now time.Time, server registry.Instance) time.Duration {
+	return l.wait(now, server, false)
+}
+
+// maxWait is the longest time that Wait returns.
+const maxWait = time.Minute
+
+func (l *Limits) wait(now time.Time, server registry.Instance, take bool) time.Duration {
+	if l.count.Load() == 0 {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := l.limits[server]
+	if known == nil {
+		return 0
+	}
+	l.accrue(now, known)
+	if known.credit >= 1 {
+		if take {
+			known.credit--
+		}
+		return 0
+	}
+	seconds := (1 - known.credit) * float64(max(l.vms(), 1)) / known.rate
+	return time.Duration(min(seconds, maxWait.Seconds()) * float64(time.Second))
 }
 
 // Sweep forgets the limits of servers for which keep returns false.
