Changes of a list reach peers that wait for them to age

A view kept the rows of a list in the order of their keys among its changes. A peer that asks only for changes of some age continues from just before the first one that is too young, so those with lower versions behind it were never sent to it. Found while reading what happens after a restore, where a whole table changes at once. Changes are kept in the order of their versions. TestYoungChangesOfListAreSentLater failed before. Also: formatting of one struct.

--- a/internal/keyspace/coordinator.go
+++ b/internal/keyspace/coordinator.go
@@ -79,7 +79,7 @@
 	requestCounts map[string]*RequestCounts
 	serviceTimes  map[string]serviceTime // by server: smoothed time that it takes per request
 	writeCount    uint64
-	inFlight      *overload.Totals           // requests at servers, as VMs report them
+	inFlight      *overload.Totals // requests at servers, as VMs report them
 	rateLimits    *ratelimit.Board
 	signals       map[string]overload.Signal // computed at signalsAt
 	signalsAt     time.Duration
--- a/internal/rows/rows_test.go
+++ b/internal/rows/rows_test.go
@@ -102,3 +102,14 @@
 		t.Fatalf("got %d updates after %v, want 1 within 1 s", len(updates), time.Since(began))
 	}
 }
+
+// Changes that are too young are sent later, all of them: a list is not ordered by version.
+func TestYoungChangesOfListAreSentLater(t *testing.T) {
+	_, v := newTestView(100)
+	v.Replace(Page{Version: 1})
+	v.Replace(Page{Version: 30, Rows: []Row{row("a", 20), row("b", 10), row("c", 30)}})
+	page, _ := v.Since(1, time.Hour)
+	if page, _ = v.Since(page.Version, 0); len(page.Rows) != 3 {
+		t.Errorf("got rows %v, want a, b and c", keys(page))
+	}
+}
--- a/internal/rows/view.go
+++ b/internal/rows/view.go
@@ -1,7 +1,9 @@
 package rows
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 )
@@ -108,6 +110,8 @@
 		changed = append(changed, row)
 	}
 	if v.synced {
+		// A list is ordered by key. Peers continue from a version.
+		slices.SortStableFunc(changed, func(a, b Row) int { return cmp.Compare(a.Version, b.Version) })
 		v.appendLog(changed)
 	} else {
 		v.floor = page.Version
