Versions of a restored store rise above those of before

Versions now hold the era above the store's number. Era 0 stands for a store that was never restored, so nothing changes until then. Rows missing after a restore count as not settled, as after an outage.

TestListOfNewEraReplacesNewerNumbers is new.

--- a/internal/rows/follower.go
+++ b/internal/rows/follower.go
@@ -112,11 +112,21 @@
 	if err != nil {
 		return err
 	}
+	if view.Synced() && Era(page.Version) > Era(view.Version()) {
+		f.markRecovered()
+	}
 	page.Unsettled = f.unsettled()
 	view.Replace(page)
 	return nil
 }
 
+// markRecovered records that rows may be missing from now on: the store has lost some.
+func (f *Follower) markRecovered() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.recoveredAt = time.Now()
+}
+
 // recordResult records the result of a call. It logs the beginning and the end of a series
 // of failures, once each.
 func (f *Follower) recordResult(view *View, err error) {
--- a/internal/rows/rows_test.go
+++ b/internal/rows/rows_test.go
@@ -103,6 +103,25 @@
 	}
 }
 
+// A restored store's list has lower version numbers than a view, and takes effect: on the
+// view and on another one that follows it, also if that waits for changes to age.
+func TestListOfNewEraReplacesNewerNumbers(t *testing.T) {
+	source, v := newTestView(100)
+	v.Replace(Page{Version: VersionIn(0, 50), Rows: []Row{row("a", VersionIn(0, 40)), row("lost", VersionIn(0, 45))}})
+	follower, w := newTestView(100)
+	follower.Apply(source.Updates(context.Background(), follower.Versions(), 0, 0))
+	v.Replace(Page{Version: VersionIn(1, 30), Rows: []Row{row("z", VersionIn(1, 29)), row("a", VersionIn(1, 20)), row("b", VersionIn(1, 10))}, Unsettled: true})
+	for range 3 {
+		follower.Apply(source.Updates(context.Background(), follower.Versions(), 0, 0))
+	}
+	for name, view := range map[string]*View{"source": v, "follower": w} {
+		page, _ := view.Since(0, 0)
+		if got := keys(page); !slices.Equal(got, []string{"a", "b", "z"}) || view.Version() != VersionIn(1, 30) {
+			t.Errorf("%s: got rows %v at version %d, want a, b and z at %d", name, got, view.Version(), VersionIn(1, 30))
+		}
+	}
+}
+
 // Changes that are too young are sent later, all of them: a list is not ordered by version.
 func TestYoungChangesOfListAreSentLater(t *testing.T) {
 	_, v := newTestView(100)
