Servers that left stay unused after the store was restored

The registry compares a registration of a new era with what it knows: an earlier incarnation is ignored, a server that drains goes on draining, and one that had left is used only when it writes its registration again, or keeps it for 4 s, in which the platform removes those of silent servers.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -44,6 +44,7 @@
 	now := time.Now()
 	g.registry.Update(func(servers *registry.Edit) {
 		for _, row := range changed {
+			servers.InEra(rows.Era(row.Version))
 			if row.Deleted {
 				registrationDeleted(servers, row, now)
 				continue
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -24,6 +24,8 @@
 	Incarnation int64
 	Warmup      time.Duration // remaining warm-up time when the registration was written
 	SeenAt      time.Time     // when this VM read the registration
+
+	era uint64 // of the store when this VM read the registration
 }
 
 // Instance identifies one incarnation of a server.
@@ -45,7 +47,7 @@
 }
 
 // Registry holds the registered servers. Reads of servers are lock-free; mu serializes
-// changes and guards retainedUntil and terminated.
+// changes and guards the other fields.
 type Registry struct {
 	mu      sync.Mutex
 	current atomic.Pointer[snapshot]
@@ -53,11 +55,14 @@
 	// registration disappeared during or shortly after a store outage.
 	retainedUntil map[string]time.Time
 	terminated    map[string]int64 // highest incarnation known to have terminated, by server ID
+	era           uint64           // newest era of the store of which there were changes
+	departed      map[string]departure
+	returning     map[string]returning
 }
 
 // New returns an empty registry.
 func New() *Registry {
-	r := &Registry{retainedUntil: map[string]time.Time{}, terminated: map[string]int64{}}
+	r := &Registry{retainedUntil: map[string]time.Time{}, terminated: map[string]int64{}, departed: map[string]departure{}, returning: map[string]returning{}}
 	r.current.Store(&snapshot{servers: map[string]*Server{}, services: map[string][]*Server{}})
 	return r
 }
@@ -78,6 +83,9 @@
 // Put adds or updates the registration of a server.
 func (e *Edit) Put(s Server) {
 	delete(e.registry.retainedUntil, s.ID)
+	if !e.reconcile(&s) {
+		return
+	}
 	old := e.servers[s.ID]
 	if old == nil || !old.SameInstance(&s) || old.Draining != s.Draining {
 		slog.Info("registry: server", "server", s.ID, "service", s.Service, "address", s.Address,
@@ -91,7 +99,9 @@
 // Remove removes a server whose registration was deleted or is invalid.
 func (e *Edit) Remove(id, reason string) {
 	delete(e.registry.retainedUntil, id)
+	delete(e.registry.returning, id)
 	if old := e.servers[id]; old != nil {
+		e.depart(old)
 		slog.Info("registry: server gone", "server", id, "reason", reason)
 		e.touch(old)
 		delete(e.servers, id)
@@ -117,7 +127,8 @@
 	}
 }
 
-// Sweep removes the servers whose retention time has passed.
+// Sweep removes the servers whose retention time has passed, and adds those that returned with
+// a restored store to stay.
 func (r *Registry) Sweep(now time.Time) {
 	r.mu.Lock()
 	var expired []string
@@ -126,10 +137,14 @@
 			expired = append(expired, id)
 		}
 	}
+	lasted := r.sweepReturning(now)
 	r.mu.Unlock()
 	for _, id := range expired {
 		r.Remove(id, "its entry did not come back with the store")
 	}
+	for _, s := range lasted {
+		r.Put(s)
+	}
 }
 
 // MarkTerminated records that an incarnation of a server has terminated: another server
