One coordinator at a time after the store was restored

A copy of the coordinator row may name an earlier process of the VM that reads it, or be missing, while the VM whose claim was lost still holds the lease. Both counted as a free lease at once. A standby also took the copy's word that no long leases were out.

Claims name the era in which they were written. In a row from a copy, and without a row, a VM waits as long as for any other claim, from when it first read the row or the era, and expects long leases. A holder renews the copy of its own claim only while its lease has not expired: until then no other VM can have coordinated.

--- a/internal/keyspace/commit_test.go
+++ b/internal/keyspace/commit_test.go
@@ -21,6 +21,9 @@
 	return rows.Row{Key: key}, nil
 }
 
+// Era implements rows.Store.
+func (s *rejectingStore) Era() uint64 { return 0 }
+
 // Commit implements rows.Store.
 func (s *rejectingStore) Commit(_ context.Context, writes []rows.Write) (uint64, error) {
 	for _, w := range writes {
--- a/internal/keyspace/coordinator_lease.go
+++ b/internal/keyspace/coordinator_lease.go
@@ -70,6 +70,11 @@
 	// long lease can be outstanding.
 	lastLongLeaseAt time.Duration
 
+	// era is that of the store when the coordinator row was last read, eraSeenAt when it was
+	// first read in that era.
+	era       uint64
+	eraSeenAt time.Duration
+
 	lastClaim   claim         // in the coordinator row as last read
 	suspectedAt time.Duration // when the coordinator last failed to answer; 0: never
 
--- a/internal/keyspace/coordinator_lease_claim.go
+++ b/internal/keyspace/coordinator_lease_claim.go
@@ -16,6 +16,9 @@
 	Process
 	Count   uint64  `json:"count"`   // makes each renewal write a new row version
 	Standby Process `json:"standby"` // long leases need its consent
+	// Era is the era of the store in which the claim was written. A row of a newer era with
+	// this claim comes from a copy: later claims may be lost.
+	Era uint64 `json:"era,omitempty"`
 	// LongLeases reports that long leases may be outstanding. Another standby may
 	// have consented to them, or an earlier coordinator may have granted them.
 	LongLeases bool `json:"long,omitempty"`
@@ -34,6 +37,10 @@
 	return found
 }
 
+// restored reports whether a claim was read from a copy of an earlier era. version is that of
+// its row.
+func (c *claim) restored(version uint64) bool { return c.Era < rows.Era(version) }
+
 // withDrift lengthens a duration by the maximum clock drift between two VMs.
 func withDrift(d time.Duration, perMill int64) time.Duration {
 	return d + d*time.Duration(perMill)/1000
@@ -50,7 +57,7 @@
 // before the call.
 func (l *CoordinatorLease) writeClaim(ctx context.Context, expect uint64, message string) {
 	sent := l.clock()
-	standby := l.prepareClaim()
+	standby := l.prepareClaim(max(l.store.Era(), rows.Era(expect)))
 	value, err := json.Marshal(l.ownClaim)
 	if err != nil {
 		slog.Error("lead: cannot encode the claim", "error", err.Error())
@@ -62,6 +69,9 @@
 	defer degradedTimer.Stop()
 	version, err := l.store.Commit(callCtx, []rows.Write{{Table: l.table, Key: coordinatorKey, Expect: expect, Value: value}})
 	degradedTimer.Stop()
+	if err == nil && rows.Era(version) != l.ownClaim.Era {
+		err = rows.ErrConflict // the store was restored during the call
+	}
 	l.recordStoreAnswer(err == nil || errors.Is(err, rows.ErrConflict))
 	switch {
 	case err == nil:
@@ -126,6 +136,10 @@
 		return
 	}
 	found := readClaim(row)
+	if found.Process == l.ownClaim.Process && found.restored(row.Version) {
+		l.recordRestored(row.Version)
+		return
+	}
 	if found.Process == l.ownClaim.Process {
 		if found.Count == l.ownClaim.Count {
 			l.recordAcquired(row.Version, sent, found.Standby)
@@ -137,6 +151,21 @@
 	l.recordLost(row.Version, found.VM)
 }
 
+// recordRestored records that the coordinator row holds a claim of this process from a copy.
+// While the lease has not expired, no other VM can have coordinated since, and this one may
+// renew it. After that, another VM may have, whose claim was lost.
+func (l *CoordinatorLease) recordRestored(version uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock()
+	slog.Info("lead: the coordinator row comes from a copy", "version", version, "era", rows.Era(version), "held", l.held && now < l.expiresAt)
+	l.held = l.held && now < l.expiresAt
+	l.namedStandby, l.standbyConsent = Process{}, false
+	if l.version != version {
+		l.version, l.versionSeenAt = version, now
+	}
+}
+
 // recordEarlierClaim records that the coordinator row holds an earlier claim of this
 // process. The last claim may still be applied, so the standby is known only if both
 // claims name the same one.
--- a/internal/keyspace/coordinator_lease_poll.go
+++ b/internal/keyspace/coordinator_lease_poll.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"kumquatcleat/internal/rows"
 	"kumquatcleat/internal/wait"
 )
 
@@ -114,13 +115,13 @@
 	}
 	last := readClaim(row)
 	l.lastClaim = last
-	// An earlier process of this VM has terminated, as a VM runs one process at a
-	// time.
-	ownEarlier := last.VM == l.ownClaim.VM && last.Start != l.ownClaim.Start
-	free := row.Version == 0 || ownEarlier || now-l.versionSeenAt > l.takeoverTimeout(last)
+	if era := max(l.store.Era(), rows.Era(row.Version)); era != l.era || l.eraSeenAt == 0 {
+		l.era, l.eraSeenAt = era, now
+	}
+	free := l.isFree(now, row.Version, last)
 	if free && !l.resigned {
 		l.lastLongLeaseAt = 0
-		if row.Version != 0 && l.mayHaveGrantedLongLeases(last) {
+		if l.mayHaveGrantedLongLeases(last, row.Version) {
 			l.lastLongLeaseAt = now
 		}
 	}
@@ -132,6 +133,20 @@
 	return true
 }
 
+// isFree reports whether the coordinator row, of a version and with a claim, shows that no VM
+// holds the lease. The caller holds the lock.
+func (l *CoordinatorLease) isFree(now time.Duration, version uint64, last claim) bool {
+	if version == 0 {
+		// A copy may lack the row of a VM that still holds the lease.
+		return now-l.eraSeenAt > l.takeoverTimeout(last)
+	}
+	// An earlier process of this VM has terminated, as a VM runs one process at a time.
+	if last.VM == l.ownClaim.VM && last.Start != l.ownClaim.Start && !last.restored(version) {
+		return true
+	}
+	return now-l.versionSeenAt > l.takeoverTimeout(last)
+}
+
 // takeoverTimeout returns how long after the last claim was first read another VM may
 // take over. The standby takes over first: it knows whether long leases are
 // outstanding.
--- a/internal/keyspace/coordinator_lease_standby.go
+++ b/internal/keyspace/coordinator_lease_standby.go
@@ -99,12 +99,13 @@
 	l.standbyConsent, l.lastLongLeaseAt = true, l.clock()
 }
 
-// prepareClaim builds the next claim and returns the standby it names. If the standby
+// prepareClaim builds the next claim for an era of the store and returns the standby it names. If the standby
 // changes, namedStandby is unknown until the claim is answered.
-func (l *CoordinatorLease) prepareClaim() Process {
+func (l *CoordinatorLease) prepareClaim(era uint64) Process {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ownClaim.Count++
+	l.ownClaim.Era = era
 	l.ownClaim.Standby = l.nextStandby
 	l.ownClaim.LongLeases = l.longLeasesOutstandingLocked()
 	if l.namedStandby != l.nextStandby {
@@ -123,10 +124,14 @@
 // server.
 const longGrantMargin = time.Second
 
-// mayHaveGrantedLongLeases reports whether the holder of the last claim may have
-// granted long leases that are still outstanding. The caller holds the lock.
-func (l *CoordinatorLease) mayHaveGrantedLongLeases(last claim) bool {
-	return last.LongLeases || last.Standby != l.ownClaim.Process || l.consentedTo == last.Process
+// mayHaveGrantedLongLeases reports whether the holder of the last claim, or of one that was
+// lost in a restore, may have granted long leases that are still outstanding. version is that
+// of the coordinator row. The caller holds the lock.
+func (l *CoordinatorLease) mayHaveGrantedLongLeases(last claim, version uint64) bool {
+	if version == 0 {
+		return l.era > 0 && l.clock()-l.eraSeenAt < withDrift(l.settings.LongLease, l.settings.DriftPerMill)+longGrantMargin
+	}
+	return last.restored(version) || last.LongLeases || last.Standby != l.ownClaim.Process || l.consentedTo == last.Process
 }
 
 // HandleStandbyRequest answers a coordinator whose standby this VM is.
--- a/internal/keyspace/coordinator_lease_test.go
+++ b/internal/keyspace/coordinator_lease_test.go
@@ -15,6 +15,7 @@
 	mu           sync.Mutex // guards the fields below
 	row          rows.Row
 	unresponsive bool
+	era          uint64
 }
 
 var errNoAnswer = errors.New("no answer")
@@ -41,7 +42,7 @@
 		s.row = rows.Row{}
 		return 0, nil
 	}
-	s.row = rows.Row{Key: w.Key, Value: w.Value, Version: s.row.Version + 1}
+	s.row = rows.Row{Key: w.Key, Value: w.Value, Version: rows.VersionIn(s.era, rows.Number(s.row.Version)+1)}
 	return s.row.Version, nil
 }
 
@@ -51,6 +52,23 @@
 	return rows.Page{}, nil
 }
 
+func (s *oneRowStore) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
+// restore replaces the row by one that it had before and gives versions out again.
+func (s *oneRowStore) restore(row rows.Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	if row.Version != 0 {
+		row.Version = rows.VersionIn(s.era, rows.Number(row.Version))
+	}
+	s.row = row
+}
+
 func (s *oneRowStore) exists() bool { return s.row.Version != 0 }
 
 // vmStore is the access of one VM to the store. It can be disconnected.
@@ -97,7 +115,9 @@
 		return r.standby.HandleStandbyRequest(ctx, request), nil
 	}
 	self := Process{VM: vm, Start: "start-" + vm}
-	return NewCoordinatorLease(s, store, "lead", self, func() time.Duration { return r.now }, func() int { return 0 }, ask), store
+	l := NewCoordinatorLease(s, store, "lead", self, func() time.Duration { return r.now }, func() int { return 0 }, ask)
+	l.eraSeenAt = 1 // the VM has run for a while
+	return l, store
 }
 
 func newLeaseRig() *leaseRig { return &leaseRig{store: &oneRowStore{}, now: time.Minute} }
@@ -384,3 +404,70 @@
 		t.Fatal("standby woken again by a repeated request")
 	}
 }
+
+// Guards against two VMs that coordinate at once after the store came back from a copy: the
+// claim of the VM that holds the lease is lost, and the copy names another VM, an earlier
+// process of the one that asks, or none.
+func TestRestoredRowDoesNotFreeHeldLease(t *testing.T) {
+	for name, copied := range map[string]func(r *leaseRig) rows.Row{
+		"no row":      func(*leaseRig) rows.Row { return rows.Row{} },
+		"other claim": func(r *leaseRig) rows.Row { r.newLease("c").poll(t.Context()); return r.store.row },
+		"earlier process of the VM": func(r *leaseRig) rows.Row {
+			earlier := r.newLease("b")
+			earlier.ownClaim.Start = "earlier"
+			earlier.poll(t.Context())
+			return r.store.row
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newLeaseRig()
+			old := copied(r)
+			r.store.row = rows.Row{Key: coordinatorKey}
+			holder, other := r.newLease("a"), r.newLease("b")
+			fresh := r.newLease("b")
+			fresh.eraSeenAt = 0
+			holder.poll(t.Context())
+			other.poll(t.Context())
+			if !holder.Held() {
+				t.Fatal("the lease is free, but the VM does not hold it")
+			}
+			r.store.restore(old)
+			for range 40 {
+				for _, l := range []*CoordinatorLease{other, fresh} {
+					if l.poll(t.Context()); l.Held() && holder.Held() {
+						t.Fatal("two VMs hold the lease")
+					}
+				}
+				r.now += 100 * time.Millisecond
+			}
+			if !other.Held() && !fresh.Held() {
+				t.Error("no VM has taken over 4s after the restore")
+			}
+			if !other.LongLeasesOutstanding() && !fresh.LongLeasesOutstanding() {
+				t.Error("long leases of a VM whose claim is lost are not expected")
+			}
+		})
+	}
+}
+
+// A VM whose lease has not expired renews it on the copy of its own claim. Once it expired,
+// another VM may have coordinated since, so that it has to wait like any other.
+func TestHolderRenewsRestoredClaimOnlyBeforeExpiry(t *testing.T) {
+	for passed, held := range map[time.Duration]bool{300 * time.Millisecond: true, 1200 * time.Millisecond: false} {
+		r := newLeaseRig()
+		holder := r.newLease("a")
+		holder.poll(t.Context())
+		old := r.store.row
+		holder.renew(t.Context())
+		r.now += passed
+		r.store.restore(old)
+		for range 2 { // the first one finds the copy
+			if holder.shouldRenew() {
+				holder.renew(t.Context())
+			}
+		}
+		if holder.Held() != held {
+			t.Errorf("%v after its last renewal: held is %v, want %v", passed, holder.Held(), held)
+		}
+	}
+}
--- a/internal/rows/rows.go
+++ b/internal/rows/rows.go
@@ -70,4 +70,6 @@
 	Get(ctx context.Context, table, key string) (Row, error)
 	// Commit applies all writes or none and returns the version of the transaction.
 	Commit(ctx context.Context, writes []Write) (uint64, error)
+	// Era returns the newest era that an answer of the store stated.
+	Era() uint64
 }
