Owners of keys survive a restore of the store

Records name the era in which they were written, so a copy is known for what it is. It does not replace a later record that a VM has cached. A coordinator that finds one, or none in a store that was restored, asks all VMs for their newest record: the one that wrote the last record caches it before it sends an order by it. If a VM does not answer, keys are granted again only when all leases that it may have granted have expired. It then takes over from that record as after any change of the coordinator, with all tokens raised, and publishes its address again.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -100,6 +100,21 @@
 	return len(p.vms)
 }
 
+// others returns all VMs but this one.
+func (p *peers) others() []peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []peer
+	for _, domain := range p.domains() {
+		for _, v := range domain {
+			if v.name != p.settings.VM {
+				list = append(list, v)
+			}
+		}
+	}
+	return list
+}
+
 // recordFormat returns the newest format of owners records that all known VMs read.
 func (p *peers) recordFormat() keyspace.RecordFormat {
 	p.mu.Lock()
--- a/internal/gateway/provision.go
+++ b/internal/gateway/provision.go
@@ -86,6 +86,7 @@
 	s := rows.FollowerSettings{Wait: g.watchTimeout, Pause: g.watchPause, Retry: watchRetryDelay, RecheckInterval: readerRecheckInterval, SettleTime: storeSettleTime}
 	g.follower = rows.NewFollower(s, g.adapter.Store, g.views, g.readsFromStore, g.metrics)
 	g.viewSync = newViewSync(g.peers, g.views, g.loads, g.adapter.ConfigTable)
+	g.viewSync.owners = g.owners
 	g.viewSync.isCoordinator = g.loads.isCoordinator
 	g.viewSync.coordinatorAddress = g.loads.coordinatorAddress
 	g.viewSync.answerStandby = func(ctx context.Context, q keyspace.StandbyRequest) keyspace.StandbyAnswer {
@@ -209,15 +210,16 @@
 		bootclock.Now, g.peers.rank, g.askStandby)
 	g.coordinator = keyspace.NewCoordinator(keyspace.Options{
 		Settings: s, Store: g.adapter.Store, CoordinatorLease: g.coordinatorLease,
-		Control:   g.adapter.NewControl(g.newControlSender(), g.registry.MarkTerminated),
-		Members:   &members{registry: g.registry, balancer: g.balancer},
-		Owners:    g.owners,
-		Services:  func() []string { return keyedServices(g.Current()) },
-		Objective: func(service string) time.Duration { return objectiveOf(g.Current(), service) },
-		Format:    g.peers.recordFormat,
-		Clock:     bootclock.Now,
-		Address:   g.settings.PeerListen,
-		WriteID:   g.settings.VM + "/" + g.startID,
+		Control:    g.adapter.NewControl(g.newControlSender(), g.registry.MarkTerminated),
+		Members:    &members{registry: g.registry, balancer: g.balancer},
+		Owners:     g.owners,
+		Services:   func() []string { return keyedServices(g.Current()) },
+		Objective:  func(service string) time.Duration { return objectiveOf(g.Current(), service) },
+		AskRecords: g.viewSync.askRecords,
+		Format:     g.peers.recordFormat,
+		Clock:      bootclock.Now,
+		Address:    g.settings.PeerListen,
+		WriteID:    g.settings.VM + "/" + g.startID,
 	})
 }
 
--- a/internal/gateway/view_sync.go
+++ b/internal/gateway/view_sync.go
@@ -60,6 +60,7 @@
 	client     *http.Client
 	seedClient *http.Client // for seeds, some of which may not run yet
 	loads      *loadReporter
+	owners     *keyspace.Owners
 	packer     *packer
 	// isCoordinator reports whether this VM is the coordinator. coordinatorAddress
 	// returns the coordinator's peer address, or "" if unknown.
@@ -210,6 +211,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+pathLoads, s.loads.receive)
 	mux.HandleFunc("POST "+pathStandby, s.serveStandby)
+	mux.HandleFunc("POST "+pathRecords, s.serveRecords)
 	mux.HandleFunc("POST "+pathUpdates, func(w http.ResponseWriter, r *http.Request) {
 		var request updatesRequest
 		if !decodeRequest(w, r, &request) {
--- a/internal/keyspace/coordinator.go
+++ b/internal/keyspace/coordinator.go
@@ -70,6 +70,9 @@
 	services  func() []string
 	objective func(service string) time.Duration
 	format    func() RecordFormat
+	// askRecords asks all VMs for owners records that are newer than the cached ones, caches
+	// them and reports whether all VMs answered.
+	askRecords func(ctx context.Context) bool
 	clock     bootclock.Clock
 	address   string
 	writeID   string
@@ -84,12 +87,15 @@
 	signals       map[string]overload.Signal // computed at signalsAt
 	signalsAt     time.Duration
 
+	recovery recovery // used only by Run
+
 	wake chan struct{} // signaled after a record was written: orders may be due
 }
 
 // serviceState is the coordinator's state for one service.
 type serviceState struct {
 	service      string
+	era          uint64 // of the store when the record was read
 	leases       *LeaseTracker
 	committing   bool
 	membersSince time.Duration // when members were first present
@@ -108,6 +114,7 @@
 	Owners           *Owners
 	Services         func() []string
 	Objective        func(service string) time.Duration // latency within which answers should arrive
+	AskRecords       func(ctx context.Context) bool     // see Coordinator.recoverRecord
 	Format           func() RecordFormat                // newest format of records that all VMs read
 	Clock            bootclock.Clock
 	Address          string // peer address to which other VMs send load reports
@@ -118,7 +125,7 @@
 func NewCoordinator(o Options) *Coordinator {
 	return &Coordinator{
 		settings: o.Settings, store: o.Store, lease: o.CoordinatorLease, control: o.Control, members: o.Members,
-		owners: o.Owners, services: o.Services, objective: o.Objective, format: o.Format, clock: o.Clock, address: o.Address, writeID: o.WriteID,
+		owners: o.Owners, services: o.Services, objective: o.Objective, format: o.Format, askRecords: o.AskRecords, clock: o.Clock, address: o.Address, writeID: o.WriteID,
 		serviceStates: map[string]*serviceState{}, requestCounts: map[string]*RequestCounts{}, serviceTimes: map[string]serviceTime{},
 		inFlight: overload.NewTotals(), rateLimits: ratelimit.NewBoard(), wake: make(chan struct{}, 1),
 	}
@@ -132,14 +139,15 @@
 func (c *Coordinator) Run(ctx context.Context) {
 	var calls sync.WaitGroup
 	defer calls.Wait()
-	pause := idleTick
+	pause, publishedIn := idleTick, uint64(0)
 	for c.waitForTick(ctx, pause) {
 		if !c.lease.Held() {
 			c.dropServiceStates()
 			pause = idleTick
 			continue
 		}
-		if pause == idleTick {
+		if era := c.store.Era(); pause == idleTick || era != publishedIn {
+			publishedIn = era
 			calls.Go(func() { c.publishAddress(ctx) })
 		}
 		pause = c.settings.Tick
@@ -175,6 +183,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	clear(c.serviceStates)
+	c.recovery = recovery{}
 }
 
 func (c *Coordinator) tick(ctx context.Context, service string, calls *sync.WaitGroup) {
@@ -192,6 +201,10 @@
 	if svc.committing || now < svc.pausedUntil {
 		return
 	}
+	if svc.era < c.store.Era() {
+		delete(c.serviceStates, service) // the restored store has another record
+		return
+	}
 	next, reason := c.next(now, svc)
 	if reason == "" {
 		return
@@ -199,6 +212,7 @@
 	next.raiseTokens()
 	svc.committing = true
 	c.writeCount++
+	next.Era = svc.era
 	next.WriteID = fmt.Sprintf("%s/%d", c.writeID, c.writeCount)
 	version := svc.leases.version
 	calls.Go(func() { c.commit(ctx, svc, next, version, reason) })
@@ -218,30 +232,48 @@
 		slog.Warn("keyspace: cannot read the owners record", "service", service, "error", err.Error())
 		return nil
 	}
-	var record Record
-	if row.Version != 0 {
-		if record, err = DecodeRecord(row.Value, row.Version); err != nil {
-			slog.Error("keyspace: cannot decode the owners record", "service", service, "error", err.Error())
-			return nil
-		}
-		if len(record.Ranges) > 0 && !record.covers(c.settings.Keys) {
-			slog.Error("keyspace: the owners record does not cover all keys", "service", service, "version", row.Version, "keys", c.settings.Keys)
+	record, err := c.readRecord(row)
+	if err != nil {
+		slog.Error("keyspace: cannot use the owners record", "service", service, "version", row.Version, "error", err.Error())
+		return nil
+	}
+	era, inherited := max(c.store.Era(), rows.Era(row.Version)), row.Version
+	if restored := row.Version == 0 && era > 0 || record.restored(row.Version); restored {
+		if record, err = c.recoverRecord(ctx, service, record); err != nil {
 			return nil
 		}
+		inherited = max(row.Version, rows.VersionIn(era, 0))
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock()
-	lease := c.settings.Timing.Lease
-	if c.lease.LongLeasesOutstanding() {
-		lease = c.settings.Timing.LongLease
-	}
-	svc = &serviceState{service: service, leases: NewLeaseTracker(c.settings.Timing, record, row.Version, now, lease)}
+	svc = &serviceState{service: service, era: era, leases: NewLeaseTracker(c.settings.Timing, record, row.Version, inherited, now, c.inheritedLease())}
 	c.serviceStates[service] = svc
 	slog.Info("keyspace: coordinating", "service", service, "version", row.Version, "ranges", len(record.Ranges))
 	return svc
 }
 
+// inheritedLease returns the longest lease on keys that an earlier coordinator may have
+// granted.
+func (c *Coordinator) inheritedLease() time.Duration {
+	if c.lease.LongLeasesOutstanding() {
+		return c.settings.Timing.LongLease
+	}
+	return c.settings.Timing.Lease
+}
+
+// readRecord decodes the owners record in a row and checks it.
+func (c *Coordinator) readRecord(row rows.Row) (Record, error) {
+	if row.Version == 0 {
+		return Record{}, nil
+	}
+	record, err := DecodeRecord(row.Value, row.Version)
+	if err == nil && len(record.Ranges) > 0 && !record.covers(c.settings.Keys) {
+		err = fmt.Errorf("the owners record does not cover all %d keys", c.settings.Keys)
+	}
+	return record, err
+}
+
 // next returns the record to write and the reason. An empty reason means that no
 // write is needed.
 func (c *Coordinator) next(now time.Duration, svc *serviceState) (Record, string) {
--- a/internal/keyspace/fuzz_test.go
+++ b/internal/keyspace/fuzz_test.go
@@ -26,7 +26,7 @@
 		if r := record.rangeOf(key); r != nil && (key < r.From || key > r.To) {
 			t.Fatalf("key %d: found the range from %d to %d", key, r.From, r.To)
 		}
-		tracker := NewLeaseTracker(Timing{Lease: time.Second, CallTimeout: time.Second}, record, 7, time.Second, time.Second)
+		tracker := NewLeaseTracker(Timing{Lease: time.Second, CallTimeout: time.Second}, record, 7, 7, time.Second, time.Second)
 		tracker.Orders(2*time.Second, func(Holder) ServerState { return Serving })
 		next := record.clone()
 		tracker.applyProgress(3*time.Second, &next)
--- a/internal/keyspace/lease_tracker.go
+++ b/internal/keyspace/lease_tracker.go
@@ -204,9 +204,10 @@
 }
 
 // NewLeaseTracker returns a tracker for a record under which another VM may have
-// granted leases of up to inheritedLease until now.
-func NewLeaseTracker(timing Timing, record Record, version uint64, now, inheritedLease time.Duration) *LeaseTracker {
-	l := &LeaseTracker{timing: timing, startedAt: now, inheritedToken: version, inheritedLease: inheritedLease, lease: timing.Lease, holders: map[string]*holderState{}, ranges: map[rangeKey]*rangeState{}}
+// granted leases of up to inheritedLease until now. version is that of the record's row,
+// inheritedToken the highest token that another VM may have used.
+func NewLeaseTracker(timing Timing, record Record, version, inheritedToken uint64, now, inheritedLease time.Duration) *LeaseTracker {
+	l := &LeaseTracker{timing: timing, startedAt: now, inheritedToken: inheritedToken, inheritedLease: inheritedLease, lease: timing.Lease, holders: map[string]*holderState{}, ranges: map[rangeKey]*rangeState{}}
 	l.Committed(record, version)
 	return l
 }
--- a/internal/keyspace/lease_tracker_test.go
+++ b/internal/keyspace/lease_tracker_test.go
@@ -16,7 +16,7 @@
 // ownedByA returns a tracker that granted all keys to A, which acknowledged them.
 func ownedByA(t *testing.T) *LeaseTracker {
 	t.Helper()
-	l := NewLeaseTracker(walkTiming, Record{}, 0, 0, 0)
+	l := NewLeaseTracker(walkTiming, Record{}, 0, 0, 0, 0)
 	l.Committed(Record{Ranges: []Range{{Span: allKeys, Owner: holderA, Token: 1}}}, 1)
 	l.Done(0, onlyOrder(t, l, 0), Result{Acknowledged: true})
 	return l
@@ -114,7 +114,7 @@
 // cannot arrive any longer.
 func TestSuccessorReturnsPendingKeysToFormerOwner(t *testing.T) {
 	l := NewLeaseTracker(walkTiming, Record{Ranges: []Range{{Span: allKeys, Owner: holderB, Token: 4, Pending: true, Former: []Former{{holderA, 1}}}}},
-		4, time.Minute, walkTiming.LongLease)
+		4, 4, time.Minute, walkTiming.LongLease)
 	now := time.Minute
 	next := l.record.clone()
 	if !l.takeOverRanges(&next) {
--- a/internal/keyspace/orders_test.go
+++ b/internal/keyspace/orders_test.go
@@ -50,7 +50,7 @@
 		control := &scriptedControl{results: c.results}
 		lease := newLeaseRig().newLease("a")
 		coordinator := NewCoordinator(Options{CoordinatorLease: lease, Control: control, Clock: lease.clock})
-		svc := &serviceState{leases: NewLeaseTracker(walkTiming, Record{}, 0, 0, 0)}
+		svc := &serviceState{leases: NewLeaseTracker(walkTiming, Record{}, 0, 0, 0, 0)}
 		coordinator.sendBatch(t.Context(), svc, []Order{testGrant(holderA, 1, 1), testGrant(holderA, 2, 1), testGrant(holderA, 3, 1)})
 		if len(control.sent) != c.sent {
 			t.Errorf("%s: got %d calls, want %d", name, len(control.sent), c.sent)
--- a/internal/keyspace/overload_test.go
+++ b/internal/keyspace/overload_test.go
@@ -45,7 +45,7 @@
 		Clock: func() time.Duration { return now },
 	})
 	record := Record{Ranges: newPlanner(testPlan, evenProfile(100), members).initialRanges()}
-	c.serviceStates["keyed"] = &serviceState{service: "keyed", leases: NewLeaseTracker(Timing{}, record, 1, now, 0)}
+	c.serviceStates["keyed"] = &serviceState{service: "keyed", leases: NewLeaseTracker(Timing{}, record, 1, 1, now, 0)}
 	hot := record.Ranges[1]
 	for _, vm := range []string{"a", "b"} {
 		c.Report(Report{VM: vm, Requests: map[string]map[uint32]float64{"keyed": {hot.From: 15, record.Ranges[0].From: 2}}, InFlight: map[string]int{hot.Owner.Server: 8}})
@@ -75,7 +75,7 @@
 		Clock: func() time.Duration { return now },
 	})
 	record := Record{Ranges: newPlanner(testPlan, evenProfile(100), members).initialRanges()}
-	c.serviceStates["keyed"] = &serviceState{service: "keyed", leases: NewLeaseTracker(Timing{}, record, 1, now, 0)}
+	c.serviceStates["keyed"] = &serviceState{service: "keyed", leases: NewLeaseTracker(Timing{}, record, 1, 1, now, 0)}
 	limited := record.Ranges[1]
 	const rate = 4.0
 	statement := ratelimit.Statement{Server: limited.Owner.Server, Incarnation: limited.Owner.Incarnation, Rate: rate}
--- a/internal/keyspace/owners.go
+++ b/internal/keyspace/owners.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
+	"maps"
 	"sync"
 	"time"
 
@@ -41,10 +43,63 @@
 			slog.Error("keyspace: cannot decode the owners record", "service", row.Key, "version", row.Version, "error", err.Error())
 			continue
 		}
-		o.update(row.Key, record, row.Version)
+		// A copy of an earlier era does not replace a record that was written later.
+		o.update(row.Key, record, record.writtenAt(row.Version))
 	}
 }
 
+// Newer returns the cached records that are newer than the given versions, by service.
+func (o *Owners) Newer(versions map[string]uint64) (map[string]StoredRecord, error) {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	newer := map[string]StoredRecord{}
+	for service, record := range o.records {
+		if o.versions[service] <= versions[service] {
+			continue
+		}
+		value, err := record.encode()
+		if err != nil {
+			return nil, fmt.Errorf("keyspace: encode the owners record of service %q: %w", service, err)
+		}
+		newer[service] = StoredRecord{Version: o.versions[service], Value: value}
+	}
+	return newer, nil
+}
+
+// Learn updates the cache by the records of another VM.
+func (o *Owners) Learn(records map[string]StoredRecord) {
+	for service, stored := range records {
+		record, err := DecodeRecord(stored.Value, stored.Version)
+		if err != nil {
+			slog.Error("keyspace: cannot decode the owners record of another VM", "service", service, "version", stored.Version, "error", err.Error())
+			continue
+		}
+		o.update(service, record, stored.Version)
+	}
+}
+
+// Versions returns the versions of the cached records by service.
+func (o *Owners) Versions() map[string]uint64 {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	return maps.Clone(o.versions)
+}
+
+// record returns the cached record of a service and its version, 0 if there is none.
+func (o *Owners) record(service string) (Record, uint64) {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	if record := o.records[service]; record != nil {
+		return record.clone(), o.versions[service]
+	}
+	return Record{}, 0
+}
+
+// StoredRecord is a record in its stored form.
+type StoredRecord struct {
+	Version uint64 `json:"version"` // under which it was written
+	Value   []byte `json:"value"`
+}
 // update stores a record unless a newer version is cached.
 func (o *Owners) update(service string, record Record, version uint64) {
 	o.mu.Lock()
--- a/internal/keyspace/random_walk_test.go
+++ b/internal/keyspace/random_walk_test.go
@@ -83,7 +83,7 @@
 			holder: Holder{Server: fmt.Sprintf("s%d", i), Incarnation: 1}, up: true, reachable: true,
 		})
 	}
-	w.leases = NewLeaseTracker(walkTiming, Record{}, 0, 0, 0)
+	w.leases = NewLeaseTracker(walkTiming, Record{}, 0, 0, 0, 0)
 	var ranges []Range
 	for i := range 4 {
 		from := uint32(i * walkKeys / 4)
@@ -287,7 +287,7 @@
 		lease = walkTiming.LongLease
 	}
 	w.longLeasesAllowed = false
-	w.leases = NewLeaseTracker(walkTiming, w.record, w.version, w.now, lease)
+	w.leases = NewLeaseTracker(walkTiming, w.record, w.version, w.version, w.now, lease)
 	if w.injectBug != nil {
 		w.injectBug(w.leases)
 	}
--- a/internal/keyspace/record.go
+++ b/internal/keyspace/record.go
@@ -7,6 +7,8 @@
 import (
 	"fmt"
 	"sort"
+
+	"kumquatcleat/internal/rows"
 )
 
 // Holder is one incarnation of a server that may hold keys.
@@ -73,6 +75,19 @@
 	// WriteID distinguishes two writes with equal content.
 	WriteID string  `json:"write_id"`
 	Ranges  []Range `json:"ranges"` // adjacent, in ascending order, covering all keys
+	// Era is the era of the store in which the record was written. A row of a newer era with
+	// this record comes from a copy: later records may be lost.
+	Era uint64 `json:"era,omitempty"`
+}
+
+// restored reports whether the record was read from a copy of an earlier era. version is that
+// of its row.
+func (r *Record) restored(version uint64) bool { return r.Era < rows.Era(version) }
+
+// writtenAt returns the version under which the record was written. version is that of the
+// row in which it was read.
+func (r *Record) writtenAt(version uint64) uint64 {
+	return rows.VersionIn(r.Era, rows.Number(version))
 }
 
 // check verifies that the ranges are adjacent and in ascending order.
--- a/internal/keyspace/record_codec.go
+++ b/internal/keyspace/record_codec.go
@@ -34,7 +34,7 @@
 
 // encode returns the record in columns.
 func (r Record) encode() ([]byte, error) {
-	stored := &ownerspb.Record{WriteId: r.WriteID}
+	stored := &ownerspb.Record{WriteId: r.WriteID, Era: r.Era}
 	indexes := map[Holder]uint32{}
 	index := func(h Holder) uint32 {
 		i, known := indexes[h]
@@ -77,7 +77,7 @@
 	}
 	for i := range r.Ranges {
 		if r.Ranges[i].Token == 0 {
-			r.Ranges[i].Token = version
+			r.Ranges[i].Token = r.writtenAt(version)
 		}
 	}
 	return r, r.check()
@@ -109,7 +109,7 @@
 		}
 		return holders[index], nil
 	}
-	r := Record{WriteID: stored.WriteId}
+	r := Record{WriteID: stored.WriteId, Era: stored.Era}
 	if count > 0 {
 		r.Ranges = make([]Range, count)
 	}
