VMs write their rows again after the store was restored

A restored store lacks the rows of VMs that started since the copy was made. The others forgot them: followers and readers were chosen without them, shares of budgets and rate limits were too large, and a coordinator that looks for lost records did not ask them.

Each VM looks at its row each second and writes it if it is missing. A VM whose row disappears during or after an outage stays known for 5 s. A VM that stops no longer writes. TestVMAnnouncesItselfAgainAfterRestore failed before.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"kumquatcleat/internal/keyspace"
@@ -53,18 +54,21 @@
 
 	mu        sync.Mutex // guards the fields below
 	vms       map[string]vmRow
+	missing   map[string]time.Time // VMs whose row disappeared, and may be back, by name
 	ordered   map[string][]peer    // vms by failure domain, in order; nil: to be computed
 	skipUntil map[string]time.Time // by address: no requests are sent to it before
 	// nextSeed selects the next seed: seeds are tried in turn, as one may start later
 	// than this VM.
 	nextSeed int
+
+	withdrawn atomic.Bool // this VM stops, its row is not to be written any more
 }
 
 // peerSkipTime is how long a VM that did not respond is skipped.
 const peerSkipTime = 3 * time.Second
 
 func newPeers(s *Settings, store rows.Store) *peers {
-	return &peers{settings: s, store: store, startedAt: time.Now(), vms: map[string]vmRow{}, skipUntil: map[string]time.Time{}, nextSeed: rand.IntN(1 + len(s.Seeds))}
+	return &peers{settings: s, store: store, startedAt: time.Now(), vms: map[string]vmRow{}, missing: map[string]time.Time{}, skipUntil: map[string]time.Time{}, nextSeed: rand.IntN(1 + len(s.Seeds))}
 }
 
 // apply updates the known VMs from changed rows.
@@ -73,6 +77,11 @@
 	defer p.mu.Unlock()
 	p.ordered = nil
 	for _, row := range changed {
+		if row.Deleted && row.Unsettled {
+			p.expectBack(row.Key)
+			continue
+		}
+		delete(p.missing, row.Key)
 		if row.Deleted {
 			delete(p.vms, row.Key)
 			continue
@@ -86,6 +95,26 @@
 	}
 }
 
+// rowReturnTime is how long a VM stays known whose row disappeared during or shortly after a
+// store outage: VMs whose rows a restored store lacks write them again.
+const rowReturnTime = 5 * time.Second
+
+// expectBack forgets a VM whose row is missing, unless it is back within rowReturnTime. The
+// caller holds the lock.
+func (p *peers) expectBack(vm string) {
+	since := time.Now()
+	p.missing[vm] = since
+	time.AfterFunc(rowReturnTime, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.missing[vm] == since {
+			delete(p.missing, vm)
+			delete(p.vms, vm)
+			p.ordered = nil
+		}
+	})
+}
+
 // count returns the number of VMs, including this one.
 func (p *peers) count() int {
 	p.mu.Lock()
@@ -323,10 +352,11 @@
 	p.skipUntil[v.address] = time.Now().Add(peerSkipTime)
 }
 
-// announceRetry is the interval between attempts to write this VM's row.
+// announceRetry is the interval between attempts to write this VM's row, and between checks
+// that it is still there.
 const announceRetry = time.Second
 
-// announce writes this VM's row to the store if it is missing or outdated.
+// announce keeps this VM's row in the store until the VM stops. A restored store may lack it.
 func (p *peers) announce(ctx context.Context, vms *rows.View) {
 	value, err := json.Marshal(vmRow{PeerAddress: p.settings.PeerListen, FailureDomain: p.settings.FailureDomain, Strength: strength(p.settings), RecordFormat: keyspace.FormatColumns})
 	if err != nil {
@@ -338,24 +368,42 @@
 			return
 		}
 	}
-	row := vms.Row(p.settings.VM)
-	for string(row.Value) != string(value) {
-		_, err := p.store.Commit(ctx, []rows.Write{{Table: vmsTable, Key: p.settings.VM, Expect: row.Version, Value: value}})
-		if err == nil {
-			break
+	written := uint64(0)
+	for {
+		row := vms.Row(p.settings.VM)
+		if string(row.Value) != string(value) && vms.Version() >= written && !p.withdrawn.Load() {
+			written = max(p.writeRow(ctx, row, value), written)
 		}
 		if !wait.For(ctx, announceRetry) {
 			return
 		}
-		if found, err := p.store.Get(ctx, vmsTable, p.settings.VM); err == nil {
-			row = found
+	}
+}
+
+// writeRow writes this VM's row, or finds that it is there, and returns its version. It
+// returns 0 if it failed. row is the one that is expected in the store.
+func (p *peers) writeRow(ctx context.Context, row rows.Row, value []byte) uint64 {
+	const attempts = 2 // the second one expects what the store has
+	for range attempts {
+		if row.Version != 0 && string(row.Value) == string(value) {
+			return row.Version
+		}
+		version, err := p.store.Commit(ctx, []rows.Write{{Table: vmsTable, Key: p.settings.VM, Expect: row.Version, Value: value}})
+		if err == nil {
+			slog.Info("peers: row of this VM is in the store", "vm", p.settings.VM, "version", version)
+			return version
+		}
+		slog.Info("peers: row of this VM not written", "vm", p.settings.VM, "expected", row.Version, "error", err.Error())
+		if row, err = p.store.Get(ctx, vmsTable, p.settings.VM); err != nil {
+			return 0
 		}
 	}
-	slog.Info("peers: row of this VM is in the store", "vm", p.settings.VM)
+	return 0
 }
 
 // withdraw removes this VM's row from the store.
 func (p *peers) withdraw(ctx context.Context) {
+	p.withdrawn.Store(true)
 	row, err := p.store.Get(ctx, vmsTable, p.settings.VM)
 	if err == nil && row.Version != 0 {
 		_, err = p.store.Commit(ctx, []rows.Write{{Table: vmsTable, Key: row.Key, Expect: row.Version, Delete: true}})
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -230,3 +230,44 @@
 		t.Errorf("with VMs of this version: got format %d, want %d", got, keyspace.FormatColumns)
 	}
 }
+
+// commitStore records the rows that are written.
+type commitStore struct {
+	rows.Store
+	committed chan rows.Write
+	version   uint64
+}
+
+// Commit implements rows.Store.
+func (s *commitStore) Commit(_ context.Context, writes []rows.Write) (uint64, error) {
+	s.version++
+	s.committed <- writes[0]
+	return s.version, nil
+}
+
+// Guards against VMs that the others have forgotten: a restored store lacks the rows of
+// those that started since the copy was made.
+func TestVMAnnouncesItselfAgainAfterRestore(t *testing.T) {
+	store := &commitStore{committed: make(chan rows.Write, 10), version: 4}
+	p := newPeers(testSettings("vm-0", "a"), store)
+	vms := rows.NewSet().Add("vms", 10)
+	vms.OnApply(p.apply)
+	vms.Replace(rows.Page{Version: 4})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go p.announce(ctx, vms)
+	own := <-store.committed
+	vms.Apply(rows.Page{Version: 5, Rows: []rows.Row{{Key: "vm-0", Version: 5, Value: own.Value}}})
+	vms.Replace(rows.Page{Version: rows.VersionIn(1, 3), Unsettled: true})
+	if p.known() != 1 {
+		t.Error("a VM whose row is missing from the restored store is forgotten at once")
+	}
+	select {
+	case again := <-store.committed:
+		if string(again.Value) != string(own.Value) || again.Expect != 0 {
+			t.Errorf("got write %+v, want the row of the VM again", again)
+		}
+	case <-time.After(3 * announceRetry):
+		t.Error("the VM did not write its row again")
+	}
+}
--- a/internal/keyspace/coordinator.go
+++ b/internal/keyspace/coordinator.go
@@ -73,9 +73,9 @@
 	// askRecords asks all VMs for owners records that are newer than the cached ones, caches
 	// them and reports whether all VMs answered.
 	askRecords func(ctx context.Context) bool
-	clock     bootclock.Clock
-	address   string
-	writeID   string
+	clock      bootclock.Clock
+	address    string
+	writeID    string
 
 	mu            sync.Mutex // guards the fields below
 	serviceStates map[string]*serviceState
--- a/internal/keyspace/owners.go
+++ b/internal/keyspace/owners.go
@@ -100,6 +100,7 @@
 	Version uint64 `json:"version"` // under which it was written
 	Value   []byte `json:"value"`
 }
+
 // update stores a record unless a newer version is cached.
 func (o *Owners) update(service string, record Record, version uint64) {
 	o.mu.Lock()
