A VM that has just started has forgotten the last owners record

Seen while reading the recovery again: a coordinator that is killed just before the store is restored answers from its new process, which knows no record. All VMs had answered, and an older record would have been taken for the last one.

VMs tell how long their process has run; one that is younger than the leases that its predecessor may have granted counts as silent, the asking VM included.

--- a/internal/gateway/records.go
+++ b/internal/gateway/records.go
@@ -21,7 +21,8 @@
 }
 
 type recordsAnswer struct {
-	Records map[string]keyspace.StoredRecord `json:"records,omitempty"` // by service
+	UptimeMS int64                            `json:"uptime_ms"`         // of the process, which remembers no record from before
+	Records  map[string]keyspace.StoredRecord `json:"records,omitempty"` // by service
 }
 
 // recordsTimeout is how long a VM may take to answer. The coordinator asks while no key is
@@ -29,8 +30,9 @@
 const recordsTimeout = 400 * time.Millisecond
 
 // askRecords asks all VMs for their owners records, caches those that are newer than this
-// VM's, and reports whether all VMs answered.
-func (s *viewSync) askRecords(ctx context.Context) bool {
+// VM's, and reports whether the processes of all VMs, this one included, answered and have run
+// for minUptime.
+func (s *viewSync) askRecords(ctx context.Context, minUptime time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, recordsTimeout)
 	defer cancel()
 	request := recordsRequest{Versions: s.owners.Versions()}
@@ -45,10 +47,14 @@
 				return
 			}
 			s.owners.Learn(answer.Records)
+			if uptime := time.Duration(answer.UptimeMS) * time.Millisecond; uptime < minUptime {
+				slog.Info("peers: VM may have forgotten owners records", "vm", vm.name, "uptime", uptime)
+				missing.Add(1)
+			}
 		})
 	}
 	calls.Wait()
-	return missing.Load() == 0
+	return missing.Load() == 0 && time.Since(s.peers.startedAt) >= minUptime
 }
 
 func (s *viewSync) serveRecords(w http.ResponseWriter, r *http.Request) {
@@ -62,7 +68,7 @@
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
-	if err := json.NewEncoder(w).Encode(recordsAnswer{Records: newer}); err != nil {
+	if err := json.NewEncoder(w).Encode(recordsAnswer{UptimeMS: time.Since(s.peers.startedAt).Milliseconds(), Records: newer}); err != nil {
 		slog.Debug("peers: response not sent", "error", err.Error())
 	}
 }
--- a/internal/keyspace/coordinator.go
+++ b/internal/keyspace/coordinator.go
@@ -71,8 +71,8 @@
 	objective func(service string) time.Duration
 	format    func() RecordFormat
 	// askRecords asks all VMs for owners records that are newer than the cached ones, caches
-	// them and reports whether all VMs answered.
-	askRecords func(ctx context.Context) bool
+	// them and reports whether all VMs answered whose process has run for minUptime.
+	askRecords func(ctx context.Context, minUptime time.Duration) bool
 	clock      bootclock.Clock
 	address    string
 	writeID    string
@@ -113,9 +113,9 @@
 	Members          Members
 	Owners           *Owners
 	Services         func() []string
-	Objective        func(service string) time.Duration // latency within which answers should arrive
-	AskRecords       func(ctx context.Context) bool     // see Coordinator.recoverRecord
-	Format           func() RecordFormat                // newest format of records that all VMs read
+	Objective        func(service string) time.Duration                      // latency within which answers should arrive
+	AskRecords       func(ctx context.Context, minUptime time.Duration) bool // see Coordinator.askRecords
+	Format           func() RecordFormat                                     // newest format of records that all VMs read
 	Clock            bootclock.Clock
 	Address          string // peer address to which other VMs send load reports
 	WriteID          string // write ID prefix unique to this process
--- a/internal/keyspace/recover.go
+++ b/internal/keyspace/recover.go
@@ -10,9 +10,10 @@
 // A restored store holds an owners record from a copy, or none. Servers hold keys by records
 // that were written since and are lost. The last of them is known to the VM that wrote it,
 // which caches each record before it sends an order by it, and to the VMs that followed it.
-// So once all VMs have told their newest record, the newest of them is the last one. If a VM
-// does not answer, it may have been the last coordinator, and keys are granted again only
-// when all leases that it may have granted have expired.
+// So once all VMs have told their newest record, the newest of them is the last one. A VM that
+// does not answer, or whose process started after its predecessor may have granted leases
+// that have not expired, may have been the last coordinator. Then keys are granted again
+// only when all such leases have expired.
 
 // askRecordsInterval is the interval between requests to all VMs for their newest records.
 const askRecordsInterval = 250 * time.Millisecond
@@ -36,9 +37,10 @@
 	if now < c.recovery.askAt {
 		return Record{}, errRecovering
 	}
-	complete := c.askRecords(ctx)
 	t := c.settings.Timing
-	expired := now-c.recovery.startedAt > t.CallTimeout+t.LinkQueueDelay+t.maxLeaseAfterCall(c.inheritedLease())
+	leasesEnd := t.CallTimeout + t.LinkQueueDelay + t.maxLeaseAfterCall(c.inheritedLease())
+	complete := c.askRecords(ctx, leasesEnd)
+	expired := now-c.recovery.startedAt > leasesEnd
 	record, version := c.owners.record(service)
 	slog.Info("keyspace: looking for records that the restored store has lost", "service", service, "restored_ranges", len(restored.Ranges),
 		"newest", version, "all_vms_answered", complete, "leases_expired", expired)
