Repeats at the owner of a key keep to its rate limit

Found while reading the change: when an owner had answered that it does not own a key yet, the repeat to it was sent although its rate limit left no room, because the refusal skipped servers that the request had tried. TestRepeatAtOwnerKeepsToItsRateLimit failed before (two sends where one is allowed).

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -80,7 +80,8 @@
 	}
 	choice, ok := r.untried()
 	if !ok {
-		if refusal := r.refuseRateLimited(r.core.Registry.Usable(r.service.Name)); refusal != nil {
+		untried := slices.DeleteFunc(slices.Clone(r.core.Registry.Usable(r.service.Name)), r.hasTried)
+		if refusal := r.refuseRateLimited(untried); refusal != nil {
 			return choice, refusal
 		}
 		return choice, refuse(fault.NoServer, r.honored(unreachedRetryAfter), "service %q: %d servers, %d tried",
@@ -94,7 +95,7 @@
 func (r *requestState) untried() (balance.Choice, bool) {
 	now := time.Now()
 	excluded := func(s *registry.Server) bool {
-		return slices.Contains(r.tried, s) || r.core.RateLimits.Wait(now, s.Instance()) > 0
+		return r.hasTried(s) || r.core.RateLimits.Wait(now, s.Instance()) > 0
 	}
 	for {
 		choice, ok := r.core.Balancer.Choose(now, r.core.Registry.Usable(r.service.Name), r.route.Objective, excluded)
@@ -105,14 +106,16 @@
 	}
 }
 
-// refuseRateLimited refuses a request if only rate limits keep it from the servers that it
-// has not tried.
+func (r *requestState) hasTried(s *registry.Server) bool { return slices.Contains(r.tried, s) }
+
+// refuseRateLimited refuses a request that only rate limits keep from all of some servers.
+// Without servers, it returns nil.
 func (r *requestState) refuseRateLimited(servers []*registry.Server) *Answer {
 	now := time.Now()
 	var first *registry.Server
 	var wait time.Duration
 	for _, s := range servers {
-		if w := r.core.RateLimits.Wait(now, s.Instance()); !slices.Contains(r.tried, s) && (first == nil || w < wait) {
+		if w := r.core.RateLimits.Wait(now, s.Instance()); first == nil || w < wait {
 			first, wait = s, w
 		}
 	}
