--- a/internal/keyspace/overload_test.go
+++ b/internal/keyspace/overload_test.go
@@ -31,6 +31,19 @@
 	}
 }
 
+// keyedCoordinator returns a coordinator of a service whose keys are divided among the members,
+// with the record that says so.
+func keyedCoordinator(members []Member, now *time.Duration) (*Coordinator, Record) {
+	c := NewCoordinator(Options{
+		Settings: CoordinatorSettings{Keys: planKeys, Plan: testPlan}, Members: fixedMembers(members),
+		Services: func() []string { return []string{"keyed"} }, Objective: func(string) time.Duration { return time.Second },
+		Clock: func() time.Duration { return *now },
+	})
+	record := Record{Ranges: newPlanner(testPlan, evenProfile(100), members).initialRanges()}
+	c.serviceStates["keyed"] = &serviceState{service: "keyed", leases: NewLeaseTracker(Timing{}, record, 1, 1, *now, 0)}
+	return c, record
+}
+
 // The coordinator signals an owner that the reports of all VMs show to be overloaded, and
 // no other.
 func TestOverloadedOwnerIsSignaled(t *testing.T) {
@@ -39,13 +52,7 @@
 		members[i].Capacity = 12
 	}
 	now := 10 * time.Second
-	c := NewCoordinator(Options{
-		Settings: CoordinatorSettings{Keys: planKeys, Plan: testPlan}, Members: fixedMembers(members),
-		Services: func() []string { return []string{"keyed"} }, Objective: func(string) time.Duration { return time.Second },
-		Clock: func() time.Duration { return now },
-	})
-	record := Record{Ranges: newPlanner(testPlan, evenProfile(100), members).initialRanges()}
-	c.serviceStates["keyed"] = &serviceState{service: "keyed", leases: NewLeaseTracker(Timing{}, record, 1, 1, now, 0)}
+	c, record := keyedCoordinator(members, &now)
 	hot := record.Ranges[1]
 	for _, vm := range []string{"a", "b"} {
 		c.Report(Report{VM: vm, Requests: map[string]map[uint32]float64{"keyed": {hot.From: 15, record.Ranges[0].From: 2}}, InFlight: map[string]int{hot.Owner.Server: 8}})
@@ -69,13 +76,7 @@
 func TestOwnerIsKeptWithinItsRateLimit(t *testing.T) {
 	members := planMembers(3)
 	now := 10 * time.Second
-	c := NewCoordinator(Options{
-		Settings: CoordinatorSettings{Keys: planKeys, Plan: testPlan}, Members: fixedMembers(members),
-		Services: func() []string { return []string{"keyed"} }, Objective: func(string) time.Duration { return time.Second },
-		Clock: func() time.Duration { return now },
-	})
-	record := Record{Ranges: newPlanner(testPlan, evenProfile(100), members).initialRanges()}
-	c.serviceStates["keyed"] = &serviceState{service: "keyed", leases: NewLeaseTracker(Timing{}, record, 1, 1, now, 0)}
+	c, record := keyedCoordinator(members, &now)
 	limited := record.Ranges[1]
 	const rate = 4.0
 	statement := ratelimit.Statement{Server: limited.Owner.Server, Incarnation: limited.Owner.Incarnation, Rate: rate}
