The end of a rate limit reaches all VMs

A limit that one VM saw end stayed in force on others: the coordinator ignored an answer without a limit that came less than 0.4 s after the last one with it, as it may have been read late, and each VM reports the end once. If all VMs that send to the server saw it end within that time, the rest learned it only from an answer of their own, which they hardly ask for. Such an answer now waits 0.4 s for another one with a limit, and counts if none comes.

--- a/internal/ratelimit/board.go
+++ b/internal/ratelimit/board.go
@@ -16,6 +16,9 @@
 	Statement
 	answeredAt time.Duration
 	changedAt  time.Duration // when the limit was first stated, changed or lifted
+	// liftAt is when an answer without a limit arrived that is not much newer than the last
+	// one with it, 0 if there is none. It counts unless a newer one with a limit follows.
+	liftAt time.Duration
 }
 
 // NewBoard returns a board without statements.
@@ -24,22 +27,9 @@
 // Add adds statements that a VM reported.
 func (b *Board) Add(now time.Duration, statements []Statement) {
 	for _, s := range statements {
-		if !s.valid() {
-			continue
+		if s.valid() {
+			b.add(now, s)
 		}
-		answeredAt := now - time.Duration(s.AgeMS)*time.Millisecond
-		entry := b.newest[s.instance()]
-		switch {
-		case entry == nil:
-			b.newest[s.instance()] = &boardEntry{Statement: s, answeredAt: answeredAt, changedAt: now}
-			continue
-		case answeredAt < entry.answeredAt, s.Lifted && !entry.Lifted && answeredAt < entry.answeredAt+orderMargin:
-			continue
-		}
-		if s.Lifted != entry.Lifted || s.Rate > entry.Rate*logChange || s.Rate*logChange < entry.Rate {
-			entry.changedAt = now
-		}
-		entry.Statement, entry.answeredAt = s, answeredAt
 	}
 	for instance, entry := range b.newest {
 		if now-entry.answeredAt > entryLife {
@@ -48,6 +38,30 @@
 	}
 }
 
+func (b *Board) add(now time.Duration, s Statement) {
+	answeredAt := now - time.Duration(s.AgeMS)*time.Millisecond
+	entry := b.newest[s.instance()]
+	switch {
+	case entry == nil:
+		b.newest[s.instance()] = &boardEntry{Statement: s, answeredAt: answeredAt, changedAt: now}
+	case answeredAt < entry.answeredAt:
+	case s.Lifted && !entry.Lifted && answeredAt < entry.answeredAt+orderMargin:
+		entry.liftAt = max(entry.liftAt, answeredAt)
+	default:
+		entry.replace(now, s, answeredAt)
+	}
+}
+
+func (e *boardEntry) replace(now time.Duration, s Statement, answeredAt time.Duration) {
+	if s.Lifted != e.Lifted || s.Rate > e.Rate*logChange || s.Rate*logChange < e.Rate {
+		e.changedAt = now
+	}
+	e.Statement, e.answeredAt = s, answeredAt
+	if answeredAt > e.liftAt {
+		e.liftAt = 0
+	}
+}
+
 const (
 	// changeLife is how long a change is passed on: a few reporting intervals, as a
 	// response may be lost.
@@ -62,6 +76,10 @@
 func (b *Board) Changes(now time.Duration) []Statement {
 	var list []Statement
 	for _, entry := range b.newest {
+		if entry.liftAt != 0 && now-entry.liftAt >= orderMargin {
+			entry.replace(now, Statement{Server: entry.Server, Incarnation: entry.Incarnation, Lifted: true}, entry.liftAt)
+			entry.liftAt = 0
+		}
 		if now-entry.changedAt <= changeLife {
 			s := entry.Statement
 			s.AgeMS = (now - entry.answeredAt).Milliseconds()
--- a/internal/ratelimit/statements.go
+++ b/internal/ratelimit/statements.go
@@ -34,9 +34,9 @@
 const (
 	// maxAge is the age from which on a statement is ignored.
 	maxAge = 10 * time.Second
-	// orderMargin is how much newer than the last statement of a limit an answer without
-	// one has to be, if different VMs got them: answers written in one order may be read
-	// in another by VMs that are slow to read.
+	// orderMargin is how long an answer without a limit that follows one with it waits for
+	// another one with it, if different VMs got them: answers written in one order may be
+	// read in another by VMs that are slow to read.
 	orderMargin = 400 * time.Millisecond
 )
 
@@ -66,7 +66,7 @@
 		server, at := s.instance(), now.Add(-time.Duration(s.AgeMS)*time.Millisecond)
 		known := l.limits[server]
 		switch {
-		case s.Lifted && known != nil && at.Sub(known.stated) >= orderMargin:
+		case s.Lifted && known != nil && at.After(known.stated):
 			l.lift(server)
 		case !s.Lifted && (known == nil || at.After(known.stated)):
 			l.set(now, server, s.Rate, at)
