Servers with a rate limit get most of it, and its end is noticed

Shares were limit / VMs, but VMs prefer servers of their own failure domain: 20.8 requests per second gave 30 in 4 s where 83 would be right, and with 80 VMs a server whose limit of 1.3 per second had ended got no request at all from 2 to 6 s after that in 9 of 40 runs, as only an answer shows the end.

The VMs of the server's failure domain now share three quarters of the limit, the others a quarter, and a VM that has room sends a request to a limited server of its own domain first if that is expected to answer in time and has not failed lately: the rule by which servers that joined are tried, now one function.

TestLimitsAreUsedEndAndReturn failed before in 20 of 20 runs of both cases; 60 of 60 pass. TestVMsTogetherKeepToRateLimitOfServer, 60 runs: at most 65 requests in 4 s where 130 are allowed, 45 of 82, 37 of 53.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -113,8 +113,7 @@
 	}
 	near, unused, fresh := b.splitByUse(now, near)
 	if len(fresh) > 0 && rand.Float64() < freshShare {
-		s := fresh[rand.IntN(len(fresh))]
-		if c := b.estimate(now, s); !c.Full && (objective <= 0 || c.Expected < objective) && b.expectedFailureLoss(now, s) == 0 {
+		if c, ok := b.promising(now, fresh[rand.IntN(len(fresh))], objective); ok {
 			return c, true
 		}
 	}
@@ -152,6 +151,24 @@
 	return best, found
 }
 
+// promising returns a server as a choice, and whether it is expected to answer within
+// objective and has not failed lately.
+func (b *Balancer) promising(now time.Time, s *registry.Server, objective time.Duration) (Choice, bool) {
+	c := b.estimate(now, s)
+	return c, !c.Full && (objective <= 0 || c.Expected < objective) && b.expectedFailureLoss(now, s) == 0
+}
+
+// Local returns a server as a choice if it is in the VM's own failure domain, is expected to
+// answer within objective and has not failed lately.
+func (b *Balancer) Local(now time.Time, s *registry.Server, objective time.Duration) (Choice, bool) {
+	if s.FailureDomain != b.settings.FailureDomain {
+		return Choice{}, false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.promising(now, s, objective)
+}
+
 const (
 	// usedServers is the number of servers of the VM's own failure domain that it keeps
 	// using while they are not busy. With few servers it meets each one often: it has an
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -94,6 +94,9 @@
 // leaves room.
 func (r *requestState) untried() (balance.Choice, bool) {
 	now := time.Now()
+	if choice, ok := r.limitedLocal(now); ok {
+		return choice, true
+	}
 	excluded := func(s *registry.Server) bool {
 		return r.hasTried(s) || r.core.RateLimits.Wait(now, s.Instance()) > 0
 	}
@@ -106,6 +109,20 @@
 	}
 }
 
+// limitedLocal returns a server of the VM's own failure domain whose rate limit leaves room. It
+// gets its share even if others are as good: only its answers show when the limit ends.
+func (r *requestState) limitedLocal(now time.Time) (balance.Choice, bool) {
+	for _, s := range r.core.Registry.Usable(r.service.Name) {
+		if r.hasTried(s) || !r.core.RateLimits.HasRoom(now, s.Instance()) {
+			continue
+		}
+		if choice, ok := r.core.Balancer.Local(now, s, r.route.Objective); ok && r.core.RateLimits.Take(now, s.Instance()) {
+			return choice, true
+		}
+	}
+	return balance.Choice{}, false
+}
+
 func (r *requestState) hasTried(s *registry.Server) bool { return slices.Contains(r.tried, s) }
 
 // refuseRateLimited refuses a request that only rate limits keep from all of some servers.
--- a/internal/dispatch/ratelimit_test.go
+++ b/internal/dispatch/ratelimit_test.go
@@ -33,6 +33,7 @@
 	stated  map[string]float64 // rate limit by server ID
 	from    time.Time          // limits are stated from here
 	until   time.Time          // up to here
+	quiet   [2]time.Time       // but not from the first of these times to the second
 	service time.Duration      // mean service time
 
 	mu       sync.Mutex             // guards the fields below
@@ -46,6 +47,12 @@
 	vm int
 }
 
+// limited reports whether limits are stated at a time.
+func (f *limitedFleet) limited(at time.Time) bool {
+	quiet := !at.Before(f.quiet[0]) && at.Before(f.quiet[1])
+	return !at.Before(f.from) && at.Before(f.until) && !quiet
+}
+
 // limitedSender is the sender of one VM.
 type limitedSender struct {
 	fleet *limitedFleet
@@ -64,7 +71,7 @@
 	}
 	response := &serverconn.Response{Status: http.StatusOK, Header: http.Header{}, HasLoad: true, Load: dialect.Load{Running: 1, Slots: 6}}
 	now := time.Now()
-	if rate, limited := f.stated[r.Server.ID]; limited && !now.Before(f.from) && now.Before(f.until) {
+	if rate, limited := f.stated[r.Server.ID]; limited && f.limited(now) {
 		response.RateLimit, response.HasRateLimit = rate, true
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -80,6 +87,17 @@
 
 const limitedDomains = 3
 
+// vmsIn returns how many of some VMs are in a failure domain.
+func vmsIn(vms int, domain string) int {
+	n := 0
+	for vm := range vms {
+		if fmt.Sprint(vm%limitedDomains) == domain {
+			n++
+		}
+	}
+	return n
+}
+
 func newLimitedFleet(vms, servers int, stated map[string]float64) *limitedFleet {
 	f := &limitedFleet{stated: stated, service: 60 * time.Millisecond, arrivals: map[string][]arrival{}, told: map[string][]time.Time{}, answers: map[int]int{}}
 	for vm := range vms {
@@ -110,7 +128,10 @@
 			Balancer: balance.New(balance.Settings{FailureDomain: fmt.Sprint(vm % limitedDomains), CrossDomainCost: 0.05, InitialServiceTime: f.service, MaxRequestsPerSlot: 4.5}),
 			Sender:   limitedSender{f, vm},
 			Budget:   NewBudget(BudgetSettings{Ratio: 0.2, Slack: 64, Window: 10 * time.Second, Share: 0.8}, func() int { return vms }, time.Now),
-			Overload: overload.NewGate(), RateLimits: ratelimit.New(func() int { return vms }, m), Suspicions: NewSuspicions(retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now), time.Now),
+			Overload: overload.NewGate(), RateLimits: ratelimit.New(func(server string) float64 {
+				s := r.Get(server)
+				return ratelimit.Share(s.FailureDomain == fmt.Sprint(vm%limitedDomains), vmsIn(vms, s.FailureDomain), vms)
+			}, m), Suspicions: NewSuspicions(retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now), time.Now),
 			CountKey: func(string, uint32) {}, Decisions: logging.NewDecisions(m), Metrics: m, Dialect: &dialect.Dialect{},
 		}))
 	}
@@ -198,6 +219,87 @@
 	}
 }
 
+// exchangeStatements passes on what VMs learn of limits, as their load reports do, until a time.
+func (f *limitedFleet) exchangeStatements(until time.Time) {
+	const reporting = 400 * time.Millisecond
+	board, start := ratelimit.NewBoard(), time.Now()
+	for time.Now().Before(until) {
+		for _, vm := range f.vms {
+			time.Sleep(reporting / time.Duration(len(f.vms)))
+			now := time.Now()
+			board.Add(now.Sub(start), vm.RateLimits.TakeStatements(now))
+			vm.RateLimits.Learn(now, board.Changes(now.Sub(start)))
+		}
+	}
+}
+
+// stillLimited returns how many VMs hold a rate limit of some server.
+func (f *limitedFleet) stillLimited() int {
+	n := 0
+	for _, vm := range f.vms {
+		if metrics.GetOrRegisterGauge("servers_rate_limited", vm.Metrics).Value() > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// between returns how many requests a server got from one time to another.
+func (f *limitedFleet) between(server string, from, to time.Time) int {
+	n := 0
+	for _, a := range f.arrivals[server] {
+		if !a.at.Before(from) && a.at.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against limits that are kept only once, or whose end no VM notices because none sends
+// the server a request: limits end and return, and a server gets most of what it takes.
+func TestLimitsAreUsedEndAndReturn(t *testing.T) {
+	const noticed = 8 * time.Second
+	for _, vms := range []int{12, 80} {
+		t.Run(fmt.Sprint(vms, " VMs"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				start := time.Now()
+				f := newLimitedFleet(vms, 13, map[string]float64{"plain0": 12.9, "plain1": 1.3})
+				f.from, f.until = start.Add(2*time.Second), start.Add(36*time.Second)
+				f.quiet = [2]time.Time{start.Add(14 * time.Second), start.Add(24 * time.Second)}
+				var requests sync.WaitGroup
+				requests.Go(func() { f.exchangeStatements(f.until) })
+				requests.Go(func() { f.load("/p/", 1, func() float64 { return 430 }, f.until, &requests) })
+				time.Sleep(f.quiet[0].Add(noticed).Sub(start))
+				if n := f.stillLimited(); n > 0 {
+					t.Errorf("%d of %d VMs hold a limit %v after all limits ended", n, vms, noticed)
+				}
+				requests.Wait()
+				settled := f.from.Add(limitSettle)
+				for server, rate := range f.stated {
+					got, most := f.between(server, settled, f.quiet[0]), rate*f.quiet[0].Sub(settled).Seconds()
+					t.Logf("%s: %d requests while it takes %.0f", server, got, most)
+					least := 1 // chance decides how many of a few requests come
+					if most > 50 {
+						least = int(most / 2)
+					}
+					if got < least {
+						t.Errorf("%s: got %d requests while it takes %.0f, want at least %d", server, got, most, least)
+					}
+					arrivals := f.arrivals[server]
+					for name, times := range map[string][2]time.Time{"first": {settled, f.quiet[0]}, "returned": {f.quiet[1].Add(limitSettle), f.until}} {
+						f.arrivals[server] = slices.DeleteFunc(slices.Clone(arrivals), func(a arrival) bool {
+							return a.at.Before(times[0]) || !a.at.Before(times[1])
+						})
+						if got, allowed := f.excess(server); float64(got) > allowed {
+							t.Errorf("%s, %s limit of %v/s: got %d requests in %v, want at most %.0f", server, name, rate, got, limitWindow, allowed)
+						}
+					}
+				}
+			})
+		})
+	}
+}
+
 // Guards against repeats at the owner of a key that its rate limit leaves no room for.
 func TestRepeatAtOwnerKeepsToItsRateLimit(t *testing.T) {
 	f := newFixture(true, sheds(http.StatusMisdirectedRequest), answers(http.StatusOK))
--- a/internal/gateway/loads_test.go
+++ b/internal/gateway/loads_test.go
@@ -29,7 +29,7 @@
 	to := strings.TrimPrefix(server.URL, "http://")
 	suspicions := 0
 	vm := newLoadReporter(testSettings("vm", "a"), nil, nil)
-	vm.rateLimits = ratelimit.New(func() int { return 100 }, metrics.NewRegistry())
+	vm.rateLimits = ratelimit.New(func(string) float64 { return 0.01 }, metrics.NewRegistry())
 	vm.suspectCoordinator = func() { suspicions++ }
 	for _, step := range []struct {
 		coordinating bool
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -100,11 +100,11 @@
 	return max(len(p.vms), 1)
 }
 
-// known returns the number of VMs, 0 if none are known yet.
-func (p *peers) known() int {
+// countIn returns the numbers of VMs in a failure domain and in all, 0 if none are known yet.
+func (p *peers) countIn(domain string) (inDomain, all int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.vms)
+	return len(p.domains()[domain]), len(p.vms)
 }
 
 // others returns all VMs but this one.
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -259,7 +259,7 @@
 	own := <-store.committed
 	vms.Apply(rows.Page{Version: 5, Rows: []rows.Row{{Key: "vm-0", Version: 5, Value: own.Value}}})
 	vms.Replace(rows.Page{Version: rows.VersionIn(1, 3), Unsettled: true})
-	if p.known() != 1 {
+	if _, known := p.countIn("a"); known != 1 {
 		t.Error("a VM whose row is missing from the restored store is forgotten at once")
 	}
 	select {
--- a/internal/gateway/provision.go
+++ b/internal/gateway/provision.go
@@ -76,7 +76,7 @@
 	g.keys.OnApply(g.owners.Apply)
 	g.loads = newLoadReporter(g.settings, func(r keyspace.Report) { g.coordinator.Report(r) }, g.serviceTimes)
 	g.loads.inFlight = func(service string) map[string]int { return g.balancer.InFlight(g.registry.Usable(service)) }
-	g.rateLimits = ratelimit.New(g.peers.known, g.metrics)
+	g.rateLimits = ratelimit.New(g.rateLimitShare, g.metrics)
 	g.loads.rateLimits = g.rateLimits
 	g.loads.rateLimitChanges = func() []ratelimit.Statement { return g.coordinator.RateLimitChanges() }
 	g.loads.overloads = func() map[string]overload.Signal { return g.coordinator.Overloads() }
@@ -197,6 +197,16 @@
 	return max(1, min(maxIdlePerServer, int(idleConnectionShare*float64(s.MaxConnections)/float64(g.peers.count()))))
 }
 
+// rateLimitShare returns this VM's share of the rate limit of a server.
+func (g *Gateway) rateLimitShare(server string) float64 {
+	domain := ""
+	if s := g.registry.Get(server); s != nil {
+		domain = s.FailureDomain
+	}
+	inDomain, all := g.peers.countIn(domain)
+	return ratelimit.Share(domain == g.settings.FailureDomain, inDomain, all)
+}
+
 // splitOffset maps VM names evenly onto the unit interval by a hash.
 func splitOffset(vm string) float64 {
 	h := fnv.New32a()
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -33,8 +33,8 @@
 
 // Limits holds the rate limits of servers on one VM. It is safe for concurrent use.
 type Limits struct {
-	// vms returns the number of VMs that share the limits, 0 if unknown.
-	vms   func() int
+	// share returns this VM's share of the limit of a server, 0 while it is unknown.
+	share func(server string) float64
 	gauge metrics.Gauge
 	count atomic.Int64 // of limits; without any, requests take no lock
 
@@ -45,13 +45,33 @@
 
 // New returns limits of no server. The number of limited servers is the metric
 // servers_rate_limited.
-func New(vms func() int, m metrics.Registry) *Limits {
+func New(share func(server string) float64, m metrics.Registry) *Limits {
 	return &Limits{
-		vms: vms, gauge: metrics.GetOrRegisterGauge("servers_rate_limited", m),
+		share: share, gauge: metrics.GetOrRegisterGauge("servers_rate_limited", m),
 		limits: map[registry.Instance]*limit{}, news: map[registry.Instance]Statement{},
 	}
 }
 
+// localShare is the share of a server's limit that goes to the VMs of its own failure domain:
+// they prefer it, the others use it when theirs are busy.
+const localShare = 0.75
+
+// Share returns one VM's share of the limit of a server, so that those of all VMs add up to 1.
+// local says whether the server is in the VM's own failure domain, in which there are localVMs
+// of all VMs.
+func Share(local bool, localVMs, allVMs int) float64 {
+	switch {
+	case allVMs == 0:
+		return 0
+	case localVMs == 0, localVMs == allVMs:
+		return 1 / float64(allVMs)
+	case local:
+		return localShare / float64(localVMs)
+	default:
+		return (1 - localShare) / float64(allVMs-localVMs)
+	}
+}
+
 // Stated records that a server stated a rate limit in an answer.
 func (l *Limits) Stated(now time.Time, server registry.Instance, rate float64) {
 	l.mu.Lock()
@@ -93,11 +113,11 @@
 		l.limits[server] = known
 		l.updateCount()
 	}
-	l.accrue(now, known)
+	l.accrue(now, server, known)
 	known.rate, known.stated = max(rate, minRate), stated
 	changed := rate > known.loggedRate*logChange || rate*logChange < known.loggedRate
 	if known.loggedAt.IsZero() || changed && now.Sub(known.loggedAt) >= logInterval {
-		slog.Info("ratelimit: server states a limit", "server", server.ID, "incarnation", server.Incarnation, "rate_per_s", rate, "logged_before", known.loggedRate, "vms", l.vms(), "age", now.Sub(stated))
+		slog.Info("ratelimit: server states a limit", "server", server.ID, "incarnation", server.Incarnation, "rate_per_s", rate, "logged_before", known.loggedRate, "share", l.share(server.ID), "age", now.Sub(stated))
 		known.loggedAt, known.loggedRate = now, rate
 	}
 }
@@ -122,20 +142,32 @@
 // while requests are rare.
 const creditLife = time.Second
 
-// accrue adds the credit since the last call. What was saved up for longer than creditLife
-// is lost, one request at a time, so that VMs stay out of step.
-func (l *Limits) accrue(now time.Time, known *limit) {
-	vms := l.vms()
-	if vms == 0 {
-		known.creditAt = now
-		return
-	}
-	share := known.rate / float64(vms)
-	known.credit += share * max(now.Sub(known.creditAt).Seconds(), 0)
+// accrue adds the credit since the last call and returns the rate at which it grows. What was
+// saved up for longer than creditLife is lost, one request at a time, so that VMs stay out of
+// step.
+func (l *Limits) accrue(now time.Time, server registry.Instance, known *limit) float64 {
+	rate := known.rate * l.share(server.ID)
+	known.credit += rate * max(now.Sub(known.creditAt).Seconds(), 0)
 	known.creditAt = now
-	if excess := known.credit - 1 - share*creditLife.Seconds(); excess > 0 {
+	if excess := known.credit - 1 - rate*creditLife.Seconds(); rate > 0 && excess > 0 {
 		known.credit -= math.Ceil(excess)
 	}
+	return rate
+}
+
+// HasRoom reports whether a server has a rate limit and this VM may send it a request now.
+func (l *Limits) HasRoom(now time.Time, server registry.Instance) bool {
+	if l.count.Load() == 0 {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := l.limits[server]
+	if known == nil {
+		return false
+	}
+	l.accrue(now, server, known)
+	return known.credit >= 1
 }
 
 // Take takes the right to send a request to a server, and reports whether there was one.
@@ -161,14 +193,14 @@
 	if known == nil {
 		return 0
 	}
-	l.accrue(now, known)
+	rate := l.accrue(now, server, known)
 	if known.credit >= 1 {
 		if take {
 			known.credit--
 		}
 		return 0
 	}
-	seconds := (1 - known.credit) * float64(max(l.vms(), 1)) / known.rate
+	seconds := (1 - known.credit) / rate // infinite while the share is unknown
 	return time.Duration(min(seconds, maxWait.Seconds()) * float64(time.Second))
 }
 
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -1,6 +1,7 @@
 package ratelimit
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -14,7 +15,12 @@
 	start  = time.Unix(1000, 0)
 )
 
-func newLimits(vms int) *Limits { return New(func() int { return vms }, metrics.NewRegistry()) }
+// newLimits returns the limits of one of a number of VMs in one failure domain.
+func newLimits(vms int) *Limits { return newChangingLimits(&vms) }
+
+func newChangingLimits(vms *int) *Limits {
+	return New(func(string) float64 { return Share(true, *vms, *vms) }, metrics.NewRegistry())
+}
 
 // taken returns how many of the requests that are sent each millisecond a VM may send.
 func taken(l *Limits, from time.Time, d time.Duration) int {
@@ -27,6 +33,25 @@
 	return n
 }
 
+// However VMs are spread over failure domains, their shares add up to the limit.
+func TestSharesAddUp(t *testing.T) {
+	for local := range 8 {
+		for other := range 8 {
+			all := local + other
+			if all == 0 {
+				continue
+			}
+			sum := float64(local)*Share(true, local, all) + float64(other)*Share(false, local, all)
+			if math.Abs(sum-1) > 1e-9 {
+				t.Errorf("%d VMs in the server's domain and %d in others: shares add up to %v, want 1", local, other, sum)
+			}
+		}
+	}
+	if got := Share(true, 0, 0); got != 0 {
+		t.Errorf("no VM known: got share %v, want 0", got)
+	}
+}
+
 func TestVMSendsItsShare(t *testing.T) {
 	for _, c := range []struct {
 		vms  int
@@ -41,6 +66,25 @@
 	}
 }
 
+// VMs join and leave, and a server states another limit: the share follows at once.
+func TestShareFollowsLimitAndNumberOfVMs(t *testing.T) {
+	vms := 10
+	l := newChangingLimits(&vms)
+	at := start
+	for _, c := range []struct {
+		vms  int
+		rate float64
+		want int // in 100 s
+	}{{10, 2, 20}, {40, 2, 5}, {5, 2, 40}, {5, 20, 400}, {5, 1, 20}} {
+		vms = c.vms
+		l.Stated(at, server, c.rate)
+		if got := taken(l, at, 100*time.Second); got < c.want-1 || got > c.want+6 {
+			t.Errorf("%d VMs, limit %v/s: one VM sent %d in 100s, want %d", c.vms, c.rate, got, c.want)
+		}
+		at = at.Add(100 * time.Second)
+	}
+}
+
 // What a VM did not send in a quiet time must not come on top of its share in a busy one.
 func TestQuietTimeSavesUpLittle(t *testing.T) {
 	l := newLimits(4)
