A copy of a write of the owners record does not count as committed

Found while reading what happens to a coordinator that is cut off while it writes: if the answer is lost and the store is then restored from a copy that holds the write, the coordinator took the copy for its write and cached it under a version of the new era, above later records of another coordinator that were lost. One that looks for the last record would have been told the old one. TestWriteFoundInCopyIsNotCommitted failed before.

--- a/internal/keyspace/commit.go
+++ b/internal/keyspace/commit.go
@@ -61,7 +61,8 @@
 
 // writeOutcome reads the record to find out whether a write that failed or got no
 // answer was applied. It returns the version of the write, or zero without an error
-// if the write has not been applied yet and may be retried.
+// if the write has not been applied yet and may be retried. A copy of the write does not
+// count: later records may be lost.
 func (c *Coordinator) writeOutcome(ctx context.Context, service, writeID string, version uint64, cause error) (uint64, error) {
 	row, err := c.store.Get(ctx, c.settings.Table, service)
 	if err != nil {
@@ -76,7 +77,7 @@
 		return 0, nil
 	}
 	found, err := DecodeRecord(row.Value, row.Version)
-	if err == nil && found.WriteID == writeID {
+	if err == nil && found.WriteID == writeID && !found.restored(row.Version) {
 		return row.Version, nil
 	}
 	return 0, fmt.Errorf("expected version %d of the owners record, found %d", version, row.Version)
--- a/internal/keyspace/coordinator.go
+++ b/internal/keyspace/coordinator.go
@@ -238,7 +238,7 @@
 		return nil
 	}
 	era, inherited := max(c.store.Era(), rows.Era(row.Version)), row.Version
-	if restored := row.Version == 0 && era > 0 || record.restored(row.Version); restored {
+	if record.restored(row.Version) || row.Version == 0 && era > 0 {
 		if record, err = c.recoverRecord(ctx, service, record); err != nil {
 			return nil
 		}
--- a/internal/keyspace/recover_test.go
+++ b/internal/keyspace/recover_test.go
@@ -81,3 +81,21 @@
 		t.Errorf("the coordinator waited %v, want a little more than the lease of %v", waited, walkTiming.Lease)
 	}
 }
+
+// Guards against a coordinator that takes a copy of its own write for the last record: others
+// may have written later ones that are lost.
+func TestWriteFoundInCopyIsNotCommitted(t *testing.T) {
+	for era, committed := range map[uint64]bool{0: false, 1: true} {
+		written := Record{WriteID: "a/1", Era: era}
+		value, err := written.encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		row := rows.Row{Key: "keyed", Version: rows.VersionIn(1, 6), Value: value}
+		c := NewCoordinator(Options{Store: &recordStore{row: row}})
+		version, err := c.writeOutcome(t.Context(), "keyed", "a/1", rows.VersionIn(era, 5), rows.ErrConflict)
+		if (err == nil && version == row.Version) != committed {
+			t.Errorf("write of era %d found in era 1: got version %d, error %v; committed should be %v", era, version, err, committed)
+		}
+	}
+}
