Observability: how old the views are that a VM has from another

VMs state in their answers to other VMs how long ago their copies of the store were known to be complete, and log whose copy of a configuration they received and how old it was. Nothing decides by it yet.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,6 +79,7 @@
 	decisions        *logging.Decisions
 	peers            *peers
 	viewSync         *viewSync
+	freshness        *freshness
 	loads            *loadReporter
 	follower         *rows.Follower
 	views            *rows.Set
--- a/internal/gateway/provision.go
+++ b/internal/gateway/provision.go
@@ -65,6 +65,7 @@
 
 func (g *Gateway) provisionViews() {
 	g.peers = newPeers(g.settings, g.adapter.Store)
+	g.freshness = newFreshness()
 	g.views = rows.NewSet()
 	g.configs = g.views.Add(g.adapter.ConfigTable, watchWindow)
 	g.servers = g.views.Add(g.adapter.ServersTable, watchWindow)
@@ -83,9 +84,9 @@
 	g.loads.isCoordinator = func() bool { return g.coordinatorLease.Held() }
 	g.loads.suspectCoordinator = func() { g.coordinatorLease.SuspectCoordinator() }
 	g.keys.OnApply(g.loads.apply)
-	s := rows.FollowerSettings{Wait: g.watchTimeout, Pause: g.watchPause, Retry: watchRetryDelay, RecheckInterval: readerRecheckInterval, SettleTime: storeSettleTime}
+	s := rows.FollowerSettings{Wait: g.watchTimeout, Pause: g.watchPause, Retry: watchRetryDelay, RecheckInterval: readerRecheckInterval, SettleTime: storeSettleTime, Confirmed: g.confirmViews}
 	g.follower = rows.NewFollower(s, g.adapter.Store, g.views, g.readsFromStore, g.metrics)
-	g.viewSync = newViewSync(g.peers, g.views, g.loads, g.adapter.ConfigTable)
+	g.viewSync = newViewSync(g.peers, g.views, g.loads, g.freshness, g.adapter.ConfigTable)
 	g.viewSync.owners = g.owners
 	g.viewSync.isCoordinator = g.loads.isCoordinator
 	g.viewSync.coordinatorAddress = g.loads.coordinatorAddress
@@ -94,6 +95,14 @@
 	}
 }
 
+// confirmViews records that a table was read from the store. The configuration stands for all
+// tables: a VM that reads it reaches the store.
+func (g *Gateway) confirmViews(table string) {
+	if table == g.adapter.ConfigTable {
+		g.freshness.confirm(0)
+	}
+}
+
 // readsFromStore reports whether this VM reads a table from the store. The first reader
 // of a domain reads all tables. The second reads those whose changes must arrive within
 // seconds under any fault: the configuration and the servers. The owners records are
--- a/internal/gateway/view_sync.go
+++ b/internal/gateway/view_sync.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -29,8 +30,22 @@
 	Updates []rows.Update `json:"updates"`
 	// Packed holds compressed values, which are left out of the rows of Updates.
 	Packed []packedValue `json:"packed,omitempty"`
+	// AgeMS is how long ago, in milliseconds, the sender's views were last known to include
+	// all changes of the store; nil if unknown.
+	AgeMS *int64 `json:"age_ms,omitempty"`
 }
 
+// age returns how old the sender's views are, and false if unknown.
+func (a *updatesAnswer) age() (time.Duration, bool) {
+	if a.AgeMS == nil {
+		return 0, false
+	}
+	return time.Duration(min(max(*a.AgeMS, 0), maxStatedAgeMS)) * time.Millisecond, true
+}
+
+// maxStatedAgeMS bounds the age that another VM states, so that it can't overflow.
+const maxStatedAgeMS = 24 * 60 * 60 * 1000
+
 // pathUpdates accepts an updatesRequest and responds with an updatesAnswer.
 const pathUpdates = "/peer/updates"
 
@@ -62,6 +77,7 @@
 	loads      *loadReporter
 	owners     *keyspace.Owners
 	packer     *packer
+	freshness  *freshness
 	// isCoordinator reports whether this VM is the coordinator. coordinatorAddress
 	// returns the coordinator's peer address, or "" if unknown.
 	isCoordinator      func() bool
@@ -77,8 +93,8 @@
 	configAt    time.Time
 }
 
-func newViewSync(p *peers, set *rows.Set, l *loadReporter, configTable string) *viewSync {
-	return &viewSync{peers: p, set: set, client: newPeerClient(p.settings.IP, peerDialTimeout), seedClient: newPeerClient(p.settings.IP, seedDialTimeout), loads: l, packer: newPacker(), configTable: configTable}
+func newViewSync(p *peers, set *rows.Set, l *loadReporter, f *freshness, configTable string) *viewSync {
+	return &viewSync{peers: p, set: set, client: newPeerClient(p.settings.IP, peerDialTimeout), seedClient: newPeerClient(p.settings.IP, seedDialTimeout), loads: l, packer: newPacker(), freshness: f, configTable: configTable}
 }
 
 // followFirstSource follows the first reader of the domain, unless that is this VM.
@@ -89,7 +105,8 @@
 			wait.For(ctx, firstSourceWait)
 			continue
 		}
-		answer, err := s.ask(ctx, first, s.wantedVersions(time.Now()), firstSourceWait, 0)
+		wanted := s.wantedVersions(time.Now())
+		answer, err := s.ask(ctx, first, wanted, firstSourceWait, 0)
 		if ctx.Err() != nil {
 			return
 		}
@@ -101,15 +118,34 @@
 		if len(answer.Updates) == 0 && !s.set.Synced() {
 			wait.For(ctx, retryPause) // the source has not read its tables either
 		}
-		for _, u := range answer.Updates {
-			if u.Table == s.configTable {
-				s.configAt = time.Now()
-			}
+		if s.logConfig(first, &answer) {
+			s.configAt = time.Now()
 		}
 		s.set.Apply(answer.Updates)
+		if wanted[s.configTable] != math.MaxUint64 {
+			s.confirm(&answer, 0)
+		}
 	}
 }
 
+// confirm records that this VM's views are as fresh as those of the sender of an answer, whose
+// changes of the last minAge it left out.
+func (s *viewSync) confirm(answer *updatesAnswer, minAge time.Duration) {
+	if age, known := answer.age(); known {
+		s.freshness.confirm(max(age, minAge))
+	}
+}
+
+// logConfig reports whether an answer holds a configuration, and logs whose copy it is.
+func (s *viewSync) logConfig(from *peer, answer *updatesAnswer) bool {
+	held := slices.ContainsFunc(answer.Updates, func(u rows.Update) bool { return u.Table == s.configTable })
+	if held {
+		age, known := answer.age()
+		slog.Info("peers: configuration received", "vm", from.name, "age_known", known, "age_ms", age.Milliseconds())
+	}
+	return held
+}
+
 // minConfigInterval is the minimum time between two configurations that a VM requests from
 // its reader. Each change sends the whole configuration, and a narrow link carries few.
 const minConfigInterval = 400 * time.Millisecond
@@ -141,8 +177,10 @@
 		}
 		if len(answer.Updates) > 0 {
 			slog.Info("peers: second source delivered changes that the first did not", "vm", second.name, "tables", len(answer.Updates))
+			s.logConfig(second, &answer)
 			s.set.Apply(answer.Updates)
 		}
+		s.confirm(&answer, secondSourceMinAge)
 	}
 }
 
@@ -229,6 +267,10 @@
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 			return
 		}
+		if age, known := s.freshness.age(); known {
+			ms := age.Milliseconds()
+			answer.AgeMS = &ms
+		}
 		if err := json.NewEncoder(w).Encode(answer); err != nil {
 			slog.Debug("peers: response not sent", "error", err.Error())
 		}
--- a/internal/rows/follower.go
+++ b/internal/rows/follower.go
@@ -27,6 +27,8 @@
 	RecheckInterval time.Duration
 	// SettleTime is how long after the end of a store outage rows may be missing.
 	SettleTime time.Duration
+	// Confirmed is called when a table has been read: its view includes all changes.
+	Confirmed func(table string)
 }
 
 // Follower applies the changes of a store to a set of views, for the tables that this
@@ -79,6 +81,7 @@
 			wait.For(ctx, f.settings.Retry)
 			continue
 		}
+		f.settings.Confirmed(view.Table())
 		wait.For(ctx, f.settings.Pause(view.Table()))
 	}
 }
