VMs that are behind the store turn to other sources or read it themselves

Callers were routed by a configuration that was replaced over two seconds ago. Cause: a VM followed the first two VMs of its failure domain as long as they answered, however old their views were, and readers that the store turns away went on answering. Class: trust in a copy whose age is unknown.

Now each answer's age counts. The first reader of a domain confirms its views each 0.7 s; a source over 1.25 s behind is not followed while there is another; a VM that is behind all the same reads the configuration and the servers from the store itself, the first of the domain first, and backs off while that fails.

Reads of the store per second and domain while nothing changes: at most 2.5; in an outage of 5 s the other VMs make at most three attempts for each of two tables (TestVMsBehindStoreThatIsAwayCallItSeldom).

--- a/internal/gateway/freshness.go
+++ b/internal/gateway/freshness.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -20,6 +21,48 @@
 	confirmed chan struct{} // closed and replaced when upTo rises
 }
 
+const (
+	// confirmInterval is how long the first reader of a failure domain waits for a change of
+	// the configuration. Each answer of the store confirms the views of the whole domain.
+	confirmInterval = 700 * time.Millisecond
+	// behindAge is the age of its views from which on a VM counts as behind the store. It
+	// allows for a confirmation, its way through a reader and a pause between requests.
+	behindAge = 1250 * time.Millisecond
+	// selfReadStep delays each VM that is behind after the VM before it in its domain,
+	// up to maxSelfReadSteps: the first ones read the store, the others follow them.
+	selfReadStep     = 30 * time.Millisecond
+	maxSelfReadSteps = 10
+)
+
+// behind reports whether the VM is behind the store: its views were confirmed, but not lately.
+func (f *freshness) behind() bool {
+	age, known := f.age()
+	return known && age > behindAge
+}
+
+// readsItself reports whether a VM that does not read the store otherwise has to do so, as
+// it is behind. position is its position in its failure domain.
+func (f *freshness) readsItself(position int) bool {
+	age, known := f.age()
+	return known && age > behindAge+time.Duration(min(position, maxSelfReadSteps))*selfReadStep
+}
+
+// untilConfirmed returns a context that also ends at the next confirmation.
+func (f *freshness) untilConfirmed(ctx context.Context) (context.Context, context.CancelFunc) {
+	f.mu.Lock()
+	confirmed := f.confirmed
+	f.mu.Unlock()
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		defer cancel()
+		select {
+		case <-confirmed:
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
 func newFreshness() *freshness {
 	return &freshness{now: bootclock.Now, confirmed: make(chan struct{})}
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -44,7 +44,8 @@
 // follow the first reader and poll a second source for changes that it has not
 // delivered: a reader that is frozen, partitioned or rejected by the store must not
 // keep its domain on an old configuration. All VMs order the VMs of a domain in the
-// same way; each VM skips those that did not respond to it.
+// same way; each VM skips those that did not respond to it, and prefers sources that are
+// not behind the store. A VM that is behind all the same reads the store itself.
 type peers struct {
 	settings  *Settings
 	store     rows.Store
@@ -55,18 +56,24 @@
 	missing   map[string]time.Time // VMs whose row disappeared, and may be back, by name
 	ordered   map[string][]peer    // vms by failure domain, in order; nil: to be computed
 	skipUntil map[string]time.Time // by address: no requests are sent to it before
+	// behindUntil holds, by address, until when a VM counts as behind the store, because it
+	// said so. It is followed only if there is no other.
+	behindUntil map[string]time.Time
 	// nextSeed selects the next seed: seeds are tried in turn, as one may start later
 	// than this VM.
 	nextSeed int
 
 	withdrawn atomic.Bool // this VM stops, its row is not to be written any more
+
+	// behind reports whether this VM is behind the store.
+	behind func() bool
 }
 
 // peerSkipTime is how long a VM that did not respond is skipped.
 const peerSkipTime = 3 * time.Second
 
 func newPeers(s *Settings, store rows.Store) *peers {
-	return &peers{settings: s, store: store, startedAt: time.Now(), vms: map[string]vmRow{}, missing: map[string]time.Time{}, skipUntil: map[string]time.Time{}, nextSeed: rand.IntN(1 + len(s.Seeds))}
+	return &peers{settings: s, store: store, startedAt: time.Now(), vms: map[string]vmRow{}, missing: map[string]time.Time{}, skipUntil: map[string]time.Time{}, behindUntil: map[string]time.Time{}, behind: func() bool { return false }, nextSeed: rand.IntN(1 + len(s.Seeds))}
 }
 
 // apply updates the known VMs from changed rows.
@@ -215,18 +222,23 @@
 	if len(p.vms) == 0 && now.Sub(p.startedAt) < seedPhase {
 		return p.pickSeed(now), nil
 	}
-	self := p.position(now)
-	local := p.responsive(now, p.settings.FailureDomain, readersPerDomain)
-	if self > 0 {
-		first = &local[0]
+	self, behind := p.position(now), p.behind()
+	if self > 0 || behind {
+		if local := p.fresh(now, p.settings.FailureDomain); len(local) > 0 {
+			first = &local[0]
+			if len(local) > 1 {
+				second = &local[1]
+			}
+		}
 	}
-	if self >= readersPerDomain {
-		return first, &local[1]
+	if self >= readersPerDomain && second != nil && !behind {
+		return first, second
 	}
 	var remote []peer
 	for domain := range p.domains() {
 		if domain != p.settings.FailureDomain {
-			remote = append(remote, p.responsive(now, domain, readersPerDomain)...)
+			list := p.fresh(now, domain)
+			remote = append(remote, list[:min(len(list), readersPerDomain)]...)
 		}
 	}
 	if len(remote) > 0 {
@@ -235,6 +247,44 @@
 	return first, second
 }
 
+// fresh returns the other VMs of a failure domain that may be followed, in order: the first
+// responsive ones without those that are behind the store. If all of them are, the order is random.
+func (p *peers) fresh(now time.Time, domain string) []peer {
+	list := p.responsive(now, domain, sourceCandidates)
+	list = slices.DeleteFunc(list, func(v peer) bool { return v.name == p.settings.VM })
+	current := slices.DeleteFunc(slices.Clone(list), func(v peer) bool { return now.Before(p.behindUntil[v.address]) })
+	if len(current) > 0 {
+		return current
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list
+}
+
+// sourceCandidates is the number of VMs of a failure domain among which others choose their
+// sources. The first ones of them are the first to read the store if the readers are behind.
+const sourceCandidates = 5
+
+// behindTime is how long a VM that is behind the store is not followed. Then it is asked again.
+const behindTime = 500 * time.Millisecond
+
+// isBehind reports whether a VM said lately that it is behind the store.
+func (p *peers) isBehind(v *peer, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Before(p.behindUntil[v.address])
+}
+
+// markBehind records that a VM said that it is behind the store.
+func (p *peers) markBehind(v *peer, age time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if now.Sub(p.behindUntil[v.address]) > behindTime { // once for a series
+		slog.Info("peers: VM is behind the store", "vm", v.name, "address", v.address, "age_ms", age.Milliseconds())
+	}
+	p.behindUntil[v.address] = now.Add(behindTime)
+}
+
 // standby returns the VM to use as the standby of this one: the strongest responsive VM in
 // another failure domain, so that it survives a failure of this VM's domain. Without
 // one, it returns another VM of the same domain, or nil.
--- a/internal/gateway/provision.go
+++ b/internal/gateway/provision.go
@@ -38,8 +38,11 @@
 	// that the first reader misses arrive through the second well within the same bound.
 	secondReaderPause = 500 * time.Millisecond
 	// keysPause is shorter because requests wait while keys move.
-	keysPause             = 10 * time.Millisecond
-	watchRetryDelay       = 250 * time.Millisecond
+	keysPause        = 10 * time.Millisecond
+	readerRetryDelay = 250 * time.Millisecond
+	// selfReadRetryDelay doubles with each failure, up to maxSelfReadDoublings times.
+	selfReadRetryDelay    = time.Second
+	maxSelfReadDoublings  = 3
 	readerRecheckInterval = 200 * time.Millisecond
 	// watchWindow is the maximum number of changes kept per table for peers.
 	watchWindow = 2000
@@ -66,6 +69,7 @@
 func (g *Gateway) provisionViews() {
 	g.peers = newPeers(g.settings, g.adapter.Store)
 	g.freshness = newFreshness()
+	g.peers.behind = g.freshness.behind
 	g.views = rows.NewSet()
 	g.configs = g.views.Add(g.adapter.ConfigTable, watchWindow)
 	g.servers = g.views.Add(g.adapter.ServersTable, watchWindow)
@@ -84,7 +88,7 @@
 	g.loads.isCoordinator = func() bool { return g.coordinatorLease.Held() }
 	g.loads.suspectCoordinator = func() { g.coordinatorLease.SuspectCoordinator() }
 	g.keys.OnApply(g.loads.apply)
-	s := rows.FollowerSettings{Wait: g.watchTimeout, Pause: g.watchPause, Retry: watchRetryDelay, RecheckInterval: readerRecheckInterval, SettleTime: storeSettleTime, Confirmed: g.confirmViews}
+	s := rows.FollowerSettings{Wait: g.watchTimeout, Pause: g.watchPause, Retry: g.watchRetryDelay, RecheckInterval: readerRecheckInterval, SettleTime: storeSettleTime, Confirmed: g.confirmViews}
 	g.follower = rows.NewFollower(s, g.adapter.Store, g.views, g.readsFromStore, g.metrics)
 	g.viewSync = newViewSync(g.peers, g.views, g.loads, g.freshness, g.adapter.ConfigTable)
 	g.viewSync.owners = g.owners
@@ -113,17 +117,32 @@
 	if table == keysTable {
 		return g.coordinatorLease.Held() || position == 0 && !g.viewSync.followsCoordinator.Load()
 	}
-	return position == 0 || position == 1 && (table == g.adapter.ConfigTable || table == g.adapter.ServersTable)
+	urgent := table == g.adapter.ConfigTable || table == g.adapter.ServersTable
+	return position == 0 || urgent && (position < readersPerDomain || g.freshness.readsItself(position))
+}
+
+// watchRetryDelay returns the pause after failed calls. A VM that reads only because it is
+// behind backs off: while the store is away, all VMs are.
+func (g *Gateway) watchRetryDelay(_ string, failures int) time.Duration {
+	if g.peers.domainPosition(time.Now()) < readersPerDomain {
+		return readerRetryDelay
+	}
+	return selfReadRetryDelay << min(failures-1, maxSelfReadDoublings)
 }
 
 func (g *Gateway) watchTimeout(table string) time.Duration {
 	if table == keysTable && g.coordinatorLease.Held() {
 		return coordinatorWatch
 	}
-	if g.peers.domainPosition(time.Now()) > 0 || table == vmsTable {
+	position := g.peers.domainPosition(time.Now())
+	switch {
+	case table == g.adapter.ConfigTable && (position == 0 || position >= readersPerDomain):
+		return confirmInterval
+	case position > 0 || table == vmsTable:
 		return longWatch
+	default:
+		return firstReaderWatch
 	}
-	return firstReaderWatch
 }
 
 func (g *Gateway) watchPause(table string) time.Duration {
--- a/internal/gateway/view_fleet_test.go
+++ b/internal/gateway/view_fleet_test.go
@@ -51,6 +51,12 @@
 	s.changed = make(chan struct{})
 }
 
+func (s *fleetStore) readCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
+}
+
 // since returns the newest row of each key that changed after a version.
 func (s *fleetStore) since(table string, after uint64) (rows.Page, <-chan struct{}) {
 	s.mu.Lock()
@@ -437,3 +443,40 @@
 		}
 	}
 }
+
+// While the store answers no VM, all VMs are behind it. Guards against all of them calling it
+// at the rate of the readers: each call has a price, and the store has to recover.
+func TestVMsBehindStoreThatIsAwayCallItSeldom(t *testing.T) {
+	for _, path := range []storePath{storeRejects, storeSilent} {
+		t.Run(fmt.Sprint("path ", path), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const domains, perDomain, outage = 3, 22, 5 * time.Second
+				f := newViewFleet(t, domains, perDomain)
+				time.Sleep(4 * time.Second)
+				before := f.store.readCount()
+				for _, vm := range f.vms {
+					vm.set(func(v *fleetVM) { v.path = path })
+				}
+				time.Sleep(outage)
+				// Four tables of each reader, and two of each other VM with a pause that doubles.
+				limit := domains * (readersPerDomain*4*int(outage/readerRetryDelay) + (perDomain-readersPerDomain)*2*3)
+				if reads := f.store.readCount() - before; reads > limit {
+					t.Errorf("got %d reads of the store in %v, want at most %d", reads, outage, limit)
+				}
+				for _, vm := range f.vms {
+					vm.set(func(v *fleetVM) { v.path = storeServes })
+				}
+				f.change(2)
+				time.Sleep(4 * time.Second) // operators allow that after an outage
+				f.expectActive(t, 2, func(*fleetVM) bool { return true })
+				before = f.store.readCount()
+				time.Sleep(10 * time.Second)
+				perSecond := float64(f.store.readCount()-before) / 10
+				// Each domain: the configuration each confirmInterval, the other tables each firstReaderWatch.
+				if most := domains * 2.5; perSecond > most {
+					t.Errorf("got %.1f reads of the store per second while nothing changes, want at most %.1f", perSecond, most)
+				}
+			})
+		})
+	}
+}
--- a/internal/gateway/view_sync.go
+++ b/internal/gateway/view_sync.go
@@ -66,6 +66,9 @@
 	secondSourceInterval = 500 * time.Millisecond
 	secondSourceMinAge   = 150 * time.Millisecond
 	retryPause           = 50 * time.Millisecond
+	// behindPause is the time between requests to sources that are behind the store if there
+	// are no others: such a source may answer at once.
+	behindPause = 100 * time.Millisecond
 )
 
 // viewSync copies changes from other VMs' views and serves the views of this VM.
@@ -102,11 +105,12 @@
 	for ctx.Err() == nil {
 		first, _ := s.peers.sources(time.Now())
 		if first == nil {
-			wait.For(ctx, firstSourceWait)
+			wait.For(ctx, readerRecheckInterval)
 			continue
 		}
+		onlyBehind := s.peers.isBehind(first, time.Now()) // there is no other source
 		wanted := s.wantedVersions(time.Now())
-		answer, err := s.ask(ctx, first, wanted, firstSourceWait, 0)
+		answer, err := s.ask(ctx, first, wanted, s.sourceWait(time.Now()), 0)
 		if ctx.Err() != nil {
 			return
 		}
@@ -123,16 +127,24 @@
 		}
 		s.set.Apply(answer.Updates)
 		if wanted[s.configTable] != math.MaxUint64 {
-			s.confirm(&answer, 0)
+			s.confirm(first, &answer, 0)
+		}
+		if onlyBehind && len(answer.Updates) == 0 {
+			wait.For(ctx, behindPause)
 		}
 	}
 }
 
 // confirm records that this VM's views are as fresh as those of the sender of an answer, whose
-// changes of the last minAge it left out.
-func (s *viewSync) confirm(answer *updatesAnswer, minAge time.Duration) {
-	if age, known := answer.age(); known {
-		s.freshness.confirm(max(age, minAge))
+// changes of the last minAge it left out, or that the sender is behind the store.
+func (s *viewSync) confirm(from *peer, answer *updatesAnswer, minAge time.Duration) {
+	age, known := answer.age()
+	if !known {
+		return
+	}
+	s.freshness.confirm(max(age, minAge))
+	if age > behindAge {
+		s.peers.markBehind(from, age)
 	}
 }
 
@@ -146,6 +158,15 @@
 	return held
 }
 
+// sourceWait returns how long the first source may wait for a change: no longer than until this
+// VM requests configurations again.
+func (s *viewSync) sourceWait(now time.Time) time.Duration {
+	if left := minConfigInterval - now.Sub(s.configAt); left > 0 {
+		return min(left, firstSourceWait)
+	}
+	return firstSourceWait
+}
+
 // minConfigInterval is the minimum time between two configurations that a VM requests from
 // its reader. Each change sends the whole configuration, and a narrow link carries few.
 const minConfigInterval = 400 * time.Millisecond
@@ -180,7 +201,7 @@
 			s.logConfig(second, &answer)
 			s.set.Apply(answer.Updates)
 		}
-		s.confirm(&answer, secondSourceMinAge)
+		s.confirm(second, &answer, secondSourceMinAge)
 	}
 }
 
@@ -260,7 +281,12 @@
 			return
 		}
 		maxWait := min(time.Duration(request.WaitMS)*time.Millisecond, 2*firstSourceWait)
-		updates := s.set.Updates(r.Context(), request.After, maxWait, time.Duration(request.LeastAgeMS)*time.Millisecond)
+		if s.freshness.behind() && s.peers.domainPosition(time.Now()) < readersPerDomain {
+			maxWait = 0 // others are about to read the store
+		}
+		ctx, cancel := s.freshness.untilConfirmed(r.Context())
+		defer cancel()
+		updates := s.set.Updates(ctx, request.After, maxWait, time.Duration(request.LeastAgeMS)*time.Millisecond)
 		answer, err := s.packer.pack(updates)
 		if err != nil {
 			slog.Error("peers: compress response failed", "error", err.Error())
--- a/internal/rows/follower.go
+++ b/internal/rows/follower.go
@@ -20,8 +20,8 @@
 	// Pause returns the time between two calls for a table, which batches a series of
 	// changes into fewer calls.
 	Pause func(table string) time.Duration
-	// Retry is the pause after a failed call.
-	Retry time.Duration
+	// Retry returns the pause after a number of failed calls in a row for a table.
+	Retry func(table string, failures int) time.Duration
 	// RecheckInterval is how often a follower that must not read a table checks whether
 	// it may now.
 	RecheckInterval time.Duration
@@ -64,11 +64,13 @@
 
 // Run follows one table until ctx ends.
 func (f *Follower) Run(ctx context.Context, view *View) {
+	failures := 0 // in a row
 	for ctx.Err() == nil {
 		if !f.mayRead(view.Table()) {
 			// A table that this VM no longer reads must not stay marked as failed. If it was,
 			// this call logs that reading succeeded again, although nothing was read.
 			f.recordResult(view, nil)
+			failures = 0
 			wait.For(ctx, f.settings.RecheckInterval)
 			continue
 		}
@@ -78,9 +80,11 @@
 		}
 		f.recordResult(view, err)
 		if err != nil {
-			wait.For(ctx, f.settings.Retry)
+			failures++
+			wait.For(ctx, f.settings.Retry(view.Table(), failures))
 			continue
 		}
+		failures = 0
 		f.settings.Confirmed(view.Table())
 		wait.For(ctx, f.settings.Pause(view.Table()))
 	}
