Observability: servers that end under a request

Each request whose connection was lost and whose server then refuses connections gives one line: server, service, fingerprint, age and whether it counts.

--- a/internal/dispatch/suspicions.go
+++ b/internal/dispatch/suspicions.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"fmt"
+	"log/slog"
 	"sync"
 	"time"
 
@@ -64,8 +66,11 @@
 	s.mu.Unlock()
 	now := s.now()
 	for _, l := range list {
-		if now.Sub(l.at) <= blameWindow {
+		blamed := now.Sub(l.at) <= blameWindow
+		if blamed {
 			s.quarantine.ServerLost(l.service, l.fingerprint, instance.ID)
 		}
+		slog.Info("dispatch: server refuses connections after one was lost under a request", "server", instance.ID, "service", l.service,
+			"fingerprint", fmt.Sprintf("%016x", l.fingerprint), "lost_ms_ago", now.Sub(l.at).Milliseconds(), "counted", blamed)
 	}
 }
