Failing test: VMs send a request that crashes servers to ever more of them

1, 12 and 80 VMs before plain and keyed services in virtual time; the request comes each 0.1 or 0.9 s at a random VM, idempotent or not, and VMs are replaced all the time.

--- /dev/null
+++ b/internal/dispatch/crashing_request_test.go
@@ -0,0 +1,266 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"kumquatcleat/internal/keyspace"
+	"kumquatcleat/internal/registry"
+	"kumquatcleat/internal/rows"
+	"kumquatcleat/internal/serverconn"
+)
+
+// crashFleet is several VMs before servers that end when they begin to run a certain request.
+// It runs in the virtual time of a synctest bubble.
+type crashFleet struct {
+	vms        []*Core
+	registries []*registry.Registry
+	owners     []*keyspace.Owners
+	service    time.Duration
+	path       string // of the request that crashes servers
+
+	mu        sync.Mutex // guards the fields below
+	servers   map[string]*crashServer
+	keyOwner  string // address
+	record    uint64 // version of the owners record
+	crashes   []time.Time
+	refusedOK int // harmless requests that were refused as if they crashed servers
+	served    int
+}
+
+type crashServer struct {
+	registry.Server
+	lives     int
+	downUntil time.Time
+	crashed   chan struct{} // closed when this life ends
+}
+
+const (
+	crashDowntime  = 4 * time.Second
+	silentRemoval  = 2600 * time.Millisecond // of a registration after a server has ended
+	registryDelay  = 300 * time.Millisecond  // until a VM hears of a registration, at most
+	ownerMoveDelay = 1500 * time.Millisecond
+)
+
+func newCrashFleet(vms, servers int, path string) *crashFleet {
+	f := &crashFleet{service: 60 * time.Millisecond, path: path, servers: map[string]*crashServer{}}
+	for i := range servers {
+		for _, service := range []string{"plain", "keyed"} {
+			address := fmt.Sprintf("%s%d", service, i)
+			f.servers[address] = &crashServer{crashed: make(chan struct{}), Server: registry.Server{
+				ID: address, Address: address, Service: service, Slots: 6, Incarnation: 1, FailureDomain: fmt.Sprint(i % fleetDomains)}}
+		}
+	}
+	for vm := range vms {
+		f.addVM(vm, vms)
+	}
+	f.moveKeys("keyed0")
+	return f
+}
+
+// addVM adds a VM, or replaces one that has ended.
+func (f *crashFleet) addVM(vm, vms int) {
+	r, owners := registry.New(), keyspace.NewOwners()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.servers {
+		if time.Now().After(s.downUntil) {
+			r.Put(s.Server)
+		}
+	}
+	if f.record > 0 {
+		owners.Apply(f.ownersRecord())
+	}
+	core := newFleetVM(vm, vms, f.service, r, owners, crashSender{f})
+	if vm < len(f.vms) {
+		f.vms[vm], f.registries[vm], f.owners[vm] = core, r, owners
+		return
+	}
+	f.vms, f.registries, f.owners = append(f.vms, core), append(f.registries, r), append(f.owners, owners)
+}
+
+// moveKeys gives all keys to a server. The caller does not hold the lock.
+func (f *crashFleet) moveKeys(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.record++
+	f.keyOwner = address
+	for _, o := range f.owners {
+		o.Apply(f.ownersRecord())
+	}
+}
+
+func (f *crashFleet) ownersRecord() []rows.Row {
+	s := f.servers[f.keyOwner]
+	return []rows.Row{{Key: "keyed", Version: f.record, Value: fmt.Appendf(nil,
+		`{"ranges":[{"from":0,"to":100,"owner":{"server":%q,"incarnation":%d},"fence":1}]}`, s.ID, s.Incarnation)}}
+}
+
+// eachVM calls change for the registry of each VM, after a delay of its own.
+func (f *crashFleet) eachVM(change func(*registry.Registry)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, r := range f.registries {
+		time.AfterFunc(time.Duration(rand.Int64N(int64(registryDelay))), func() { change(r) })
+	}
+}
+
+// crash ends a server, which starts again under another ID. The caller holds the lock.
+func (f *crashFleet) crash(s *crashServer) {
+	now := time.Now()
+	f.crashes = append(f.crashes, now)
+	s.downUntil = now.Add(crashDowntime)
+	close(s.crashed)
+	old := s.Server
+	time.AfterFunc(silentRemoval, func() { f.eachVM(func(r *registry.Registry) { r.Remove(old.ID, "its entry is gone") }) })
+	time.AfterFunc(crashDowntime, func() {
+		f.mu.Lock()
+		s.lives++
+		s.ID, s.Incarnation, s.crashed = fmt.Sprintf("%s-%d", s.Address, s.lives), s.Incarnation+1, make(chan struct{})
+		again := s.Server
+		f.mu.Unlock()
+		f.eachVM(func(r *registry.Registry) { r.Put(again) })
+	})
+	if s.Address == f.keyOwner {
+		time.AfterFunc(ownerMoveDelay, func() {
+			f.mu.Lock()
+			next := f.keyOwner
+			for address, other := range f.servers {
+				if other.Service == "keyed" && !time.Now().Before(other.downUntil) {
+					next = address
+				}
+			}
+			f.mu.Unlock()
+			f.moveKeys(next)
+		})
+	}
+}
+
+// crashSender sends the requests of a VM to the servers of a crashFleet.
+type crashSender struct{ fleet *crashFleet }
+
+const connectTime = time.Millisecond
+
+var errConnectionRefused = &serverconn.Failure{Progress: serverconn.NotSent, Refused: true, Err: syscall.ECONNREFUSED}
+
+func (c crashSender) Do(ctx context.Context, r *serverconn.Request) (*serverconn.Response, *serverconn.Failure) {
+	f := c.fleet
+	time.Sleep(connectTime)
+	f.mu.Lock()
+	s := f.servers[r.Server.Address]
+	if time.Now().Before(s.downUntil) {
+		f.mu.Unlock()
+		return nil, errConnectionRefused
+	}
+	if s.ID != r.Server.ID {
+		f.mu.Unlock()
+		return &serverconn.Response{Status: http.StatusMisdirectedRequest, NotStarted: true, ServerID: s.ID, Header: http.Header{}}, nil
+	}
+	lost := s.crashed
+	if r.Target == f.path {
+		f.crash(s)
+	}
+	f.mu.Unlock()
+	select {
+	case <-lost:
+		return nil, &serverconn.Failure{Progress: serverconn.Sent, Reset: true, Err: io.EOF}
+	case <-ctx.Done():
+		return nil, &serverconn.Failure{Progress: serverconn.Sent, Err: ctx.Err()}
+	case <-time.After(time.Duration((0.3 + rand.ExpFloat64()*0.7) * float64(f.service))):
+		return &serverconn.Response{Status: http.StatusOK, Header: http.Header{}}, nil
+	}
+}
+
+// request sends one request to a random VM.
+func (f *crashFleet) request(path string) *Answer {
+	f.mu.Lock()
+	vm := f.vms[rand.IntN(len(f.vms))]
+	f.mu.Unlock()
+	return vm.Serve(context.Background(), &Request{ID: "id", Method: "GET", Target: path, Path: path, Host: "h", Key: 7, HasKey: true, Arrived: time.Now(), Timeout: 800 * time.Millisecond})
+}
+
+// load sends harmless requests until a time: a part of them for the same popular page.
+func (f *crashFleet) load(perSecond float64, until time.Time, requests *sync.WaitGroup) {
+	for i := 0; time.Now().Before(until); i++ {
+		time.Sleep(time.Duration(rand.ExpFloat64() / perSecond * float64(time.Second)))
+		path := fmt.Sprint([]string{"/p/", "/k/", "/u/"}[i%3], "page", i)
+		if i%5 == 0 {
+			path = "/p/popular"
+		}
+		requests.Go(func() {
+			answer := f.request(path)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			switch {
+			case answer.Status == http.StatusOK:
+				f.served++
+			case strings.Contains(answer.Message, "under fingerprint"):
+				f.refusedOK++
+			}
+		})
+	}
+}
+
+const (
+	crashesBefore  = 3               // servers that may end before VMs have to know the request
+	crashSettle    = 3 * time.Second // after the last of these
+	crashesAllowed = 3               // sends that operators allow after that, over all VMs
+)
+
+// Guards against a request that crashes the servers which run it and that VMs send to ever more
+// servers, because each of them counts the lost servers alone or does not notice their end.
+func TestVMsTogetherStopRequestThatCrashesServers(t *testing.T) {
+	for _, vms := range []int{1, 12, 80} {
+		for _, path := range []string{"/p/crash", "/u/crash", "/k/crash"} {
+			for _, pause := range []time.Duration{100 * time.Millisecond, 900 * time.Millisecond} {
+				t.Run(fmt.Sprintf("%d VMs, %s each %v", vms, path, pause), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) { testCrashingRequest(t, vms, path, pause) })
+				})
+			}
+		}
+	}
+}
+
+func testCrashingRequest(t *testing.T, vms int, path string, pause time.Duration) {
+	const duration = 30 * time.Second
+	f := newCrashFleet(vms, 12, path)
+	until := time.Now().Add(duration)
+	var requests sync.WaitGroup
+	requests.Go(func() { f.load(float64(30+vms*5), until, &requests) })
+	// VMs are replaced all the time: one that has just started knows nothing.
+	requests.Go(func() {
+		for time.Now().Before(until) && vms > 1 {
+			time.Sleep(2 * time.Second)
+			f.addVM(rand.IntN(vms), vms)
+		}
+	})
+	time.Sleep(time.Second)
+	for time.Now().Before(until) {
+		requests.Go(func() { f.request(path) })
+		time.Sleep(pause/2 + time.Duration(rand.Int64N(int64(pause))))
+	}
+	requests.Wait()
+	time.Sleep(2 * crashDowntime)
+	late := 0
+	for _, at := range f.crashes {
+		if len(f.crashes) >= crashesBefore && at.After(f.crashes[crashesBefore-1].Add(crashSettle)) {
+			late++
+		}
+	}
+	t.Logf("%d servers ended, %d of them later than %v after the third; %d harmless requests served, %d refused", len(f.crashes), late, crashSettle, f.served, f.refusedOK)
+	if late > crashesAllowed {
+		t.Errorf("the request was sent %d times later than %v after it had crashed the third server, want at most %d", late, crashSettle, crashesAllowed)
+	}
+	if f.refusedOK > 5+f.served/500 { // what operators allow of refused requests that are proper
+		t.Errorf("%d harmless requests were refused as if they crashed servers, %d were served", f.refusedOK, f.served)
+	}
+}
--- a/internal/dispatch/ratelimit_test.go
+++ b/internal/dispatch/ratelimit_test.go
@@ -13,15 +13,10 @@
 
 	"github.com/rcrowley/go-metrics"
 
-	"kumquatcleat/internal/balance"
 	"kumquatcleat/internal/dialect"
 	"kumquatcleat/internal/keyspace"
-	"kumquatcleat/internal/logging"
-	"kumquatcleat/internal/overload"
 	"kumquatcleat/internal/ratelimit"
 	"kumquatcleat/internal/registry"
-	"kumquatcleat/internal/retry"
-	"kumquatcleat/internal/routetable"
 	"kumquatcleat/internal/rows"
 	"kumquatcleat/internal/serverconn"
 )
@@ -85,13 +80,11 @@
 	return response, nil
 }
 
-const limitedDomains = 3
-
 // vmsIn returns how many of some VMs are in a failure domain.
 func vmsIn(vms int, domain string) int {
 	n := 0
 	for vm := range vms {
-		if fmt.Sprint(vm%limitedDomains) == domain {
+		if fmt.Sprint(vm%fleetDomains) == domain {
 			n++
 		}
 	}
@@ -104,36 +97,16 @@
 		r := registry.New()
 		for i := range servers {
 			for _, service := range []string{"plain", "keyed"} {
-				r.Put(registry.Server{ID: fmt.Sprintf("%s%d", service, i), Service: service, Slots: 6, Incarnation: 1, FailureDomain: fmt.Sprint(i % limitedDomains)})
+				r.Put(registry.Server{ID: fmt.Sprintf("%s%d", service, i), Service: service, Slots: 6, Incarnation: 1, FailureDomain: fmt.Sprint(i % fleetDomains)})
 			}
 		}
-		route := func(prefix, service string) routetable.Route {
-			return routetable.Route{Name: prefix, Host: "h", Prefix: prefix, Idempotent: true, MaxAttempts: 2,
-				Timeout: 800 * time.Millisecond, Objective: 300 * time.Millisecond, Targets: []routetable.Target{{Service: service, Weight: 1}}}
-		}
-		t := table{routetable.Compile(routetable.Config{
-			Version: 1, Routes: []routetable.Route{route("/p/", "plain"), route("/k/", "keyed")},
-			Services: []routetable.Service{{Name: "plain"}, {Name: "keyed", DividedByKey: true}},
-		})}
 		owners := keyspace.NewOwners()
 		ranges := ""
 		for i := range servers {
 			ranges += fmt.Sprintf(`,{"from":%d,"to":%d,"owner":{"server":"keyed%d","incarnation":1},"fence":1}`, i*100, i*100+99, i)
 		}
 		owners.Apply([]rows.Row{{Key: "keyed", Version: 1, Value: []byte(`{"ranges":[` + ranges[1:] + `]}`)}})
-		m := metrics.NewRegistry()
-		f.vms = append(f.vms, New(Parts{
-			Settings: Settings{DefaultTimeout: time.Second, DrainOwnerGrace: time.Second},
-			Tables:   t, Registry: r, Owners: owners,
-			Balancer: balance.New(balance.Settings{FailureDomain: fmt.Sprint(vm % limitedDomains), CrossDomainCost: 0.05, InitialServiceTime: f.service, MaxRequestsPerSlot: 4.5}),
-			Sender:   limitedSender{f, vm},
-			Budget:   NewBudget(BudgetSettings{Ratio: 0.2, Slack: 64, Window: 10 * time.Second, Share: 0.8}, func() int { return vms }, time.Now),
-			Overload: overload.NewGate(), RateLimits: ratelimit.New(func(server string) float64 {
-				s := r.Get(server)
-				return ratelimit.Share(s.FailureDomain == fmt.Sprint(vm%limitedDomains), vmsIn(vms, s.FailureDomain), vms)
-			}, m), Suspicions: NewSuspicions(retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now), time.Now),
-			CountKey: func(string, uint32) {}, Decisions: logging.NewDecisions(m), Metrics: m, Dialect: &dialect.Dialect{},
-		}))
+		f.vms = append(f.vms, newFleetVM(vm, vms, f.service, r, owners, limitedSender{f, vm}))
 	}
 	return f
 }
