A successful run clears the losses before it on all VMs

A popular, harmless page that was at work on several servers as they ended was refused for 5 minutes. Cause: a successful run counted only on the VM that saw it, and only for losses that this VM knew by then. Each loss now has its time, each VM remembers its last 2048 to 4096 successful runs, and a run clears all losses before it, whenever and from whomever they are heard of. VMs tell each other of the runs in the messages that they exchange already.

TestLaterRunOnAnotherVMClearsLosses fails before; the property of merges (any order, any number) now draws runs as well.

--- a/internal/retry/property_test.go
+++ b/internal/retry/property_test.go
@@ -29,7 +29,10 @@
 func suspectsOf(numbers []int) []Suspect {
 	var list []Suspect
 	for _, n := range numbers {
-		servers := union([]string{[]string{"s1", "s2", "s3"}[n/4%3]}, []string{[]string{"s1", "s2", "s3"}[n/12%3]})
+		servers := []string{[]string{"s1", "s2", "s3"}[n/4%3], []string{"s1", "s2", "s3"}[n/12%3]}
+		if n/1800%8 == 0 {
+			servers = nil // a successful run
+		}
 		list = append(list, Suspect{
 			Service: "swapbay", Fingerprint: uint64(n % 4), Servers: servers,
 			TTL: time.Duration(n/36%50) * time.Second,
@@ -55,7 +58,9 @@
 		merge(q, report)
 	}
 	list := q.Snapshot()
-	slices.SortFunc(list, func(a, b Suspect) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	slices.SortFunc(list, func(a, b Suspect) int {
+		return cmp.Or(cmp.Compare(a.Fingerprint, b.Fingerprint), slices.Compare(a.Servers, b.Servers))
+	})
 	return list
 }
 
--- a/internal/retry/quarantine.go
+++ b/internal/retry/quarantine.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"sync"
@@ -49,13 +50,14 @@
 // request that ran on it.
 const refusalThreshold = 2
 
-// Suspect is a fingerprint whose requests ran on servers that were lost, in the form
-// that VMs exchange.
+// Suspect is what one VM tells others about a fingerprint: its requests ran on servers that
+// were lost, or one ran successfully if Servers is empty. It happened as long ago as the
+// period exceeds TTL.
 type Suspect struct {
 	Service     string
 	Fingerprint uint64
-	Servers     []string      // at most refusalThreshold, ascending
-	TTL         time.Duration // until the losses expire
+	Servers     []string
+	TTL         time.Duration // until it no longer counts
 }
 
 type suspectKey struct {
@@ -63,31 +65,53 @@
 	fingerprint uint64
 }
 
-// suspect is a VM's state of one fingerprint.
-//
-// The fields servers and expires are shared between VMs. Merging takes the union of
-// the servers, truncated to the first names in ascending order, and the later expiry.
-// Both are commutative, associative and idempotent, so the order in which VMs receive
-// reports does not matter.
+// loss is a server that was lost while it ran a request.
+type loss struct {
+	server  string
+	expires time.Time // one period after the loss, or at the end of a trial
+}
+
+// suspect is a VM's state of one fingerprint. Losses that expire no later than cleared came
+// before a successful run.
 //
-// The field cleared is local. It names the servers whose loss no longer counts because
-// the request ran successfully later, so that a peer's older report does not restore
-// the loss.
+// Merging takes the later time of each server, the refusalThreshold servers with the latest
+// times, and the later value of cleared. This is commutative, associative and idempotent, so
+// the order in which VMs receive reports does not matter.
 type suspect struct {
-	servers []string
-	expires time.Time
-	cleared []string
+	losses  []loss // at most refusalThreshold, latest first
+	cleared time.Time
+	changed uint64 // number of the last change, see Since
+	// refusedOnce says that the fingerprint was refused, so that others have to learn of its
+	// successful runs.
+	refusedOnce bool
 }
 
-func (s *suspect) refused() bool { return len(s.servers) >= refusalThreshold }
+// counted returns the losses after the last successful run.
+func (s *suspect) counted() []loss {
+	n := 0
+	for n < len(s.losses) && s.losses[n].expires.After(s.cleared) {
+		n++
+	}
+	return s.losses[:n]
+}
+
+func (s *suspect) refused() bool { return len(s.counted()) >= refusalThreshold }
+
+// expires returns when the last loss no longer counts.
+func (s *suspect) expires() time.Time {
+	if counted := s.counted(); len(counted) > 0 {
+		return counted[0].expires
+	}
+	return s.cleared
+}
 
 // expired reports whether the suspect can be dropped. A refused suspect is kept for one
 // more period to wait for its trial.
 func (s *suspect) expired(now time.Time, period time.Duration) bool {
 	if s.refused() {
-		return !now.Before(s.expires.Add(period))
+		return !now.Before(s.expires().Add(period))
 	}
-	return !now.Before(s.expires)
+	return !now.Before(s.expires())
 }
 
 // MemoryQuarantine implements Quarantine in memory. It is safe for concurrent use.
@@ -96,19 +120,26 @@
 // period after the last loss. Then one request is admitted as a trial. The trial moves
 // the expiry to its own end, so that peers that receive the report wait too. If the
 // trial request runs, the fingerprint is cleared; if its server is lost, the period
-// restarts. A run before the second loss also clears the fingerprint, so a harmless
-// request that happened to run on a lost server is cleared by its next run.
+// restarts. A successful run clears the losses before it, also those that are reported
+// later, so a harmless request that happened to run on lost servers is soon admitted.
 type MemoryQuarantine struct {
 	settings QuarantineSettings
 	now      func() time.Time
 
-	lock     sync.Mutex // guards suspects and the values in it
+	lock     sync.Mutex // guards the fields below
 	suspects map[suspectKey]*suspect
+	changes  uint64 // number of changes of suspects
+	// ran and ranBefore hold when fingerprints last ran: ran the newer ones, up to
+	// recentRuns, ranBefore those of the generation before.
+	ran, ranBefore map[suspectKey]time.Time
 }
 
+// recentRuns is how many fingerprints that ran are remembered, besides those of suspects.
+const recentRuns = 2048
+
 // NewQuarantine returns an empty quarantine.
 func NewQuarantine(s QuarantineSettings, now func() time.Time) *MemoryQuarantine {
-	return &MemoryQuarantine{settings: s, now: now, suspects: make(map[suspectKey]*suspect)}
+	return &MemoryQuarantine{settings: s, now: now, suspects: make(map[suspectKey]*suspect), ran: make(map[suspectKey]time.Time)}
 }
 
 // Admit implements Quarantine.
@@ -128,14 +159,19 @@
 	if !s.refused() {
 		return nil
 	}
-	if now.Before(s.expires) {
-		return refusal(service, fingerprint, s.servers, s.expires.Sub(now))
+	if now.Before(s.expires()) {
+		return refusal(service, fingerprint, s.losses, s.expires().Sub(now))
 	}
-	s.expires = now.Add(q.settings.Trial.Duration())
+	s.losses[0].expires = now.Add(q.settings.Trial.Duration())
+	q.recordChange(s)
 	return nil
 }
 
-func refusal(service string, fingerprint uint64, servers []string, left time.Duration) error {
+func refusal(service string, fingerprint uint64, losses []loss, left time.Duration) error {
+	var servers []string
+	for _, l := range losses {
+		servers = append(servers, l.server)
+	}
 	return fault.New(fault.Quarantined, "%s: servers %v were lost under fingerprint %016x; refused for %v more",
 		service, servers, fingerprint, left.Round(time.Second))
 }
@@ -143,44 +179,104 @@
 // ServerLost implements Quarantine. Call it for a server that is gone or restarted as
 // another incarnation, not for a single broken connection.
 func (q *MemoryQuarantine) ServerLost(service string, fingerprint uint64, server string) {
+	q.ServerLostAt(q.now(), service, fingerprint, server)
+}
+
+// ServerLostAt is ServerLost for a server that was lost at an earlier time.
+func (q *MemoryQuarantine) ServerLostAt(at time.Time, service string, fingerprint uint64, server string) {
 	q.lock.Lock()
 	defer q.lock.Unlock()
-	now := q.now()
-	s := q.suspectFor(suspectKey{service, fingerprint}, now)
-	s.cleared = without(s.cleared, server)
-	s.merge([]string{server}, now.Add(q.settings.Period.Duration()))
+	s := q.suspectFor(suspectKey{service, fingerprint}, q.now())
+	if s.addLoss(loss{server, at.Add(q.settings.Period.Duration())}) {
+		q.recordChange(s)
+	}
 }
 
 // Ran implements Quarantine.
 func (q *MemoryQuarantine) Ran(service string, fingerprint uint64) {
 	q.lock.Lock()
 	defer q.lock.Unlock()
-	s := q.suspects[suspectKey{service, fingerprint}]
-	if s == nil {
+	now, key := q.now(), suspectKey{service, fingerprint}
+	if s := q.suspects[key]; s != nil {
+		q.clear(s, now.Add(q.settings.Period.Duration()))
 		return
 	}
-	s.cleared = union(s.cleared, s.servers)
-	s.servers = nil
-	s.expires = q.now().Add(q.settings.Period.Duration()) // peers may report the losses until then
+	if len(q.ran) >= recentRuns {
+		q.ran, q.ranBefore = make(map[suspectKey]time.Time, recentRuns), q.ran
+	}
+	q.ran[key] = now
 }
 
-// Snapshot returns the fingerprints with unexpired losses, to be sent to peers.
+// clear records that the losses which expire by then came before a successful run. It reports a
+// change only if there are such losses.
+func (q *MemoryQuarantine) clear(s *suspect, until time.Time) {
+	if !until.After(s.cleared) {
+		return
+	}
+	before := len(s.counted())
+	s.cleared = until
+	if len(s.counted()) != before {
+		q.recordChange(s)
+	}
+}
+
+// recordChange gives a changed suspect the next number.
+func (q *MemoryQuarantine) recordChange(s *suspect) {
+	q.changes++
+	s.changed = q.changes
+	s.refusedOnce = s.refusedOnce || s.refused()
+}
+
+// Snapshot returns the fingerprints with unexpired losses or successful runs, to be sent to peers.
 func (q *MemoryQuarantine) Snapshot() []Suspect {
 	q.lock.Lock()
 	defer q.lock.Unlock()
-	now := q.now()
 	var list []Suspect
 	for key, s := range q.suspects {
-		if len(s.servers) == 0 || !now.Before(s.expires) {
-			continue
+		list = s.appendTo(list, key, q.now())
+	}
+	return list
+}
+
+// Since returns up to limit fingerprints that changed after the change with the given number,
+// or somewhat more, and the number to continue from. With refusedOnly, it leaves out those
+// that were never refused.
+func (q *MemoryQuarantine) Since(change uint64, limit int, refusedOnly bool) ([]Suspect, uint64) {
+	q.lock.Lock()
+	defer q.lock.Unlock()
+	if change >= q.changes {
+		return nil, q.changes
+	}
+	var keys []suspectKey
+	for key, s := range q.suspects {
+		if s.changed > change && (s.refusedOnce || !refusedOnly) {
+			keys = append(keys, key)
+		}
+	}
+	slices.SortFunc(keys, func(a, b suspectKey) int { return cmp.Compare(q.suspects[a].changed, q.suspects[b].changed) })
+	next := q.changes
+	if len(keys) > limit {
+		keys = keys[:limit]
+		next = q.suspects[keys[limit-1]].changed
+	}
+	var list []Suspect
+	for _, key := range keys {
+		list = q.suspects[key].appendTo(list, key, q.now())
+	}
+	return list, next
+}
+
+// appendTo appends what peers have to know of a suspect.
+func (s *suspect) appendTo(list []Suspect, key suspectKey, now time.Time) []Suspect {
+	add := func(expires time.Time, servers []string) {
+		if expires.After(now) {
+			list = append(list, Suspect{Service: key.service, Fingerprint: key.fingerprint, Servers: servers, TTL: expires.Sub(now)})
 		}
-		list = append(list, Suspect{
-			Service:     key.service,
-			Fingerprint: key.fingerprint,
-			Servers:     slices.Clone(s.servers),
-			TTL:         s.expires.Sub(now),
-		})
 	}
+	for _, l := range s.counted() {
+		add(l.expires, []string{l.server})
+	}
+	add(s.cleared, nil)
 	return list
 }
 
@@ -201,23 +297,33 @@
 		return
 	}
 	key := suspectKey{reported.Service, reported.Fingerprint}
-	servers := reported.Servers
-	if known := q.suspects[key]; known != nil {
-		servers = without(servers, known.cleared...)
-	}
-	if len(servers) == 0 {
+	s := q.suspectFor(key, now)
+	if len(reported.Servers) == 0 {
+		q.clear(s, now.Add(ttl))
 		return
 	}
-	q.suspectFor(key, now).merge(servers, now.Add(ttl))
+	changed := false
+	for _, server := range reported.Servers {
+		changed = s.addLoss(loss{server, now.Add(ttl)}) || changed
+	}
+	if changed {
+		q.recordChange(s)
+	}
 }
 
-// merge adds reported losses to the shared fields of a suspect.
-func (s *suspect) merge(servers []string, expires time.Time) {
-	s.servers = union(s.servers, servers)
-	s.servers = s.servers[:min(len(s.servers), refusalThreshold)]
-	if expires.After(s.expires) {
-		s.expires = expires
+// addLoss adds a loss and reports whether it changes the suspect.
+func (s *suspect) addLoss(l loss) bool {
+	before := slices.Clone(s.losses)
+	if i := slices.IndexFunc(s.losses, func(known loss) bool { return known.server == l.server }); i < 0 {
+		s.losses = append(s.losses, l)
+	} else if l.expires.After(s.losses[i].expires) {
+		s.losses[i] = l
 	}
+	slices.SortFunc(s.losses, func(a, b loss) int {
+		return cmp.Or(b.expires.Compare(a.expires), cmp.Compare(a.server, b.server))
+	})
+	s.losses = s.losses[:min(len(s.losses), refusalThreshold)]
+	return !slices.Equal(before, s.losses) && l.expires.After(s.cleared)
 }
 
 // suspectFor returns the suspect of a key. It creates one if there is none or the
@@ -232,6 +338,12 @@
 		q.evict(now)
 	}
 	s = &suspect{}
+	for _, runs := range []map[suspectKey]time.Time{q.ranBefore, q.ran} {
+		if at, ok := runs[key]; ok {
+			s.cleared = at.Add(q.settings.Period.Duration())
+			delete(runs, key)
+		}
+	}
 	q.suspects[key] = s
 	return s
 }
@@ -260,19 +372,5 @@
 	if a.refused() != b.refused() {
 		return !a.refused()
 	}
-	return a.expires.Before(b.expires)
-}
-
-// union returns the names in either list, sorted and without duplicates.
-func union(a, b []string) []string {
-	all := slices.Concat(a, b)
-	slices.Sort(all)
-	return slices.Compact(all)
-}
-
-// without returns the names in list that are not in dropped.
-func without(list []string, dropped ...string) []string {
-	return slices.DeleteFunc(slices.Clone(list), func(name string) bool {
-		return slices.Contains(dropped, name)
-	})
+	return a.expires().Before(b.expires())
 }
--- a/internal/retry/quarantine_test.go
+++ b/internal/retry/quarantine_test.go
@@ -126,3 +126,70 @@
 	}
 	expectRefused(t, q, true)
 }
+
+// Guards against a popular, harmless page that is refused because it was at work on several
+// servers that ended: another VM ran it later, before or after it hears of the losses.
+func TestLaterRunOnAnotherVMClearsLosses(t *testing.T) {
+	for _, ranFirst := range []bool{true, false} {
+		c := newClock()
+		a := NewQuarantine(DefaultQuarantineSettings(), c.now)
+		b := NewQuarantine(DefaultQuarantineSettings(), c.now)
+		a.ServerLost("swapbay", crashingFingerprint, "s1")
+		a.ServerLost("swapbay", crashingFingerprint, "s2")
+		c.advance(100 * time.Millisecond)
+		if ranFirst {
+			b.Ran("swapbay", crashingFingerprint)
+		}
+		c.advance(100 * time.Millisecond)
+		b.Merge(a.Snapshot())
+		if !ranFirst {
+			b.Ran("swapbay", crashingFingerprint)
+		}
+		expectRefused(t, b, false)
+		a.Merge(b.Snapshot())
+		expectRefused(t, a, false)
+		a.ServerLostAt(c.now().Add(-150*time.Millisecond), "swapbay", crashingFingerprint, "s3")
+		expectRefused(t, a, false)
+	}
+}
+
+// A run before the servers were lost says nothing about them.
+func TestEarlierRunDoesNotClearLosses(t *testing.T) {
+	c := newClock()
+	a := NewQuarantine(DefaultQuarantineSettings(), c.now)
+	b := NewQuarantine(DefaultQuarantineSettings(), c.now)
+	b.Ran("swapbay", crashingFingerprint)
+	c.advance(100 * time.Millisecond)
+	a.ServerLost("swapbay", crashingFingerprint, "s1")
+	a.ServerLost("swapbay", crashingFingerprint, "s2")
+	b.Merge(a.Snapshot())
+	expectRefused(t, b, true)
+}
+
+// Since returns each change once, in order, and to others only what they need.
+func TestChangesOfSuspectsAreReturnedOnce(t *testing.T) {
+	c := newClock()
+	q := NewQuarantine(DefaultQuarantineSettings(), c.now)
+	for fingerprint := range uint64(10) {
+		q.ServerLost("swapbay", fingerprint, "s1")
+	}
+	first, next := q.Since(0, 6, false)
+	rest, end := q.Since(next, 6, false)
+	if len(first) != 6 || len(rest) != 4 || first[0].Fingerprint != 0 || rest[3].Fingerprint != 9 {
+		t.Fatalf("got %d and %d suspects, want 6 and 4 in order", len(first), len(rest))
+	}
+	if again, _ := q.Since(end, 6, false); len(again) != 0 {
+		t.Fatalf("got %d suspects without a change, want none", len(again))
+	}
+	if refused, _ := q.Since(0, 6, true); len(refused) != 0 {
+		t.Fatalf("got %v, want none refused", refused)
+	}
+	q.ServerLost("swapbay", crashingFingerprint, "s2")
+	if refused, _ := q.Since(0, 6, true); len(refused) != 2 || refused[0].Fingerprint != crashingFingerprint {
+		t.Fatalf("got %v, want both losses of the refused fingerprint", refused)
+	}
+	q.Ran("swapbay", crashingFingerprint)
+	if cleared, _ := q.Since(end+1, 6, true); len(cleared) != 1 || len(cleared[0].Servers) != 0 {
+		t.Fatalf("got %v, want the successful run", cleared)
+	}
+}
