Harmless requests at work on servers that end are not refused for long

A loss within 10 s after a successful run no longer counts, a VM that hears of losses which a run has cleared says so, and one VM may admit one trial 1.5 s after the second loss, unless a third server was lost.

--- a/internal/retry/quarantine.go
+++ b/internal/retry/quarantine.go
@@ -50,14 +50,17 @@
 // request that ran on it.
 const refusalThreshold = 2
 
+// maxLosses is how many losses of a fingerprint are kept. More than refusalThreshold leave no
+// doubt.
+const maxLosses = refusalThreshold + 1
+
 // Suspect is what one VM tells others about a fingerprint: its requests ran on servers that
-// were lost, or one ran successfully if Servers is empty. It happened as long ago as the
-// period exceeds TTL.
+// were lost, or one ran successfully if Servers is empty.
 type Suspect struct {
-	Service     string
-	Fingerprint uint64
-	Servers     []string
-	TTL         time.Duration // until it no longer counts
+	Service     string        `json:"service"`
+	Fingerprint uint64        `json:"fingerprint"`
+	Servers     []string      `json:"servers,omitempty"`
+	TTL         time.Duration `json:"ttl_ns"` // until it no longer counts
 }
 
 type suspectKey struct {
@@ -72,18 +75,19 @@
 }
 
 // suspect is a VM's state of one fingerprint. Losses that expire no later than cleared came
-// before a successful run.
+// before a successful run, or less than runEvidence after it.
 //
-// Merging takes the later time of each server, the refusalThreshold servers with the latest
-// times, and the later value of cleared. This is commutative, associative and idempotent, so
+// Merging takes the later time of each server, the maxLosses servers with the latest times, and the later value of cleared. This is commutative, associative and idempotent, so
 // the order in which VMs receive reports does not matter.
 type suspect struct {
-	losses  []loss // at most refusalThreshold, latest first
+	losses  []loss // at most maxLosses, latest first
 	cleared time.Time
 	changed uint64 // number of the last change, see Since
-	// refusedOnce says that the fingerprint was refused, so that others have to learn of its
-	// successful runs.
-	refusedOnce bool
+	// concernsAll says that all VMs have to know of it: the fingerprint was refused, or others
+	// count losses that a successful run has cleared.
+	concernsAll bool
+	// triedUntil is until when the early trial that this VM admitted may have no result.
+	triedUntil time.Time
 }
 
 // counted returns the losses after the last successful run.
@@ -120,11 +124,16 @@
 // period after the last loss. Then one request is admitted as a trial. The trial moves
 // the expiry to its own end, so that peers that receive the report wait too. If the
 // trial request runs, the fingerprint is cleared; if its server is lost, the period
-// restarts. A successful run clears the losses before it, also those that are reported
-// later, so a harmless request that happened to run on lost servers is soon admitted.
+// restarts. A successful run clears the losses before it and shortly after it, also those that
+// are reported later: a harmless request may happen to run on several lost servers.
+//
+// Two servers may be lost for a reason that concerns only one of the requests at work on
+// them. So one VM, see TryEarly, admits a trial soon after the second loss, unless a third
+// one was lost under the fingerprint.
 type MemoryQuarantine struct {
 	settings QuarantineSettings
 	now      func() time.Time
+	tryEarly func() bool // see TryEarly
 
 	lock     sync.Mutex // guards the fields below
 	suspects map[suspectKey]*suspect
@@ -134,12 +143,25 @@
 	ran, ranBefore map[suspectKey]time.Time
 }
 
+// earlyTrialDelay is how long after the second loss an early trial is admitted. By then the VM
+// has heard of the losses that others saw.
+const earlyTrialDelay = 1500 * time.Millisecond
+
+// TryEarly makes the quarantine admit early trials while may returns true. That must be so on
+// one VM at a time: the trials of several would each cost a server. Call it before the
+// quarantine is used.
+func (q *MemoryQuarantine) TryEarly(may func() bool) { q.tryEarly = may }
+
+// runEvidence is how long after a successful run losses do not count. A popular page may be
+// at work on several servers that end at the same time, but then it has run shortly before.
+const runEvidence = 10 * time.Second
+
 // recentRuns is how many fingerprints that ran are remembered, besides those of suspects.
 const recentRuns = 2048
 
 // NewQuarantine returns an empty quarantine.
 func NewQuarantine(s QuarantineSettings, now func() time.Time) *MemoryQuarantine {
-	return &MemoryQuarantine{settings: s, now: now, suspects: make(map[suspectKey]*suspect), ran: make(map[suspectKey]time.Time)}
+	return &MemoryQuarantine{settings: s, now: now, suspects: make(map[suspectKey]*suspect), ran: make(map[suspectKey]time.Time), tryEarly: func() bool { return false }}
 }
 
 // Admit implements Quarantine.
@@ -159,14 +181,26 @@
 	if !s.refused() {
 		return nil
 	}
-	if now.Before(s.expires()) {
-		return refusal(service, fingerprint, s.losses, s.expires().Sub(now))
+	if now.Before(s.expires()) && !q.admitsEarly(s, now) {
+		return refusal(service, fingerprint, s.counted(), s.expires().Sub(now))
+	}
+	if !now.Before(s.expires()) {
+		s.losses[0].expires = now.Add(q.settings.Trial.Duration())
+		q.recordChange(s)
 	}
-	s.losses[0].expires = now.Add(q.settings.Trial.Duration())
-	q.recordChange(s)
 	return nil
 }
 
+// admitsEarly reports whether to admit an early trial now.
+func (q *MemoryQuarantine) admitsEarly(s *suspect, now time.Time) bool {
+	lost := s.expires().Add(-q.settings.Period.Duration())
+	if len(s.counted()) > refusalThreshold || now.Sub(lost) < earlyTrialDelay || now.Before(s.triedUntil) || !q.tryEarly() {
+		return false
+	}
+	s.triedUntil = now.Add(q.settings.Trial.Duration())
+	return true
+}
+
 func refusal(service string, fingerprint uint64, losses []loss, left time.Duration) error {
 	var servers []string
 	for _, l := range losses {
@@ -198,7 +232,7 @@
 	defer q.lock.Unlock()
 	now, key := q.now(), suspectKey{service, fingerprint}
 	if s := q.suspects[key]; s != nil {
-		q.clear(s, now.Add(q.settings.Period.Duration()))
+		q.clear(s, now.Add(q.settings.Period.Duration()+runEvidence))
 		return
 	}
 	if len(q.ran) >= recentRuns {
@@ -224,7 +258,7 @@
 func (q *MemoryQuarantine) recordChange(s *suspect) {
 	q.changes++
 	s.changed = q.changes
-	s.refusedOnce = s.refusedOnce || s.refused()
+	s.concernsAll = s.concernsAll || s.refused()
 }
 
 // Snapshot returns the fingerprints with unexpired losses or successful runs, to be sent to peers.
@@ -239,9 +273,9 @@
 }
 
 // Since returns up to limit fingerprints that changed after the change with the given number,
-// or somewhat more, and the number to continue from. With refusedOnly, it leaves out those
-// that were never refused.
-func (q *MemoryQuarantine) Since(change uint64, limit int, refusedOnly bool) ([]Suspect, uint64) {
+// or somewhat more, and the number to continue from. With onlyForAll, it leaves out those
+// that do not concern all VMs.
+func (q *MemoryQuarantine) Since(change uint64, limit int, onlyForAll bool) ([]Suspect, uint64) {
 	q.lock.Lock()
 	defer q.lock.Unlock()
 	if change >= q.changes {
@@ -249,7 +283,7 @@
 	}
 	var keys []suspectKey
 	for key, s := range q.suspects {
-		if s.changed > change && (s.refusedOnce || !refusedOnly) {
+		if s.changed > change && (s.concernsAll || !onlyForAll) {
 			keys = append(keys, key)
 		}
 	}
@@ -292,17 +326,20 @@
 }
 
 func (q *MemoryQuarantine) mergeOne(reported Suspect, now time.Time) {
-	ttl := min(reported.TTL, q.settings.Period.Duration())
-	if ttl <= 0 {
+	if reported.TTL <= 0 {
 		return
 	}
 	key := suspectKey{reported.Service, reported.Fingerprint}
 	s := q.suspectFor(key, now)
 	if len(reported.Servers) == 0 {
-		q.clear(s, now.Add(ttl))
+		q.clear(s, now.Add(min(reported.TTL, q.settings.Period.Duration()+runEvidence)))
 		return
 	}
+	ttl := min(reported.TTL, q.settings.Period.Duration())
 	changed := false
+	if !now.Add(ttl).After(s.cleared) {
+		changed, s.concernsAll = true, true // the sender does not know that the request ran
+	}
 	for _, server := range reported.Servers {
 		changed = s.addLoss(loss{server, now.Add(ttl)}) || changed
 	}
@@ -311,18 +348,22 @@
 	}
 }
 
+// echoTolerance is how much later than a known loss a report of the same one may seem, because
+// it took time to arrive.
+const echoTolerance = 900 * time.Millisecond
+
 // addLoss adds a loss and reports whether it changes the suspect.
 func (s *suspect) addLoss(l loss) bool {
 	before := slices.Clone(s.losses)
 	if i := slices.IndexFunc(s.losses, func(known loss) bool { return known.server == l.server }); i < 0 {
 		s.losses = append(s.losses, l)
-	} else if l.expires.After(s.losses[i].expires) {
+	} else if l.expires.After(s.losses[i].expires.Add(echoTolerance)) {
 		s.losses[i] = l
 	}
 	slices.SortFunc(s.losses, func(a, b loss) int {
 		return cmp.Or(b.expires.Compare(a.expires), cmp.Compare(a.server, b.server))
 	})
-	s.losses = s.losses[:min(len(s.losses), refusalThreshold)]
+	s.losses = s.losses[:min(len(s.losses), maxLosses)]
 	return !slices.Equal(before, s.losses) && l.expires.After(s.cleared)
 }
 
@@ -340,7 +381,7 @@
 	s = &suspect{}
 	for _, runs := range []map[suspectKey]time.Time{q.ranBefore, q.ran} {
 		if at, ok := runs[key]; ok {
-			s.cleared = at.Add(q.settings.Period.Duration())
+			s.cleared = at.Add(q.settings.Period.Duration() + runEvidence)
 			delete(runs, key)
 		}
 	}
