The end of a server is noticed by whatever shows it

A request that crashed servers went on behind a single VM: 31 servers ended in 30 s. A server counted as ended only if this VM happened to open a connection to it within 2 s of losing one, which it avoids after a reset. Now the VM opens one at once, at most one a second and server, and the registrations count too: one that goes without a drain, or is replaced at its ID or address. A refused connection counts only while other servers of the domain answer: network faults refuse connections as well, and their requests were blamed.

--- a/internal/dispatch/results.go
+++ b/internal/dispatch/results.go
@@ -21,6 +21,7 @@
 // a retry may succeed.
 func (r *requestState) handleResponse(choice balance.Choice, response *serverconn.Response) (*Answer, bool) {
 	r.sends++
+	r.core.Suspicions.Answered(choice.Server)
 	if response.NotStarted {
 		return r.handleNotStarted(choice, response)
 	}
@@ -63,8 +64,6 @@
 	if failure.Progress == serverconn.NotSent {
 		r.connectFailures++
 		if failure.Refused {
-			// A network fault can also refuse connections. So this counts as a crash
-			// only against requests whose connection to the server was lost before.
 			r.core.Suspicions.ConnectionRefused(server.Instance())
 		}
 		// The keys of an unreachable owner move only after its lease expires. Until
@@ -73,7 +72,7 @@
 	}
 	r.sends++
 	if failure.Reset {
-		r.core.Suspicions.ConnectionLost(r.service.Name, r.fingerprint, server.Instance())
+		r.core.Suspicions.ConnectionLost(r.service.Name, r.fingerprint, server)
 	}
 	if time.Until(r.deadline) < minAttemptTime {
 		return refuse(fault.ServerTimeout, 0, "%v", failure), false
--- a/internal/gateway/provision.go
+++ b/internal/gateway/provision.go
@@ -170,7 +170,8 @@
 	g.budget = dispatch.NewBudget(dispatch.BudgetSettings{
 		Ratio: g.settings.RetryRatio, Slack: g.settings.RetrySlack, Window: seconds(g.settings.RetryWindow), Share: retryBudgetShare,
 	}, g.peers.count, time.Now)
-	g.suspicions = dispatch.NewSuspicions(retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now), time.Now)
+	g.suspicions = dispatch.NewSuspicions(retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now), time.Now, g.requestPool.Probe)
+	g.registry.OnEnded(g.suspicions.Ended)
 	g.core = dispatch.New(dispatch.Parts{
 		Settings: dispatch.Settings{
 			SplitOffset:     splitOffset(g.settings.VM),
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -58,15 +58,20 @@
 	era           uint64           // newest era of the store of which there were changes
 	departed      map[string]departure
 	returning     map[string]returning
+	onEnded       func(Instance, string)
 }
 
 // New returns an empty registry.
 func New() *Registry {
-	r := &Registry{retainedUntil: map[string]time.Time{}, terminated: map[string]int64{}, departed: map[string]departure{}, returning: map[string]returning{}}
+	r := &Registry{retainedUntil: map[string]time.Time{}, terminated: map[string]int64{}, departed: map[string]departure{}, returning: map[string]returning{}, onEnded: func(Instance, string) {}}
 	r.current.Store(&snapshot{servers: map[string]*Server{}, services: map[string][]*Server{}})
 	return r
 }
 
+// OnEnded registers a function to call when an incarnation of a server ends that did not leave
+// as planned. It must not call the registry. Call OnEnded before the registry is used.
+func (r *Registry) OnEnded(f func(instance Instance, reason string)) { r.onEnded = f }
+
 // Put adds or updates the registration of a server.
 func (r *Registry) Put(s Server) { r.Update(func(e *Edit) { e.Put(s) }) }
 
@@ -87,6 +92,7 @@
 		return
 	}
 	old := e.servers[s.ID]
+	e.endReplaced(&s)
 	if old == nil || !old.SameInstance(&s) || old.Draining != s.Draining {
 		slog.Info("registry: server", "server", s.ID, "service", s.Service, "address", s.Address,
 			"domain", s.FailureDomain, "incarnation", s.Incarnation, "draining", s.Draining, "slots", s.Slots)
@@ -96,12 +102,28 @@
 	e.touch(&s)
 }
 
+// endReplaced reports the ends of the incarnations that a new one shows: those with its ID or
+// at its address.
+func (e *Edit) endReplaced(s *Server) {
+	if old := e.servers[s.ID]; old != nil && old.SameInstance(s) {
+		return
+	}
+	for _, old := range e.servers {
+		if old.Incarnation < s.Incarnation && !old.Draining && (old.ID == s.ID || old.Address == s.Address) {
+			e.registry.onEnded(old.Instance(), "server "+s.ID+" started in its place")
+		}
+	}
+}
+
 // Remove removes a server whose registration was deleted or is invalid.
 func (e *Edit) Remove(id, reason string) {
 	delete(e.registry.retainedUntil, id)
 	delete(e.registry.returning, id)
 	if old := e.servers[id]; old != nil {
 		e.depart(old)
+		if !old.Draining {
+			e.registry.onEnded(old.Instance(), reason)
+		}
 		slog.Info("registry: server gone", "server", id, "reason", reason)
 		e.touch(old)
 		delete(e.servers, id)
@@ -158,6 +180,7 @@
 		if r.terminated[id] < incarnation {
 			slog.Info("registry: server incarnation terminated", "server", id, "incarnation", incarnation, "reason", reason)
 			r.terminated[id] = incarnation
+			r.onEnded(Instance{id, incarnation}, reason)
 			e.touch(e.servers[id])
 		}
 	})
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"reflect"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 )
@@ -121,3 +122,25 @@
 		}
 	}
 }
+
+// A server that crashed is known by what replaces it or by its missing registration; one that
+// left as planned has not crashed.
+func TestUnplannedEndsOfServersAreReported(t *testing.T) {
+	r := New()
+	var ended []Instance
+	r.OnEnded(func(instance Instance, _ string) { ended = append(ended, instance) })
+	for _, id := range []string{"restarted", "replaced", "gone", "terminated", "draining"} {
+		r.Put(Server{ID: id, Address: id + ":1", Incarnation: 1})
+	}
+	r.Put(Server{ID: "restarted", Address: "restarted:1", Incarnation: 2})
+	r.Put(Server{ID: "successor", Address: "replaced:1", Incarnation: 2})
+	r.Put(Server{ID: "successor", Address: "replaced:1", Incarnation: 2, Slots: 6})
+	r.Remove("gone", "its entry is gone")
+	r.MarkTerminated("terminated", 1, "another server answers")
+	r.Put(Server{ID: "draining", Address: "draining:1", Incarnation: 1, Draining: true})
+	r.Remove("draining", "its entry is gone")
+	want := []Instance{{"restarted", 1}, {"replaced", 1}, {"gone", 1}, {"terminated", 1}}
+	if !slices.Equal(ended, want) {
+		t.Errorf("got ends %v, want %v", ended, want)
+	}
+}
--- a/internal/serverconn/pool.go
+++ b/internal/serverconn/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net"
 	"sync"
 	"syscall"
@@ -70,6 +71,23 @@
 	return newConn(opened), nil
 }
 
+// Probe opens a connection to a server and keeps it as an idle one. It reports whether the
+// server's address refused the connection.
+func (p *Pool) Probe(ctx context.Context, server *registry.Server) (refused bool) {
+	return Refused(p.openIdle(ctx, server))
+}
+
+// openIdle opens a connection to a server and keeps it as an idle one.
+func (p *Pool) openIdle(ctx context.Context, server *registry.Server) error {
+	c, err := p.open(ctx, server)
+	if err != nil {
+		slog.Debug("serverconn: opening an idle connection failed", "server", server.ID, "error", err.Error())
+		return err
+	}
+	p.put(server, c)
+	return nil
+}
+
 // idleConn returns a pooled connection that was idle for at most maxIdle, or nil.
 func (p *Pool) idleConn(server *registry.Server, maxIdle time.Duration) *conn {
 	key := server.Instance()
--- a/internal/serverconn/session.go
+++ b/internal/serverconn/session.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"log/slog"
 	"time"
 
 	"kumquatcleat/internal/registry"
@@ -98,12 +97,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), p.settings.DialTimeout)
 		defer cancel()
-		c, err := p.open(ctx, server)
-		if err == nil {
-			p.put(server, c)
-		} else {
-			slog.Debug("serverconn: opening a spare connection failed", "server", server.ID, "error", err.Error())
-		}
+		_ = p.openIdle(ctx, server)
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		delete(p.openingSpares, key)
