A VM that reads the store in place of its readers goes on doing so

In 1 of 40 runs of TestVMsActivateConfigurationInTimeBehindReadersInTrouble a reader that the store turns away got a change after 2.4 s: the VM that read in its place paused until its views were old again, and the reader followed others only while its own were.

--- a/internal/gateway/freshness.go
+++ b/internal/gateway/freshness.go
@@ -18,6 +18,10 @@
 	mu        sync.Mutex    // guards the fields below
 	known     bool          // the copies were confirmed at least once
 	upTo      time.Duration // by now
+	fromStore bool          // the last confirmation came from the store, not from another VM
+	storeAt   time.Duration // of the last confirmation from the store, zero if there was none
+	// relieved is when a VM that comes before this one in its domain last raised upTo.
+	relieved  time.Duration
 	confirmed chan struct{} // closed and replaced when upTo rises
 }
 
@@ -40,11 +44,15 @@
 	return known && age > behindAge
 }
 
-// readsItself reports whether a VM that does not read the store otherwise has to do so, as
-// it is behind. position is its position in its failure domain.
+// readsItself reports whether a VM that does not read the store otherwise has to do so: it is
+// behind, or it was and no VM before it in its domain has been as fresh since. position is its
+// position there.
 func (f *freshness) readsItself(position int) bool {
-	age, known := f.age()
-	return known && age > behindAge+time.Duration(min(position, maxSelfReadSteps))*selfReadStep
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	behind := now-f.upTo > behindAge+time.Duration(min(position, maxSelfReadSteps))*selfReadStep
+	return f.known && (behind || f.fromStore && now-f.relieved > behindAge)
 }
 
 // untilConfirmed returns a context that also ends at the next confirmation.
@@ -67,18 +75,41 @@
 	return &freshness{now: bootclock.Now, confirmed: make(chan struct{})}
 }
 
-// confirm records that the copies include all changes that the store acknowledged more than
-// age ago.
-func (f *freshness) confirm(age time.Duration) {
+// confirm records that, by another VM, the copies include all changes that the store
+// acknowledged more than age ago.
+// relieves says that the other VM is to read the store rather than this one.
+func (f *freshness) confirm(age time.Duration, relieves bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.raise(f.now()-age) && relieves {
+		f.fromStore, f.relieved = false, f.now()
+	}
+}
+
+// confirmFromStore records that the store was read.
+func (f *freshness) confirmFromStore() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	upTo := f.now() - age
+	f.storeAt = f.now()
+	f.fromStore = f.raise(f.storeAt) || f.fromStore
+}
+
+// readsStore reports whether the VM reached the store lately.
+func (f *freshness) readsStore() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.now()-f.storeAt <= behindAge
+}
+
+// raise raises upTo and reports whether it did. The caller holds the lock.
+func (f *freshness) raise(upTo time.Duration) bool {
 	if f.known && upTo <= f.upTo {
-		return
+		return false
 	}
 	f.known, f.upTo = true, upTo
 	close(f.confirmed)
 	f.confirmed = make(chan struct{})
+	return true
 }
 
 // age returns how long ago the copies were last known to be complete, and false if they
--- a/internal/gateway/freshness_test.go
+++ b/internal/gateway/freshness_test.go
@@ -14,8 +14,8 @@
 	if _, known := f.age(); known {
 		t.Fatal("got a known age before the first confirmation")
 	}
-	f.confirm(200 * time.Millisecond)
-	f.confirm(3 * time.Second)
+	f.confirm(200*time.Millisecond, false)
+	f.confirm(3*time.Second, false)
 	now += time.Second // also while suspended, by the clock of newFreshness
 	if age, known := f.age(); !known || age != 1200*time.Millisecond {
 		t.Fatalf("got age %v, known %v, want 1.2s", age, known)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -65,15 +65,16 @@
 
 	withdrawn atomic.Bool // this VM stops, its row is not to be written any more
 
-	// behind reports whether this VM is behind the store.
-	behind func() bool
+	// readsStore reports whether this VM reached the store lately. A reader that did not
+	// follows others.
+	readsStore func() bool
 }
 
 // peerSkipTime is how long a VM that did not respond is skipped.
 const peerSkipTime = 3 * time.Second
 
 func newPeers(s *Settings, store rows.Store) *peers {
-	return &peers{settings: s, store: store, startedAt: time.Now(), vms: map[string]vmRow{}, missing: map[string]time.Time{}, skipUntil: map[string]time.Time{}, behindUntil: map[string]time.Time{}, behind: func() bool { return false }, nextSeed: rand.IntN(1 + len(s.Seeds))}
+	return &peers{settings: s, store: store, startedAt: time.Now(), vms: map[string]vmRow{}, missing: map[string]time.Time{}, skipUntil: map[string]time.Time{}, behindUntil: map[string]time.Time{}, readsStore: func() bool { return true }, nextSeed: rand.IntN(1 + len(s.Seeds))}
 }
 
 // apply updates the known VMs from changed rows.
@@ -222,8 +223,9 @@
 	if len(p.vms) == 0 && now.Sub(p.startedAt) < seedPhase {
 		return p.pickSeed(now), nil
 	}
-	self, behind := p.position(now), p.behind()
-	if self > 0 || behind {
+	self := p.position(now)
+	follows := self >= readersPerDomain || self >= 0 && !p.readsStore()
+	if self > 0 || follows {
 		if local := p.fresh(now, p.settings.FailureDomain); len(local) > 0 {
 			first = &local[0]
 			if len(local) > 1 {
@@ -231,7 +233,7 @@
 			}
 		}
 	}
-	if self >= readersPerDomain && second != nil && !behind {
+	if self >= readersPerDomain && second != nil {
 		return first, second
 	}
 	var remote []peer
@@ -340,6 +342,13 @@
 	return &list[p.nextSeed%len(list)]
 }
 
+// precedes reports whether another VM comes before this one in the order of its domain.
+func (p *peers) precedes(v *peer) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.vms[v.name].FailureDomain == p.settings.FailureDomain && comparePeers(*v, newPeer(p.settings.VM, "", strength(p.settings))) < 0
+}
+
 // domainPosition returns this VM's position among the responsive VMs of its domain. VMs
 // below readersPerDomain are readers. A VM that knows no other tries its seeds first.
 func (p *peers) domainPosition(now time.Time) int {
--- a/internal/gateway/provision.go
+++ b/internal/gateway/provision.go
@@ -69,7 +69,7 @@
 func (g *Gateway) provisionViews() {
 	g.peers = newPeers(g.settings, g.adapter.Store)
 	g.freshness = newFreshness()
-	g.peers.behind = g.freshness.behind
+	g.peers.readsStore = g.freshness.readsStore
 	g.views = rows.NewSet()
 	g.configs = g.views.Add(g.adapter.ConfigTable, watchWindow)
 	g.servers = g.views.Add(g.adapter.ServersTable, watchWindow)
@@ -105,7 +105,7 @@
 // tables: a VM that reads it reaches the store.
 func (g *Gateway) confirmViews(table string) {
 	if table == g.adapter.ConfigTable {
-		g.freshness.confirm(0)
+		g.freshness.confirmFromStore()
 	}
 }
 
@@ -151,7 +151,7 @@
 	switch {
 	case table == keysTable:
 		return keysPause
-	case g.peers.domainPosition(time.Now()) > 0:
+	case g.peers.domainPosition(time.Now()) == 1:
 		return secondReaderPause
 	default:
 		return firstReaderPause
--- a/internal/gateway/view_sync.go
+++ b/internal/gateway/view_sync.go
@@ -142,7 +142,7 @@
 	if !known {
 		return
 	}
-	s.freshness.confirm(max(age, minAge))
+	s.freshness.confirm(max(age, minAge), s.peers.precedes(from))
 	if age > behindAge {
 		s.peers.markBehind(from, age)
 	}
