A VM that may not coordinate gives up the coordinator lease

A coordinator that reaches the store but no server kept its lease: for 12 s no key was granted, and at VMs that reach all servers 166 requests were answered by servers that do not own the key. SetEligible(false) hands the lease over at once, as at a planned stop, and keeps the VM from taking it. TestIneligibleVMGivesUpLeaseAndTakesNone; nothing calls it yet.

--- a/internal/keyspace/coordinator_lease.go
+++ b/internal/keyspace/coordinator_lease.go
@@ -9,6 +9,7 @@
 
 	"kumquatcleat/internal/bootclock"
 	"kumquatcleat/internal/rows"
+	"kumquatcleat/internal/wait"
 )
 
 // CoordinatorLeaseSettings holds the durations of the coordinator lease.
@@ -61,7 +62,8 @@
 	expiresAt     time.Duration
 	versionSeenAt time.Duration // when version was first read
 	held          bool
-	resigned      bool
+	resigned      bool // the process stops
+	ineligible    bool // see SetEligible
 	// storeDegraded reports that the last claim has been unanswered for DegradedAfter,
 	// or failed other than by a conflict.
 	storeDegraded bool
@@ -143,6 +145,7 @@
 		pause = l.pollInterval()
 	}
 	for l.waitForPoll(ctx, pause) {
+		l.releaseIfIneligible(ctx)
 		if l.shouldRenew() {
 			sent := l.clock()
 			l.renew(ctx)
@@ -157,6 +160,19 @@
 	}
 }
 
+// releaseIfIneligible gives up the lease if this VM holds it and may not coordinate.
+func (l *CoordinatorLease) releaseIfIneligible(ctx context.Context) {
+	l.mu.Lock()
+	release := l.held && l.ineligible
+	l.mu.Unlock()
+	if !release {
+		return
+	}
+	if err := l.release(ctx); err != nil {
+		slog.Warn("lead: give up the lease failed, it expires", "error", err.Error())
+	}
+}
+
 // maxInitialPollRank is the highest rank that polls right after its start. Standbys and
 // VMs that suspect the coordinator poll often anyway.
 const maxInitialPollRank = 3
@@ -169,14 +185,34 @@
 	return l.held && l.clock() < l.expiresAt+l.settings.Duration
 }
 
-// Resign deletes the coordinator row so that another VM can take over without
+// SetEligible tells whether this VM may coordinate: one that reaches no server can't assign
+// keys. If it may not, it gives up the lease.
+func (l *CoordinatorLease) SetEligible(eligible bool) {
+	l.mu.Lock()
+	l.ineligible = !eligible
+	l.mu.Unlock()
+	wait.Signal(l.pollSignal)
+}
+
+// abstains reports whether this VM does not coordinate. The caller holds the lock.
+func (l *CoordinatorLease) abstains() bool { return l.resigned || l.ineligible }
+
+// Resign gives up the lease for good.
+func (l *CoordinatorLease) Resign(ctx context.Context) error {
+	l.mu.Lock()
+	l.resigned = true
+	l.mu.Unlock()
+	return l.release(ctx)
+}
+
+// release deletes the coordinator row so that another VM can take over without
 // waiting. While long leases may be outstanding it leaves the row in place and lets
 // the lease expire.
-func (l *CoordinatorLease) Resign(ctx context.Context) error {
+func (l *CoordinatorLease) release(ctx context.Context) error {
 	l.mu.Lock()
 	held, version := l.held, l.version
 	longLeases := l.longLeasesOutstandingLocked()
-	l.held, l.resigned = false, true
+	l.held = false
 	l.mu.Unlock()
 	if !held || longLeases {
 		return nil
@@ -185,6 +221,6 @@
 	if err != nil {
 		return fmt.Errorf("lead: resign: delete the coordinator row: %w", err)
 	}
-	slog.Info("lead: resigned")
+	slog.Info("lead: gave up the lease")
 	return nil
 }
--- a/internal/keyspace/coordinator_lease_claim.go
+++ b/internal/keyspace/coordinator_lease_claim.go
@@ -115,7 +115,7 @@
 func (l *CoordinatorLease) recordAcquired(version uint64, sent time.Duration, standby Process) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.resigned {
+	if l.abstains() {
 		return
 	}
 	l.version, l.held = version, true
--- a/internal/keyspace/coordinator_lease_poll.go
+++ b/internal/keyspace/coordinator_lease_poll.go
@@ -40,7 +40,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.held || l.resigned {
+	if l.held || l.abstains() {
 		return
 	}
 	l.suspectedAt = l.clock()
@@ -71,7 +71,7 @@
 		return l.settings.RenewInterval
 	}
 	switch rank := l.rank(); {
-	case l.hasResigned():
+	case l.doesNotCoordinate():
 		return l.settings.RenewInterval * otherPollFactor
 	case l.isStandby(), l.suspectsCoordinator():
 		return min(l.settings.RenewInterval, max(l.untilExpiry(), minPollInterval))
@@ -86,10 +86,10 @@
 // renewed at any moment.
 const minPollInterval = 50 * time.Millisecond
 
-func (l *CoordinatorLease) hasResigned() bool {
+func (l *CoordinatorLease) doesNotCoordinate() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.resigned
+	return l.abstains()
 }
 
 // untilExpiry returns the time until this VM may take over the lease it last read;
@@ -119,15 +119,15 @@
 		l.era, l.eraSeenAt = era, now
 	}
 	free := l.isFree(now, row.Version, last)
-	if free && !l.resigned {
+	if free && !l.abstains() {
 		l.lastLongLeaseAt = 0
 		if l.mayHaveGrantedLongLeases(last, row.Version) {
 			l.lastLongLeaseAt = now
 		}
 	}
-	resigned := l.resigned
+	abstains := l.abstains()
 	l.mu.Unlock()
-	if free && !resigned {
+	if free && !abstains {
 		l.writeClaim(ctx, row.Version, "lead: this VM coordinates")
 	}
 	return true
--- a/internal/keyspace/coordinator_lease_standby.go
+++ b/internal/keyspace/coordinator_lease_standby.go
@@ -143,14 +143,14 @@
 		wait.Signal(l.pollSignal)
 	}
 	answer := StandbyAnswer{Process: l.ownClaim.Process}
-	refuse := !request.LongLeases || l.held || l.resigned
+	refuse := !request.LongLeases || l.held || l.abstains()
 	l.mu.Unlock()
 	if refuse || l.reachesStore(ctx) {
 		return answer
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.held || l.resigned {
+	if l.held || l.abstains() {
 		return answer
 	}
 	l.consentedTo, answer.Consent = request.From, true
--- a/internal/keyspace/coordinator_lease_test.go
+++ b/internal/keyspace/coordinator_lease_test.go
@@ -471,3 +471,33 @@
 		}
 	}
 }
+
+// Guards against a coordinator that reaches the store but no server: it can't assign a key, so
+// another VM has to coordinate until it reaches servers again.
+func TestIneligibleVMGivesUpLeaseAndTakesNone(t *testing.T) {
+	r := newLeaseRig()
+	a, b := r.newLease("a"), r.newLease("b")
+	a.poll(t.Context())
+	a.releaseIfIneligible(t.Context())
+	if !a.Held() {
+		t.Fatal("free lease not acquired")
+	}
+	a.SetEligible(false)
+	a.releaseIfIneligible(t.Context())
+	if r.store.exists() {
+		t.Fatal("an ineligible VM keeps the coordinator row")
+	}
+	if a.Held() {
+		t.Fatal("an ineligible VM holds the lease")
+	}
+	a.poll(t.Context())
+	if a.Held() || r.store.exists() {
+		t.Fatal("an ineligible VM acquired the free lease")
+	}
+	b.poll(t.Context())
+	if !b.Held() {
+		t.Fatal("another VM did not acquire the free lease at once")
+	}
+	a.SetEligible(true)
+	r.takeOver(t, a)
+}
