Isolated VMs send requests through other VMs

Cause: a VM knew one way to a server, and each request found out anew that it was closed. Class: a local fault taken for one of each server.

A VM that fails to connect to three servers in a row probes others, those of its failure domain first; if none opens a connection it is isolated. Then requests go through another VM, of the same domain if one there reaches servers, which treats them as its own: it chooses the server, limits, retries and says truthfully whether they ran. Open connections that still answer are used. An isolated VM does not coordinate.

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -54,7 +54,13 @@
 	if time.Until(r.deadline) < minAttemptTime {
 		return refuse(fault.QueueTimeout, 0, "the timeout of %v expired before an attempt", r.deadline.Sub(r.request.Arrived)), false
 	}
+	if r.relayed {
+		return r.relay(ctx)
+	}
 	choice, refusal := r.choose(ctx)
+	if r.core.Reach.Isolated() && !r.request.Relayed && (refusal != nil || !r.core.HasIdleConnection(choice.Server)) {
+		return r.relay(ctx)
+	}
 	if refusal != nil {
 		return refusal, false
 	}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -42,6 +42,8 @@
 	// AnswerMemory is the reservation for the bodies of servers' answers. The caller of
 	// Serve releases it once the answer has been written.
 	AnswerMemory *membudget.Reservation
+	// Relayed says that another VM sent the request, because it reaches no server.
+	Relayed bool
 }
 
 // Answer is what the caller receives: a server's answer or a refusal.
@@ -65,6 +67,30 @@
 	Do(ctx context.Context, r *serverconn.Request) (*serverconn.Response, *serverconn.Failure)
 }
 
+// Reach tells whether this VM reaches servers.
+type Reach interface {
+	// Isolated reports whether this VM can't open a connection to any server.
+	Isolated() bool
+	// ConnectionsLive reports whether servers answer on open connections.
+	ConnectionsLive() bool
+	// Answered records that a server answered.
+	Answered()
+}
+
+// Relay sends requests through other VMs.
+type Relay interface {
+	Send(ctx context.Context, r *Request, deadline time.Time, configVersion uint64) RelayResult
+}
+
+// RelayResult is the result of sending a request through another VM. Without an answer, Sent
+// says whether the request may have run.
+type RelayResult struct {
+	Answer *Answer
+	VM     string
+	Sent   bool
+	Err    error
+}
+
 // Settings of a Core.
 type Settings struct {
 	// SplitOffset differs between VMs, so that together they spread the requests of
@@ -90,10 +116,14 @@
 	Overload   *overload.Gate
 	RateLimits *ratelimit.Limits
 	Suspicions *Suspicions
-	CountKey   func(service string, key uint32)
-	Decisions  *logging.Decisions
-	Metrics    metrics.Registry
-	Dialect    *dialect.Dialect
+	Reach      Reach
+	Relay      Relay
+	// HasIdleConnection reports whether there is an idle connection to a server.
+	HasIdleConnection func(*registry.Server) bool
+	CountKey          func(service string, key uint32)
+	Decisions         *logging.Decisions
+	Metrics           metrics.Registry
+	Dialect           *dialect.Dialect
 }
 
 // Core serves requests. Safe for concurrent use.
@@ -133,6 +163,8 @@
 	// fingerprint is equal for requests with the same method, host, target and
 	// body.
 	fingerprint uint64
+	// relayed says that the request is sent through other VMs only.
+	relayed bool
 
 	sends            int // attempts that reached a server, including rejected ones
 	connectFailures  int // attempts that reached no server
@@ -153,6 +185,13 @@
 	if err := r.core.Suspicions.Admit(r.service.Name, r.fingerprint); err != nil {
 		return refuse(fault.Quarantined, 0, "%v", err)
 	}
+	if r.core.Reach.Isolated() && !r.core.Reach.ConnectionsLive() {
+		if r.request.Relayed {
+			return refuse(fault.Isolated, 0, "this VM reaches no server either")
+		}
+		r.relayed = true // the other VM counts the request
+		return r.attempts(ctx)
+	}
 	r.core.Budget.Request(r.service.Name)
 	if r.service.DividedByKey && r.request.HasKey {
 		r.core.CountKey(r.service.Name, r.request.Key)
--- a/internal/dispatch/results.go
+++ b/internal/dispatch/results.go
@@ -22,6 +22,7 @@
 func (r *requestState) handleResponse(choice balance.Choice, response *serverconn.Response) (*Answer, bool) {
 	r.sends++
 	r.core.Suspicions.Answered(choice.Server)
+	r.core.Reach.Answered()
 	if response.NotStarted {
 		return r.handleNotStarted(choice, response)
 	}
@@ -67,8 +68,9 @@
 			r.core.Suspicions.ConnectionRefused(server.Instance())
 		}
 		// The keys of an unreachable owner move only after its lease expires. Until
-		// then the caller may reach it through another VM, so refuse at once.
-		return refuse(fault.ConnectFailed, r.honored(unreachedRetryAfter), "%v", failure), !r.service.DividedByKey
+		// then the caller may reach it through another VM, so refuse at once. An isolated
+		// VM sends the request through another one.
+		return refuse(fault.ConnectFailed, r.honored(unreachedRetryAfter), "%v", failure), !r.service.DividedByKey || r.core.Reach.Isolated()
 	}
 	r.sends++
 	if failure.Reset {
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -29,6 +29,8 @@
 	NoOwner Kind = "no_owner"
 	// NoServer is a service without a server that can take the request now.
 	NoServer Kind = "no_server"
+	// Isolated is a VM that reaches no server and no other VM that does.
+	Isolated Kind = "isolated"
 	// Overloaded is a full queue or an exhausted concurrency limit.
 	Overloaded Kind = "overloaded"
 	// QueueTimeout is a deadline that passed before the request was sent.
@@ -102,6 +104,7 @@
 	KeyRequired:         {http.StatusBadRequest, NotRun, 0},
 	NoOwner:             {http.StatusServiceUnavailable, NotRun, time.Second},
 	NoServer:            {http.StatusServiceUnavailable, NotRun, time.Second},
+	Isolated:            {http.StatusServiceUnavailable, NotRun, time.Second},
 	Overloaded:          {http.StatusTooManyRequests, NotRun, time.Second},
 	QueueTimeout:        {http.StatusServiceUnavailable, NotRun, time.Second},
 	ConnectFailed:       {http.StatusBadGateway, NotRun, time.Second},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"kumquatcleat/internal/keyspace"
 	"kumquatcleat/internal/logging"
 	"kumquatcleat/internal/ratelimit"
+	"kumquatcleat/internal/reachability"
 	"kumquatcleat/internal/registry"
 	"kumquatcleat/internal/retry"
 	"kumquatcleat/internal/routetable"
@@ -75,6 +76,8 @@
 	suspicions       *dispatch.Suspicions
 	quarantine       *retry.MemoryQuarantine
 	core             *dispatch.Core
+	reach            *reachability.Monitor
+	relays           *relays
 	entry            *entry.Server
 	coordinatorLease *keyspace.CoordinatorLease
 	coordinator      *keyspace.Coordinator
@@ -127,7 +130,7 @@
 		func(ctx context.Context) { g.follower.Run(ctx, g.keys) },
 		g.viewSync.followFirstSource, g.viewSync.pollSecondSource, g.loads.run,
 		func(ctx context.Context) { g.viewSync.followCoordinator(ctx, keysTable) },
-		g.runCoordinatorLease, g.coordinatorLease.MaintainStandby,
+		g.runCoordinatorLease, g.coordinatorLease.MaintainStandby, g.reach.Run,
 	} {
 		running.Go(func() { task(tasksCtx) })
 	}
@@ -188,8 +191,10 @@
 	})
 	metricsMux := http.NewServeMux()
 	metricsMux.HandleFunc("GET /metrics", telemetry.ServeText(g.metrics))
+	peerMux := g.viewSync.mux()
+	peerMux.HandleFunc("POST "+pathRelay, g.relays.receive)
 	for address, mux := range map[string]*http.ServeMux{
-		g.settings.ReadyListen: readyMux, g.settings.MetricsListen: metricsMux, g.settings.PeerListen: g.viewSync.mux(),
+		g.settings.ReadyListen: readyMux, g.settings.MetricsListen: metricsMux, g.settings.PeerListen: peerMux,
 	} {
 		if err := listenAndServe(address, mux, failed); err != nil {
 			return err
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -130,6 +130,25 @@
 	return list
 }
 
+// byDomain returns the other VMs that may be sent requests: those of this VM's failure domain
+// and the rest.
+func (p *peers) byDomain(now time.Time) (local, remote []peer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for domain, list := range p.domains() {
+		for _, v := range list {
+			switch {
+			case v.name == p.settings.VM || !p.mayAsk(now, &v):
+			case domain == p.settings.FailureDomain:
+				local = append(local, v)
+			default:
+				remote = append(remote, v)
+			}
+		}
+	}
+	return local, remote
+}
+
 // recordFormat returns the newest format of owners records that all known VMs read.
 func (p *peers) recordFormat() keyspace.RecordFormat {
 	p.mu.Lock()
--- a/internal/gateway/provision.go
+++ b/internal/gateway/provision.go
@@ -14,6 +14,8 @@
 	"kumquatcleat/internal/membudget"
 	"kumquatcleat/internal/overload"
 	"kumquatcleat/internal/ratelimit"
+	"kumquatcleat/internal/reachability"
+	"kumquatcleat/internal/registry"
 	"kumquatcleat/internal/retry"
 	"kumquatcleat/internal/routetable"
 	"kumquatcleat/internal/rows"
@@ -165,15 +167,22 @@
 		InitialServiceTime: initialService,
 		MaxRequestsPerSlot: maxQueue,
 	})
+	g.reach = reachability.NewMonitor(g.settings.FailureDomain, g.registry.All, g.probeServer, func(isolated bool) {
+		g.coordinatorLease.SetEligible(!isolated)
+	})
 	g.requestPool = serverconn.NewPool(serverconn.Settings{
-		DialTimeout: dialTimeout, IdlePerServer: g.idlePerServer, LocalIP: g.settings.IP,
+		DialTimeout: dialTimeout, IdlePerServer: g.idlePerServer, LocalIP: g.settings.IP, Dialed: g.reach.Dialed,
 	}, g.metrics)
 	g.sender = serverconn.NewSender(g.requestPool, g.adapter.Dialect, g.settings.memoryShare(answerBodyShare))
 	g.budget = dispatch.NewBudget(dispatch.BudgetSettings{
 		Ratio: g.settings.RetryRatio, Slack: g.settings.RetrySlack, Window: seconds(g.settings.RetryWindow), Share: retryBudgetShare,
 	}, g.peers.count, time.Now)
-	g.suspicions = dispatch.NewSuspicions(g.quarantine, time.Now, g.requestPool.Probe)
+	g.suspicions = dispatch.NewSuspicions(g.quarantine, time.Now, func(ctx context.Context, server *registry.Server) bool {
+		return serverconn.Refused(g.requestPool.OpenIdle(ctx, server))
+	})
 	g.registry.OnEnded(g.suspicions.Ended)
+	requestMemory, answerMemory := membudget.New(g.settings.memoryShare(requestBodiesShare)), membudget.New(g.settings.memoryShare(answerBodiesShare))
+	g.relays = newRelays(g.peers, requestMemory, answerMemory, g.settings.memoryShare(answerBodyShare))
 	g.core = dispatch.New(dispatch.Parts{
 		Settings: dispatch.Settings{
 			SplitOffset:     splitOffset(g.settings.VM),
@@ -182,13 +191,29 @@
 		},
 		Tables: g, Registry: g.registry, Owners: g.owners, Balancer: g.balancer, Sender: g.sender,
 		Budget: g.budget, Overload: g.loads.gate, RateLimits: g.rateLimits, Suspicions: g.suspicions,
+		Reach: g.reach, Relay: g.relays, HasIdleConnection: g.requestPool.HasIdle,
 		CountKey:  g.loads.count,
 		Decisions: g.decisions, Metrics: g.metrics, Dialect: g.adapter.Dialect,
 	})
 	g.entry = entry.NewServer(entry.Settings{
 		Limits: initialLimits, MaxBodyBytes: maxCallerBodyBytes, BodyTimeout: bodyTimeout,
-		RequestMemory: membudget.New(g.settings.memoryShare(requestBodiesShare)), AnswerMemory: membudget.New(g.settings.memoryShare(answerBodiesShare)),
+		RequestMemory: requestMemory, AnswerMemory: answerMemory,
 	}, g.core, g, g.adapter.Dialect, g.decisions)
+	g.relays.serve = g.core.Serve
+	g.relays.version = func() uint64 {
+		if table := g.Current(); table != nil {
+			return table.Version
+		}
+		return 0
+	}
+	g.relays.ready = func() bool { return g.notReadyReason() == "" }
+}
+
+// probeServer opens a connection to a server to find out whether this VM reaches it.
+func (g *Gateway) probeServer(ctx context.Context, server *registry.Server) error {
+	ctx, cancel := context.WithTimeout(ctx, 2*dialTimeout)
+	defer cancel()
+	return g.requestPool.OpenIdle(ctx, server)
 }
 
 const (
--- /dev/null
+++ b/internal/gateway/relay_test.go
@@ -0,0 +1,223 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"kumquatcleat/internal/dispatch"
+	"kumquatcleat/internal/fault"
+	"kumquatcleat/internal/membudget"
+	"kumquatcleat/internal/rows"
+)
+
+// relayTo returns the relays of a VM of domain a that knows VMs at addresses, by domain.
+func relayTo(t *testing.T, addresses map[string][]string) *relays {
+	t.Helper()
+	s := testSettings("vm-self", "a")
+	p := newPeers(s, nil)
+	var changed []rows.Row
+	for domain, list := range addresses {
+		for i, address := range list {
+			value, err := json.Marshal(vmRow{PeerAddress: strings.TrimPrefix(address, "http://"), FailureDomain: domain, Strength: 1})
+			if err != nil {
+				t.Fatal(err)
+			}
+			changed = append(changed, rows.Row{Key: fmt.Sprint("vm-", domain, i), Value: value, Version: 1})
+		}
+	}
+	p.apply(changed)
+	return newRelays(p, membudget.New(1<<20), membudget.New(1<<20), 1<<20)
+}
+
+// relayServer is a VM that serves the relayed requests of others.
+func relayServer(t *testing.T, serve func(context.Context, *dispatch.Request) *dispatch.Answer) *httptest.Server {
+	t.Helper()
+	s := relayTo(t, nil)
+	s.serve, s.version, s.ready = serve, func() uint64 { return 5 }, func() bool { return true }
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+pathRelay, s.receive)
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return server
+}
+
+func callerRequest(method, body string) *dispatch.Request {
+	return &dispatch.Request{
+		ID: "r1", Method: method, Target: "/p/x%20y?q=1&q=2", Path: "/p/x y", Host: "shop.example", Key: 7, HasKey: true, Body: []byte(body),
+		Header:       http.Header{"X-Caller": {"a", "b"}, "Content-Type": {"text/x"}, relayTarget: {"/smuggled"}},
+		AnswerMemory: membudget.New(1 << 20).Open(),
+	}
+}
+
+func send(s *relays, r *dispatch.Request) dispatch.RelayResult {
+	return s.Send(context.Background(), r, time.Now().Add(2*time.Second), 5)
+}
+
+// The other VM gets the request as the caller sent it, and the caller the answer as the server
+// sent it.
+func TestRelayedRequestAndAnswerAreUnchanged(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodHead} {
+		var got *dispatch.Request
+		answer := &dispatch.Answer{Status: 203, Header: http.Header{"X-Signature": {"s"}, "X-Many": {"1", "2"}, "Content-Length": {"4"}}, Body: []byte("body")}
+		if method == http.MethodHead {
+			answer.Body = nil
+		}
+		server := relayServer(t, func(_ context.Context, r *dispatch.Request) *dispatch.Answer {
+			got = r
+			return answer
+		})
+		body := ""
+		if method == http.MethodPost {
+			body = "payload"
+		}
+		sent := callerRequest(method, body)
+		result := send(relayTo(t, map[string][]string{"a": {server.URL}}), sent)
+		if result.Answer == nil {
+			t.Fatalf("%s: got result %+v, want an answer", method, result)
+		}
+		if got.ID != sent.ID || got.Method != method || got.Target != sent.Target || got.Path != sent.Path || got.Host != sent.Host || got.Key != 7 || !got.HasKey || string(got.Body) != body || !got.Relayed {
+			t.Errorf("%s: the other VM got %+v, want %+v", method, got, sent)
+		}
+		if !slices.Equal(got.Header["X-Caller"], []string{"a", "b"}) || got.Timeout > 2*time.Second || got.Timeout < time.Second {
+			t.Errorf("%s: the other VM got headers %v, timeout %v", method, got.Header, got.Timeout)
+		}
+		for name := range got.Header {
+			if name != "X-Caller" && name != "Content-Type" {
+				t.Errorf("%s: the other VM got header %s, which the caller did not send", method, name)
+			}
+		}
+		a := result.Answer
+		if a.Status != 203 || a.Refusal != "" || string(a.Body) != string(answer.Body) || a.Header.Get("X-Signature") != "s" ||
+			!slices.Equal(a.Header["X-Many"], []string{"1", "2"}) || a.Header.Get("Content-Length") != "4" {
+			t.Errorf("%s: got answer %d %v %q, want that of the server", method, a.Status, a.Header, a.Body)
+		}
+		for _, name := range append(relayHeaders, "Date") {
+			if a.Header.Get(name) != "" {
+				t.Errorf("%s: got header %s, which the server did not send", method, name)
+			}
+		}
+	}
+}
+
+// A refusal of the other VM stays what it is: what it promises, its status and its hint.
+func TestRelayedRefusalIsUnchanged(t *testing.T) {
+	want := dispatch.Answer{Status: 429, Refusal: fault.Overloaded, Message: "full: 3 < 4", RetryAfter: 120 * time.Millisecond}
+	server := relayServer(t, func(context.Context, *dispatch.Request) *dispatch.Answer { return &want })
+	result := send(relayTo(t, map[string][]string{"a": {server.URL}}), callerRequest(http.MethodGet, ""))
+	if a := result.Answer; a == nil || a.Status != want.Status || a.Refusal != want.Refusal || a.Message != want.Message || a.RetryAfter != want.RetryAfter {
+		t.Fatalf("got %+v, want %+v", result.Answer, want)
+	}
+}
+
+// VMs that can't take a request, as they reach no server either, stop, have an older
+// configuration, are of an earlier version or are down, are passed over and left alone for a
+// while. A VM of this domain goes before others.
+func TestRelaysPassOverVMsThatCannotServe(t *testing.T) {
+	var asked, served, remote atomic.Int64
+	isolated := relayServer(t, func(context.Context, *dispatch.Request) *dispatch.Answer {
+		asked.Add(1)
+		return dispatch.Refuse(fault.Isolated, "no server")
+	})
+	answer := func(count *atomic.Int64) func(context.Context, *dispatch.Request) *dispatch.Answer {
+		return func(context.Context, *dispatch.Request) *dispatch.Answer {
+			count.Add(1)
+			return &dispatch.Answer{Status: 200, Header: http.Header{}}
+		}
+	}
+	old := httptest.NewServer(http.NewServeMux())
+	defer old.Close()
+	s := relayTo(t, map[string][]string{
+		"a": {isolated.URL, old.URL, "127.0.0.1:1", relayServer(t, answer(&served)).URL},
+		"b": {relayServer(t, answer(&remote)).URL},
+	})
+	for range 30 {
+		if result := send(s, callerRequest(http.MethodGet, "")); result.Answer == nil || result.Answer.Status != 200 {
+			t.Fatalf("got %+v, want an answer", result)
+		}
+	}
+	if served.Load() != 30 || remote.Load() != 0 || asked.Load() > 1 {
+		t.Errorf("got %d requests at the VM of this domain that serves, %d at the one of another, %d at the one that can't, want 30, 0 and at most 1",
+			served.Load(), remote.Load(), asked.Load())
+	}
+	result := s.Send(context.Background(), callerRequest(http.MethodGet, ""), time.Now().Add(time.Second), 6)
+	if result.Answer != nil || result.Sent {
+		t.Errorf("VMs with an older configuration: got %+v, want no answer and nothing sent", result)
+	}
+}
+
+// Once a request may have run, no other VM gets it, and an answer that ends early is none.
+func TestRelayedRequestThatMayHaveRunIsNotSentAgain(t *testing.T) {
+	for name, respond := range map[string]string{
+		"no answer":            "",
+		"head cut":             "HTTP/1.1 200 OK\r\nKumquatcleat-Relay-Outcome: answered\r\nContent-Le",
+		"body cut":             "HTTP/1.1 200 OK\r\nKumquatcleat-Relay-Outcome: answered\r\nContent-Length: 10\r\n\r\n123",
+		"chunk cut":            "HTTP/1.1 200 OK\r\nKumquatcleat-Relay-Outcome: answered\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n123",
+		"no HTTP":              "\x00\x01\x02\x03",
+		"unknown outcome":      "HTTP/1.1 200 OK\r\nKumquatcleat-Relay-Outcome: maybe\r\nContent-Length: 0\r\n\r\n",
+		"refusal not in order": "HTTP/1.1 200 OK\r\nKumquatcleat-Relay-Outcome: refused\r\nKumquatcleat-Relay-Status: 200\r\nContent-Length: 0\r\n\r\n",
+	} {
+		var requests, others atomic.Int64
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			for {
+				c, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = c.Read(make([]byte, 4096))
+				requests.Add(1)
+				_, _ = io.WriteString(c, respond)
+				_ = c.Close()
+			}
+		}()
+		other := relayServer(t, func(context.Context, *dispatch.Request) *dispatch.Answer {
+			others.Add(1)
+			return &dispatch.Answer{Status: 200}
+		})
+		s := relayTo(t, map[string][]string{"a": {listener.Addr().String()}, "b": {other.URL}})
+		result := send(s, callerRequest(http.MethodPost, "payload"))
+		_ = listener.Close()
+		if result.Answer != nil || !result.Sent || result.Err == nil {
+			t.Errorf("%s: got %+v, want sent without an answer", name, result)
+		}
+		if requests.Load() != 1 || others.Load() != 0 {
+			t.Errorf("%s: got %d requests at the first VM, %d at another, want 1 and 0", name, requests.Load(), others.Load())
+		}
+	}
+}
+
+// If the caller leaves, the other VM ends its work for it.
+func TestCallerThatLeavesEndsRelayedRequest(t *testing.T) {
+	ended := make(chan error, 1)
+	server := relayServer(t, func(ctx context.Context, _ *dispatch.Request) *dispatch.Answer {
+		<-ctx.Done()
+		ended <- ctx.Err()
+		return &dispatch.Answer{Abandoned: true}
+	})
+	s := relayTo(t, map[string][]string{"a": {server.URL}})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	result := s.Send(ctx, callerRequest(http.MethodGet, ""), time.Now().Add(5*time.Second), 5)
+	if result.Answer != nil || !errors.Is(result.Err, context.Canceled) {
+		t.Errorf("got %+v, want canceled", result)
+	}
+	select {
+	case <-ended:
+	case <-time.After(2 * time.Second):
+		t.Error("the other VM still works on the request")
+	}
+}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -39,7 +39,7 @@
 	for time.Now().Before(deadline) {
 		if time.Since(began) > listenAfterStop {
 			g.entry.StopListening()
-			if g.entry.ConnectionCount() == 0 {
+			if g.entry.ConnectionCount() == 0 && g.core.InFlight() == 0 {
 				break
 			}
 		}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -224,6 +224,15 @@
 // Get returns a server by ID, or nil.
 func (r *Registry) Get(id string) *Server { return r.current.Load().servers[id] }
 
+// All returns the servers of all services that may receive new requests, in no particular order.
+func (r *Registry) All() []*Server {
+	var all []*Server
+	for _, list := range r.current.Load().services {
+		all = append(all, list...)
+	}
+	return all
+}
+
 // Usable returns the servers of a service that may receive new requests. The caller
 // must not modify the slice.
 func (r *Registry) Usable(service string) []*Server { return r.current.Load().services[service] }
--- a/internal/serverconn/pool.go
+++ b/internal/serverconn/pool.go
@@ -25,6 +25,9 @@
 	IdlePerServer func(service string) int
 	// LocalIP is the source address of connections; empty: any.
 	LocalIP string
+	// Dialed is called with the result of opening a connection, unless the context ended
+	// first; nil: not called.
+	Dialed func(server *registry.Server, err error)
 }
 
 // Pool keeps idle connections to servers. It is safe for concurrent use.
@@ -64,6 +67,9 @@
 
 func (p *Pool) open(ctx context.Context, server *registry.Server) (*conn, error) {
 	opened, err := p.dialer.DialContext(ctx, "tcp", server.Address)
+	if p.settings.Dialed != nil && (err == nil || ctx.Err() == nil) {
+		p.settings.Dialed(server, err)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -71,14 +77,15 @@
 	return newConn(opened), nil
 }
 
-// Probe opens a connection to a server and keeps it as an idle one. It reports whether the
-// server's address refused the connection.
-func (p *Pool) Probe(ctx context.Context, server *registry.Server) (refused bool) {
-	return Refused(p.openIdle(ctx, server))
+// HasIdle reports whether there is an idle connection to a server.
+func (p *Pool) HasIdle(server *registry.Server) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle[server.Instance()]) > 0
 }
 
-// openIdle opens a connection to a server and keeps it as an idle one.
-func (p *Pool) openIdle(ctx context.Context, server *registry.Server) error {
+// OpenIdle opens a connection to a server and keeps it as an idle one.
+func (p *Pool) OpenIdle(ctx context.Context, server *registry.Server) error {
 	c, err := p.open(ctx, server)
 	if err != nil {
 		slog.Debug("serverconn: opening an idle connection failed", "server", server.ID, "error", err.Error())
--- a/internal/serverconn/session.go
+++ b/internal/serverconn/session.go
@@ -97,7 +97,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), p.settings.DialTimeout)
 		defer cancel()
-		_ = p.openIdle(ctx, server)
+		_ = p.OpenIdle(ctx, server)
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		delete(p.openingSpares, key)
