Only a VM that reaches the store relieves one that reads in its place

3 of 240 runs with readers that the store rejects got a change after 2.01 to 2.3 s: such a reader, fresh through another domain, seemed to be back, and the VM that read in its place stopped.

--- a/internal/gateway/view_fleet_test.go
+++ b/internal/gateway/view_fleet_test.go
@@ -339,7 +339,7 @@
 		}
 		vm.mu.Unlock()
 		if took := at.Sub(f.acked[version]); took > longest {
-			longest, name = took, vm.name
+			longest, name = took, fmt.Sprintf("%s (store path %d, position %d)", vm.name, vm.path, vm.gateway.peers.domainPosition(time.Now()))
 		}
 	}
 	return longest, name
--- a/internal/gateway/view_sync.go
+++ b/internal/gateway/view_sync.go
@@ -33,6 +33,8 @@
 	// AgeMS is how long ago, in milliseconds, the sender's views were last known to include
 	// all changes of the store; nil if unknown.
 	AgeMS *int64 `json:"age_ms,omitempty"`
+	// ReadsStore says that the sender reached the store lately.
+	ReadsStore bool `json:"reads_store,omitempty"`
 }
 
 // age returns how old the sender's views are, and false if unknown.
@@ -142,7 +144,7 @@
 	if !known {
 		return
 	}
-	s.freshness.confirm(max(age, minAge), s.peers.precedes(from))
+	s.freshness.confirm(max(age, minAge), answer.ReadsStore && s.peers.precedes(from))
 	if age > behindAge {
 		s.peers.markBehind(from, age)
 	}
@@ -297,6 +299,7 @@
 			ms := age.Milliseconds()
 			answer.AgeMS = &ms
 		}
+		answer.ReadsStore = s.freshness.readsStore()
 		if err := json.NewEncoder(w).Encode(answer); err != nil {
 			slog.Debug("peers: response not sent", "error", err.Error())
 		}
