Registry: a server that says in an answer that it leaves drains

An incarnation drains once this VM is told so, whatever its registration says. A draining server drains since the first time that this was known: each new registration prolonged the time in which the owner of keys still got requests. Nothing calls MarkLeaving yet.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -30,8 +30,8 @@
 
 // Instance identifies one incarnation of a server.
 type Instance struct {
-	ID          string
-	Incarnation int64
+	ID          string `json:"id"`
+	Incarnation int64  `json:"incarnation"`
 }
 
 // Instance returns the instance that the registration describes.
@@ -59,11 +59,12 @@
 	departed      map[string]departure
 	returning     map[string]returning
 	onEnded       func(Instance, string)
+	leaving       map[string]int64 // incarnations that said in an answer that they leave, by server ID
 }
 
 // New returns an empty registry.
 func New() *Registry {
-	r := &Registry{retainedUntil: map[string]time.Time{}, terminated: map[string]int64{}, departed: map[string]departure{}, returning: map[string]returning{}, onEnded: func(Instance, string) {}}
+	r := &Registry{retainedUntil: map[string]time.Time{}, terminated: map[string]int64{}, departed: map[string]departure{}, returning: map[string]returning{}, onEnded: func(Instance, string) {}, leaving: map[string]int64{}}
 	r.current.Store(&snapshot{servers: map[string]*Server{}, services: map[string][]*Server{}})
 	return r
 }
@@ -93,6 +94,13 @@
 	}
 	old := e.servers[s.ID]
 	e.endReplaced(&s)
+	if e.registry.leaving[s.ID] < s.Incarnation {
+		delete(e.registry.leaving, s.ID)
+	}
+	s.Draining = s.Draining || e.registry.leaving[s.ID] == s.Incarnation
+	if s.Draining && old != nil && old.Draining && old.SameInstance(&s) && old.SeenAt.Before(s.SeenAt) {
+		s.SeenAt = old.SeenAt // it drains since then
+	}
 	if old == nil || !old.SameInstance(&s) || old.Draining != s.Draining {
 		slog.Info("registry: server", "server", s.ID, "service", s.Service, "address", s.Address,
 			"domain", s.FailureDomain, "incarnation", s.Incarnation, "draining", s.Draining, "slots", s.Slots)
@@ -119,6 +127,7 @@
 func (e *Edit) Remove(id, reason string) {
 	delete(e.registry.retainedUntil, id)
 	delete(e.registry.returning, id)
+	delete(e.registry.leaving, id)
 	if old := e.servers[id]; old != nil {
 		e.depart(old)
 		if !old.Draining {
@@ -186,6 +195,38 @@
 	})
 }
 
+// MarkLeaving records that an incarnation of a server said in an answer that it leaves: it
+// drains from now on, whatever its registration says.
+func (r *Registry) MarkLeaving(instance Instance) {
+	s := r.Get(instance.ID)
+	if s == nil || s.Instance() != instance || s.Draining {
+		return
+	}
+	r.Update(func(e *Edit) {
+		old := e.servers[instance.ID]
+		if old == nil || old.Instance() != instance || old.Draining {
+			return
+		}
+		slog.Info("registry: server says that it leaves", "server", instance.ID, "incarnation", instance.Incarnation)
+		r.leaving[instance.ID] = instance.Incarnation
+		drained := *old
+		drained.Draining, drained.SeenAt = true, time.Now()
+		e.servers[instance.ID] = &drained
+		e.touch(&drained)
+	})
+}
+
+// Leaving returns the incarnations that said in an answer that they leave.
+func (r *Registry) Leaving() []Instance {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []Instance
+	for id, incarnation := range r.leaving {
+		list = append(list, Instance{id, incarnation})
+	}
+	return list
+}
+
 // IsTerminated reports whether an incarnation is known to have terminated. The
 // registration of a newer incarnation with the same ID does not count as proof: a grant
 // sent to the earlier incarnation may reach the newer one at the same address.
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -144,3 +144,34 @@
 		t.Errorf("got ends %v, want %v", ended, want)
 	}
 }
+
+// Guards against requests to a server that said in an answer that it leaves: a registration that
+// still says ready does not bring it back, a new incarnation starts free.
+func TestServerThatSaysItLeavesDrains(t *testing.T) {
+	r := New()
+	server := Server{ID: "s", Service: "svc", Address: "s:1", Incarnation: 1, SeenAt: time.Now()}
+	r.Put(server)
+	r.MarkLeaving(Instance{"s", 2})
+	r.MarkLeaving(Instance{"unknown", 1})
+	if len(usable(r)) != 1 {
+		t.Fatal("another incarnation's statement counts")
+	}
+	r.MarkLeaving(server.Instance())
+	since := r.Get("s").SeenAt
+	server.SeenAt = time.Now().Add(time.Second)
+	r.Put(server)
+	if s := r.Get("s"); len(usable(r)) != 0 || !s.Draining || !s.SeenAt.Equal(since) {
+		t.Fatalf("got %+v, want it draining since it said so", s)
+	}
+	if got := r.Leaving(); len(got) != 1 || got[0] != server.Instance() {
+		t.Errorf("got leaving servers %v, want one", got)
+	}
+	r.Put(Server{ID: "s", Service: "svc", Address: "s:1", Incarnation: 2})
+	if len(usable(r)) != 1 {
+		t.Fatal("a new incarnation is not used")
+	}
+	r.Remove("s", "its entry is gone")
+	if got := r.Leaving(); len(got) != 0 {
+		t.Errorf("got leaving servers %v after the removal, want none", got)
+	}
+}
