Servers that leave, or ask for a pause, get no more requests

No code read either statement of an answer. A server that says that it leaves got keyed requests 2.3 s later (2 s allowed), one that turned a request away for 3 s got 66 in that time (2 allowed).

Now a server that leaves drains, on all VMs: they tell each other with their load reports, at no cost while none leaves. One that asks for a pause gets nothing from this VM until that is over and up to a quarter longer, at random, so that VMs do not return together: no first send, hedge or repeat, nor a request that was waiting for a connection. One function says how long a server is to be left alone, for pauses and rate limits; if it is all servers, the request is refused at once with the earliest time as its hint. Without any limited server, its servers are no longer walked for each request.

--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -12,7 +12,7 @@
 }
 
 // Dialect holds the header names of one protocol and the functions for their values.
-// Key, NotStarted, ServerID, ServerLoad and RateLimit are empty if the protocol has no
+// Key, NotStarted, ServerID, ServerLoad, Leaving and RateLimit are empty if the protocol has no
 // such header. The other names are required.
 type Dialect struct {
 	RequestID    string // id of one attempt of a caller; servers echo it
@@ -23,6 +23,7 @@
 	NotStarted   string // set by a server that did not start the request
 	ServerID     string // id of the server that answers
 	ServerLoad   string
+	Leaving      string // set to "1" by a server that leaves
 	RateLimit    string // requests per second that the server takes from all VMs together, while it states it
 	// MaxKey is the highest valid key.
 	MaxKey uint32
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -87,7 +87,7 @@
 	choice, ok := r.untried()
 	if !ok {
 		untried := slices.DeleteFunc(slices.Clone(r.core.Registry.Usable(r.service.Name)), r.hasTried)
-		if refusal := r.refuseRateLimited(untried); refusal != nil {
+		if refusal := r.refuseUntilFree(untried); refusal != nil {
 			return choice, refusal
 		}
 		return choice, refuse(fault.NoServer, r.honored(unreachedRetryAfter), "service %q: %d servers, %d tried",
@@ -103,9 +103,7 @@
 	if choice, ok := r.limitedLocal(now); ok {
 		return choice, true
 	}
-	excluded := func(s *registry.Server) bool {
-		return r.hasTried(s) || r.core.RateLimits.Wait(now, s.Instance()) > 0
-	}
+	excluded := func(s *registry.Server) bool { return r.hasTried(s) || r.core.serverWait(now, s) > 0 }
 	for {
 		choice, ok := r.core.Balancer.Choose(now, r.core.Registry.Usable(r.service.Name), r.route.Objective, excluded)
 		// Another request may have taken the room meanwhile.
@@ -118,8 +116,11 @@
 // limitedLocal returns a server of the VM's own failure domain whose rate limit leaves room. It
 // gets its share even if others are as good: only its answers show when the limit ends.
 func (r *requestState) limitedLocal(now time.Time) (balance.Choice, bool) {
+	if !r.core.RateLimits.Any() {
+		return balance.Choice{}, false
+	}
 	for _, s := range r.core.Registry.Usable(r.service.Name) {
-		if r.hasTried(s) || !r.core.RateLimits.HasRoom(now, s.Instance()) {
+		if r.hasTried(s) || r.core.Pauses.Wait(now, s.Instance()) > 0 || !r.core.RateLimits.HasRoom(now, s.Instance()) {
 			continue
 		}
 		if choice, ok := r.core.Balancer.Local(now, s, r.route.Objective); ok && r.core.RateLimits.Take(now, s.Instance()) {
@@ -131,22 +132,32 @@
 
 func (r *requestState) hasTried(s *registry.Server) bool { return slices.Contains(r.tried, s) }
 
-// refuseRateLimited refuses a request that only rate limits keep from all of some servers.
-// Without servers, it returns nil.
-func (r *requestState) refuseRateLimited(servers []*registry.Server) *Answer {
+// serverWait returns the time until a server may get a request from this VM, 0 if it may now:
+// pauses that it asks for and rate limits that it states.
+func (c *Core) serverWait(now time.Time, s *registry.Server) time.Duration {
+	return max(c.Pauses.Wait(now, s.Instance()), c.RateLimits.Wait(now, s.Instance()))
+}
+
+// refuseUntilFree refuses a request that only pauses and rate limits keep from all of some
+// servers. Without servers, it returns nil.
+func (r *requestState) refuseUntilFree(servers []*registry.Server) *Answer {
 	now := time.Now()
 	var first *registry.Server
 	var wait time.Duration
 	for _, s := range servers {
-		if w := r.core.RateLimits.Wait(now, s.Instance()); first == nil || w < wait {
+		if w := r.core.serverWait(now, s); first == nil || w < wait {
 			first, wait = s, w
 		}
 	}
 	if first == nil {
 		return nil
 	}
+	reason := "its rate limit leaves this VM no room"
+	if r.core.Pauses.Wait(now, first.Instance()) > 0 {
+		reason = "it asked for a pause"
+	}
 	hint := overload.Signal{WaitS: wait.Seconds()}.RetryAfter(r.route.Objective, rand.Float64())
-	return refuse(fault.Overloaded, r.honored(hint), "server %s: its rate limit leaves this VM no room for %v", first.ID, wait.Round(time.Millisecond))
+	return refuse(fault.Overloaded, r.honored(hint), "server %s: %s, for %v more", first.ID, reason, wait.Round(time.Millisecond))
 }
 
 // admit refuses a request that the server would not answer before the deadline.
@@ -163,6 +174,9 @@
 // all VMs report and by its rate limit.
 func (r *requestState) admitOwner(server *registry.Server) *Answer {
 	now := time.Now()
+	if r.core.Pauses.Wait(now, server.Instance()) > 0 {
+		return r.refuseUntilFree([]*registry.Server{server})
+	}
 	signal, admitted := r.core.Overload.Admit(now, r.service.Name, server.ID, r.route.Rank, rand.Float64())
 	switch {
 	case admitted && signal.RateLimited:
@@ -170,7 +184,7 @@
 	case admitted && r.core.RateLimits.Take(now, server.Instance()):
 		return nil
 	case admitted:
-		return r.refuseRateLimited([]*registry.Server{server})
+		return r.refuseUntilFree([]*registry.Server{server})
 	}
 	hint := r.honored(signal.RetryAfter(r.route.Objective, rand.Float64()))
 	return refuse(fault.Overloaded, hint, "server %s is overloaded: %.0f requests of all VMs, admitted share %.2f",
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -115,6 +115,7 @@
 	Budget     *Budget
 	Overload   *overload.Gate
 	RateLimits *ratelimit.Limits
+	Pauses     *Pauses
 	Suspicions *Suspicions
 	Reach      Reach
 	Relay      Relay
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -102,7 +102,7 @@
 		Tables:   t, Registry: servers, Owners: owners,
 		Balancer: balance.New(balance.Settings{InitialServiceTime: time.Millisecond, MaxRequestsPerSlot: 4}), Sender: sender,
 		Budget:   NewBudget(BudgetSettings{Ratio: 0.2, Slack: 3, Window: 10 * time.Second, Share: 1}, func() int { return 1 }, time.Now),
-		Overload: overload.NewGate(), RateLimits: ratelimit.New(func(string) float64 { return 1 }, m), Suspicions: NewSuspicions(retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now), time.Now, nil), Reach: alwaysReaching{},
+		Overload: overload.NewGate(), RateLimits: ratelimit.New(func(string) float64 { return 1 }, m), Pauses: NewPauses(m), Suspicions: NewSuspicions(retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now), time.Now, nil), Reach: alwaysReaching{},
 		CountKey: func(string, uint32) {}, Decisions: logging.NewDecisions(m), Metrics: m, Dialect: &dialect.Dialect{},
 	})
 	return &fixture{core, sender, servers, owners}
--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -43,7 +43,7 @@
 		Overload: overload.NewGate(), RateLimits: ratelimit.New(func(server string) float64 {
 			s := servers.Get(server)
 			return ratelimit.Share(s.FailureDomain == domain, vmsIn(vms, s.FailureDomain), vms)
-		}, m), Suspicions: NewSuspicions(retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now), time.Now, probe), Reach: alwaysReaching{},
+		}, m), Pauses: NewPauses(m), Suspicions: NewSuspicions(retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now), time.Now, probe), Reach: alwaysReaching{},
 		CountKey: func(string, uint32) {}, Decisions: logging.NewDecisions(m), Metrics: m, Dialect: &dialect.Dialect{},
 	})
 	servers.OnEnded(core.Suspicions.Ended)
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -104,7 +104,7 @@
 	go func() {
 		response, failure := r.send(ctx, request)
 		now := time.Now()
-		r.core.observeRateLimit(now, server, response)
+		r.core.observeStatements(now, server, response)
 		r.core.Balancer.Finished(now, server, balanceOutcome(ctx, now.Sub(began), response, failure))
 		results <- attemptResult{choice, now.Sub(began), response, failure}
 	}()
@@ -138,11 +138,19 @@
 	return answer, retryable
 }
 
-// observeRateLimit records the rate limit that an answer states. Only a successful answer
-// without one says that the server has none any more.
-func (c *Core) observeRateLimit(now time.Time, server *registry.Server, response *serverconn.Response) {
+// observeStatements records what an answer says of its server: that it leaves, wants a pause or
+// has a rate limit. Only a successful answer without a limit says that it has none any more.
+func (c *Core) observeStatements(now time.Time, server *registry.Server, response *serverconn.Response) {
+	if response == nil {
+		return
+	}
+	if response.Leaving {
+		c.Registry.MarkLeaving(server.Instance())
+	}
+	if response.Pause > 0 {
+		c.Pauses.Stated(now, server.Instance(), response.Pause)
+	}
 	switch {
-	case response == nil:
 	case response.HasRateLimit:
 		c.RateLimits.Stated(now, server.Instance(), response.RateLimit)
 	case response.Status/100 == 2:
@@ -150,7 +158,11 @@
 	}
 }
 
-var errServerGone = errors.New("the server became unavailable before the request was sent")
+// Errors of requests that were not sent because of what became known of the server meanwhile.
+var (
+	errServerGone   = errors.New("the server became unavailable before the request was sent")
+	errServerPaused = errors.New("the server asked for a pause before the request was sent")
+)
 
 // guard checks again, just before a request is sent, that the server may still
 // receive it.
@@ -159,6 +171,9 @@
 	if known == nil || !known.SameInstance(server) || (known.Draining && !r.service.DividedByKey) {
 		return errServerGone
 	}
+	if r.core.Pauses.Wait(time.Now(), server.Instance()) > 0 {
+		return errServerPaused
+	}
 	return nil
 }
 
@@ -172,6 +187,12 @@
 		if e.response.NotStarted {
 			what += " not started"
 		}
+		if e.response.Leaving {
+			what += " leaving"
+		}
+		if e.response.Pause > 0 {
+			what += fmt.Sprintf(" pause %v", e.response.Pause)
+		}
 		if e.response.HasRateLimit {
 			what += fmt.Sprintf(" limit %.1f/s", e.response.RateLimit)
 		}
@@ -185,7 +206,7 @@
 	o := balance.Outcome{Took: took}
 	if failure != nil {
 		canceled := ctx.Err() != nil
-		o.ConnectFailed = failure.Progress == serverconn.NotSent && !canceled && !errors.Is(failure.Err, errServerGone)
+		o.ConnectFailed = failure.Progress == serverconn.NotSent && !canceled && !errors.Is(failure.Err, errServerGone) && !errors.Is(failure.Err, errServerPaused)
 		o.Failed = failure.Progress == serverconn.Sent && !canceled
 		o.Reset = failure.Reset && !canceled
 		return o
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -93,7 +93,7 @@
 		Tables:   table, Registry: servers, Owners: keyspace.NewOwners(),
 		Balancer: balance.New(balance.Settings{InitialServiceTime: time.Millisecond, MaxRequestsPerSlot: 100}), Sender: sender,
 		Budget:   dispatch.NewBudget(dispatch.BudgetSettings{Ratio: 1, Slack: 100, Window: 10 * time.Second, Share: 1}, func() int { return 1 }, time.Now),
-		Overload: overload.NewGate(), RateLimits: ratelimit.New(func(string) float64 { return 1 }, metricsRegistry), Suspicions: dispatch.NewSuspicions(retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now), time.Now, nil), Reach: reachability.NewMonitor("", nil, nil, nil),
+		Overload: overload.NewGate(), RateLimits: ratelimit.New(func(string) float64 { return 1 }, metricsRegistry), Pauses: dispatch.NewPauses(metricsRegistry), Suspicions: dispatch.NewSuspicions(retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now), time.Now, nil), Reach: reachability.NewMonitor("", nil, nil, nil),
 		CountKey: func(string, uint32) { panic("counts are not kept here") }, Decisions: decisions, Metrics: metricsRegistry, Dialect: testDialect,
 	})
 	s := NewServer(Settings{
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,6 +73,7 @@
 	sender           *serverconn.Sender
 	budget           *dispatch.Budget
 	rateLimits       *ratelimit.Limits
+	pauses           *dispatch.Pauses
 	suspicions       *dispatch.Suspicions
 	quarantine       *retry.MemoryQuarantine
 	core             *dispatch.Core
@@ -218,6 +219,7 @@
 		g.controlPool.Sweep(keep)
 		g.balancer.Sweep(keep)
 		g.rateLimits.Sweep(keep)
+		g.pauses.Sweep(time.Now(), keep)
 	}
 }
 
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -13,6 +13,7 @@
 	"kumquatcleat/internal/keyspace"
 	"kumquatcleat/internal/overload"
 	"kumquatcleat/internal/ratelimit"
+	"kumquatcleat/internal/registry"
 	"kumquatcleat/internal/retry"
 	"kumquatcleat/internal/rows"
 	"kumquatcleat/internal/wait"
@@ -25,6 +26,8 @@
 type loadReport struct {
 	keyspace.Report
 	Suspects retry.SuspectsReport `json:"suspects,omitzero"`
+	// Leaving are the servers that said in an answer that they leave.
+	Leaving []registry.Instance `json:"leaving,omitempty"`
 }
 
 // reportResponse acknowledges a report.
@@ -35,6 +38,7 @@
 	// recently.
 	RateLimits []ratelimit.Statement `json:"rate_limits,omitempty"`
 	Suspects   retry.SuspectsAnswer  `json:"suspects,omitzero"`
+	Leaving    []registry.Instance   `json:"leaving,omitempty"`
 }
 
 const (
@@ -69,6 +73,7 @@
 	gate         *overload.Gate
 	// rateLimits are those of this VM, rateLimitChanges those of the coordinator.
 	rateLimits       *ratelimit.Limits
+	registry         *registry.Registry
 	rateLimitChanges func() []ratelimit.Statement
 	client           *http.Client
 
@@ -135,7 +140,7 @@
 			l.follow(l.response(retry.SuspectsReport{}))
 		default:
 			l.sentAt = time.Now()
-			response, accepted := l.send(ctx, coordinator, loadReport{Report: report, Suspects: suspects})
+			response, accepted := l.send(ctx, coordinator, loadReport{Report: report, Suspects: suspects, Leaving: l.registry.Leaving()})
 			if accepted {
 				l.exchange.Delivered(change, response.Suspects)
 			}
@@ -174,7 +179,7 @@
 
 // response returns this VM's response to a report, as the coordinator.
 func (l *loadReporter) response(suspects retry.SuspectsReport) reportResponse {
-	return reportResponse{Overloads: l.overloads(), RateLimits: l.rateLimitChanges(), Suspects: retry.Answer(l.quarantine, l.process, suspects)}
+	return reportResponse{Overloads: l.overloads(), RateLimits: l.rateLimitChanges(), Suspects: retry.Answer(l.quarantine, l.process, suspects), Leaving: l.registry.Leaving()}
 }
 
 // follow applies the coordinator's response to a report.
@@ -182,6 +187,14 @@
 	now := time.Now()
 	l.gate.Update(now, response.Overloads)
 	l.rateLimits.Learn(now, response.RateLimits)
+	l.markLeaving(response.Leaving)
+}
+
+// markLeaving records the servers that said to another VM that they leave.
+func (l *loadReporter) markLeaving(servers []registry.Instance) {
+	for _, instance := range servers {
+		l.registry.MarkLeaving(instance)
+	}
 }
 
 // receive handles a report from another VM.
@@ -195,6 +208,7 @@
 		return
 	}
 	l.report(report.Report)
+	l.markLeaving(report.Leaving)
 	if err := json.NewEncoder(w).Encode(l.response(report.Suspects)); err != nil {
 		slog.Debug("loads: response to a report not sent", "error", err.Error())
 	}
--- a/internal/gateway/loads_test.go
+++ b/internal/gateway/loads_test.go
@@ -21,6 +21,7 @@
 	accepted := 0
 	coordinator := newLoadReporter(testSettings("c", "a"), "p", retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now), func(keyspace.Report) { accepted++ }, nil)
 	coordinator.overloads = func() map[string]overload.Signal { return map[string]overload.Signal{"s": {Admit: 0}} }
+	coordinator.registry = registry.New()
 	coordinating := true
 	limited := ratelimit.Statement{Server: "limited", Incarnation: 1, Rate: 0.5}
 	coordinator.rateLimitChanges = func() []ratelimit.Statement { return []ratelimit.Statement{limited} }
@@ -32,6 +33,7 @@
 	vm := newLoadReporter(testSettings("vm", "a"), "q", retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now), nil, nil)
 	vm.rateLimits = ratelimit.New(func(string) float64 { return 0.01 }, metrics.NewRegistry())
 	vm.suspectCoordinator = func() { suspicions++ }
+	vm.registry = registry.New()
 	for _, step := range []struct {
 		coordinating bool
 		suspicions   int
@@ -64,6 +66,7 @@
 		l.rateLimitChanges = func() []ratelimit.Statement { return nil }
 		l.isCoordinator = func() bool { return vm == "coordinator" }
 		l.suspectCoordinator = func() {}
+		l.registry = registry.New()
 		return l
 	}
 	coordinator := newReporter("coordinator")
--- a/internal/gateway/provision.go
+++ b/internal/gateway/provision.go
@@ -86,6 +86,8 @@
 	g.loads = newLoadReporter(g.settings, g.startID, g.quarantine, func(r keyspace.Report) { g.coordinator.Report(r) }, g.serviceTimes)
 	g.loads.inFlight = func(service string) map[string]int { return g.balancer.InFlight(g.registry.Usable(service)) }
 	g.rateLimits = ratelimit.New(g.rateLimitShare, g.metrics)
+	g.pauses = dispatch.NewPauses(g.metrics)
+	g.loads.registry = g.registry
 	g.loads.rateLimits = g.rateLimits
 	g.loads.rateLimitChanges = func() []ratelimit.Statement { return g.coordinator.RateLimitChanges() }
 	g.loads.overloads = func() map[string]overload.Signal { return g.coordinator.Overloads() }
@@ -190,7 +192,7 @@
 			DefaultTimeout:  defaultTimeout,
 		},
 		Tables: g, Registry: g.registry, Owners: g.owners, Balancer: g.balancer, Sender: g.sender,
-		Budget: g.budget, Overload: g.loads.gate, RateLimits: g.rateLimits, Suspicions: g.suspicions,
+		Budget: g.budget, Overload: g.loads.gate, RateLimits: g.rateLimits, Pauses: g.pauses, Suspicions: g.suspicions,
 		Reach: g.reach, Relay: g.relays, HasIdleConnection: g.requestPool.HasIdle,
 		CountKey:  g.loads.count,
 		Decisions: g.decisions, Metrics: g.metrics, Dialect: g.adapter.Dialect,
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -155,6 +155,9 @@
 	return rate
 }
 
+// Any reports whether any server has a rate limit.
+func (l *Limits) Any() bool { return l.count.Load() > 0 }
+
 // HasRoom reports whether a server has a rate limit and this VM may send it a request now.
 func (l *Limits) HasRoom(now time.Time, server registry.Instance) bool {
 	if l.count.Load() == 0 {
--- a/internal/serverconn/exchange.go
+++ b/internal/serverconn/exchange.go
@@ -51,6 +51,11 @@
 	// together.
 	RateLimit    float64
 	HasRateLimit bool
+	// Leaving says that the server leaves.
+	Leaving bool
+	// Pause is how long a server that turned the request away wants no other one from this
+	// VM; 0: not stated.
+	Pause time.Duration
 }
 
 // Progress is how far a failed attempt got.
@@ -256,6 +261,10 @@
 	}
 	s.readLoad(resp.Header, out)
 	s.readRateLimit(resp.Header, out)
+	out.Leaving = s.dialect.Leaving != "" && resp.Header.Get(s.dialect.Leaving) == "1"
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		out.Pause = pause(resp.Header.Get("Retry-After"), r.Server.ID)
+	}
 	c.idleTimeout = idleTimeout(resp.Header)
 	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	return out, framed && !resp.Close, nil
@@ -300,6 +309,22 @@
 	out.RateLimit, out.HasRateLimit = rate, true
 }
 
+// maxPauseSeconds bounds a pause, so that adding to it can't overflow.
+const maxPauseSeconds = 24 * 60 * 60
+
+// pause parses a number of seconds, which may have a fraction. Anything else states no pause.
+func pause(text, server string) time.Duration {
+	if text == "" {
+		return 0
+	}
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || !(seconds > 0) {
+		slog.Debug("serverconn: pause ignored", "server", server, "retry_after", text)
+		return 0
+	}
+	return time.Duration(min(seconds, maxPauseSeconds) * float64(time.Second))
+}
+
 // idleTimeout returns how long the server keeps an idle connection open.
 func idleTimeout(h http.Header) time.Duration {
 	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
--- a/internal/serverconn/exchange_test.go
+++ b/internal/serverconn/exchange_test.go
@@ -19,7 +19,7 @@
 
 var testDialect = &dialect.Dialect{
 	RequestID: "Request-Id", Deadline: "Deadline-Ms", TargetServer: "Target", Signature: "Signature",
-	NotStarted: "Not-Started", ServerID: "Server", ServerLoad: "Load", RateLimit: "Rate-Limit",
+	NotStarted: "Not-Started", ServerID: "Server", ServerLoad: "Load", RateLimit: "Rate-Limit", Leaving: "Leaving",
 	FormatDeadline: func(d time.Duration) string { return fmt.Sprint(d.Milliseconds()) },
 	ParseLoad:      func(string) (dialect.Load, error) { return dialect.Load{Running: 3}, nil },
 	ParseRateLimit: func(text string) (float64, error) { return strconv.ParseFloat(text, 64) },
