--- a/internal/gateway/freshness.go
+++ b/internal/gateway/freshness.go
@@ -25,6 +25,10 @@
 	confirmed chan struct{} // closed and replaced when upTo rises
 }
 
+func newFreshness() *freshness {
+	return &freshness{now: bootclock.Now, confirmed: make(chan struct{})}
+}
+
 const (
 	// confirmInterval is how long the first reader of a failure domain waits for a change of
 	// the configuration. Each answer of the store confirms the views of the whole domain.
@@ -71,13 +75,9 @@
 	return ctx, cancel
 }
 
-func newFreshness() *freshness {
-	return &freshness{now: bootclock.Now, confirmed: make(chan struct{})}
-}
-
-// confirm records that, by another VM, the copies include all changes that the store
-// acknowledged more than age ago.
-// relieves says that the other VM is to read the store rather than this one.
+// confirm records that another VM's copies, which this VM has now, include all changes that the
+// store acknowledged more than age ago. relieves says that the other VM is to read the store
+// rather than this one.
 func (f *freshness) confirm(age time.Duration, relieves bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/gateway/view_sync.go
+++ b/internal/gateway/view_sync.go
@@ -286,8 +286,12 @@
 		if s.freshness.behind() && s.peers.domainPosition(time.Now()) < readersPerDomain {
 			maxWait = 0 // others are about to read the store
 		}
-		ctx, cancel := s.freshness.untilConfirmed(r.Context())
-		defer cancel()
+		ctx := r.Context()
+		if !request.Coordinating {
+			var cancel context.CancelFunc
+			ctx, cancel = s.freshness.untilConfirmed(ctx)
+			defer cancel()
+		}
 		updates := s.set.Updates(ctx, request.After, maxWait, time.Duration(request.LeastAgeMS)*time.Millisecond)
 		answer, err := s.packer.pack(updates)
 		if err != nil {
--- a/internal/retry/quarantine.go
+++ b/internal/retry/quarantine.go
@@ -77,8 +77,9 @@
 // suspect is a VM's state of one fingerprint. Losses that expire no later than cleared came
 // before a successful run, or less than runEvidence after it.
 //
-// Merging takes the later time of each server, the maxLosses servers with the latest times, and the later value of cleared. This is commutative, associative and idempotent, so
-// the order in which VMs receive reports does not matter.
+// Merging takes the later time of each server, the maxLosses servers with the latest times,
+// and the later value of cleared. This is commutative, associative and idempotent, so the order
+// in which VMs receive reports does not matter.
 type suspect struct {
 	losses  []loss // at most maxLosses, latest first
 	cleared time.Time
