Test of pauses: servers notice that an attempt was canceled

The test's servers now return when the attempt is canceled, as connections do. Assertions and bounds are unchanged.

--- a/internal/dispatch/pauses_test.go
+++ b/internal/dispatch/pauses_test.go
@@ -49,11 +49,15 @@
 	s.arrivals[r.Server.ID] = append(s.arrivals[r.Server.ID], now)
 	s.mu.Unlock()
 	response := &serverconn.Response{Status: http.StatusOK, Header: http.Header{}, HasLoad: true, Load: dialect.Load{Running: 1, Slots: 6}, Leaving: s.leaves(r.Server.ID, now)}
+	took := time.Duration((0.3 + rand.ExpFloat64()*0.7) * float64(60*time.Millisecond))
 	if pause := s.declines(r.Server.ID, now); pause > 0 {
 		response.Status, response.NotStarted, response.Pause = http.StatusServiceUnavailable, true, pause
-		time.Sleep(2 * time.Millisecond)
-	} else {
-		time.Sleep(time.Duration((0.3 + rand.ExpFloat64()*0.7) * float64(60*time.Millisecond)))
+		took = 2 * time.Millisecond
+	}
+	select {
+	case <-time.After(took):
+	case <-ctx.Done():
+		return nil, &serverconn.Failure{Progress: serverconn.Sent, Err: ctx.Err()}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -85,6 +89,7 @@
 		})
 	}
 	requests.Wait()
+	time.Sleep(time.Second) // attempts that were canceled return
 	return answers
 }
 
