Requests of a large isolated domain reach VMs of other domains

Cause: a request tried four VMs, all of its own domain while any of these was not known to be isolated, and each was asked again after 1 s: 58 tries a second, as many as the VM's requests had. Now two tries go to the own domain and the others to other domains, and the pause of a VM that can't take requests doubles up to 8 s.

TestRequestsOfIsolatedDomainReachOtherDomains (60 isolated VMs of the own domain) failed before at the first request.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -56,10 +56,14 @@
 
 const (
 	relayDialTimeout = 200 * time.Millisecond
-	// maxRelays is how many VMs are tried if some can't take the request.
-	maxRelays = 4
-	// relayPause is how long a VM that could not take a request gets no other one.
-	relayPause = time.Second
+	// maxRelays is how many VMs are tried if some can't take the request, maxLocalRelays how
+	// many of them in this VM's failure domain, all VMs of which may be isolated.
+	maxRelays      = 4
+	maxLocalRelays = 2
+	// relayPause is how long a VM that could not take a request gets no other one. It doubles
+	// each time in a row, up to maxRelayDoublings times.
+	relayPause        = time.Second
+	maxRelayDoublings = 3
 	// relayIdleConnections is how many idle connections to a VM are kept: about the
 	// requests that a VM sends to each of a few others at one time.
 	relayIdleConnections = 32
@@ -77,15 +81,21 @@
 	answers   *membudget.Budget
 	maxAnswer int64
 
-	mu       sync.Mutex           // guards the fields below
-	notUntil map[string]time.Time // by address: it could not take a request
-	inFlight map[string]int       // by address
+	mu       sync.Mutex          // guards the fields below
+	unable   map[string]unableVM // by address
+	inFlight map[string]int      // by address
 }
 
 func newRelays(p *peers, bodies, answers *membudget.Budget, maxAnswer int64) *relays {
 	client := newPeerClient(p.settings.IP, relayDialTimeout)
 	client.Transport.(*http.Transport).MaxIdleConnsPerHost = relayIdleConnections
-	return &relays{peers: p, client: client, bodies: bodies, answers: answers, maxAnswer: maxAnswer, notUntil: map[string]time.Time{}, inFlight: map[string]int{}}
+	return &relays{peers: p, client: client, bodies: bodies, answers: answers, maxAnswer: maxAnswer, unable: map[string]unableVM{}, inFlight: map[string]int{}}
+}
+
+// unableVM is a VM that could not take the last request.
+type unableVM struct {
+	until  time.Time // it gets no request before
+	inARow int       // requests that it could not take
 }
 
 var (
@@ -98,13 +108,16 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	result := dispatch.RelayResult{Err: errNoRelay}
-	for range maxRelays {
-		to, ok := s.pick(time.Now())
+	for try := range maxRelays {
+		to, ok := s.pick(time.Now(), try < maxLocalRelays)
 		if !ok || ctx.Err() != nil {
 			return result
 		}
 		answer, sent, err := s.sendTo(ctx, to, r, deadline, configVersion)
-		s.done(to, err != nil && !sent && ctx.Err() == nil)
+		if ctx.Err() == nil {
+			s.recordAbility(to, err == nil || sent)
+		}
+		s.done(to)
 		result = dispatch.RelayResult{Answer: answer, VM: to.name, Sent: sent, Err: err}
 		if err == nil || sent {
 			return result
@@ -114,13 +127,17 @@
 }
 
 // pick returns the VM to send a request through: of two at random the one with fewer requests
-// of this VM, in this VM's failure domain if one there takes requests.
-func (s *relays) pick(now time.Time) (peer, bool) {
-	local, remote := s.peers.byDomain(now)
+// of this VM. It is in this VM's failure domain if one there takes requests, unless another domain
+// is preferred.
+func (s *relays) pick(now time.Time, preferLocal bool) (peer, bool) {
+	first, second := s.peers.byDomain(now)
+	if !preferLocal {
+		first, second = second, first
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, list := range [][]peer{local, remote} {
-		list = slices.DeleteFunc(list, func(v peer) bool { return now.Before(s.notUntil[v.address]) })
+	for _, list := range [][]peer{first, second} {
+		list = slices.DeleteFunc(list, func(v peer) bool { return now.Before(s.unable[v.address].until) })
 		if len(list) == 0 {
 			continue
 		}
@@ -134,16 +151,27 @@
 	return peer{}, false
 }
 
-// done records the end of a request through a VM, and whether it was unable to take it.
-func (s *relays) done(v peer, unable bool) {
+// recordAbility records whether a VM took a request.
+func (s *relays) recordAbility(v peer, able bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if able {
+		delete(s.unable, v.address)
+		return
+	}
+	u := s.unable[v.address]
+	u.until = time.Now().Add(relayPause << min(u.inARow, maxRelayDoublings))
+	u.inARow++
+	s.unable[v.address] = u
+}
+
+// done records the end of a request through a VM.
+func (s *relays) done(v peer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.inFlight[v.address]--; s.inFlight[v.address] <= 0 {
 		delete(s.inFlight, v.address)
 	}
-	if unable {
-		s.notUntil[v.address] = time.Now().Add(relayPause)
-	}
 }
 
 // sendTo sends a request through one VM. sent reports whether the request may have run if
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -221,3 +221,24 @@
 		t.Error("the other VM still works on the request")
 	}
 }
+
+// Guards against callers who are refused because all VMs of a large failure domain are isolated:
+// trying these one after the other took all tries of a request.
+func TestRequestsOfIsolatedDomainReachOtherDomains(t *testing.T) {
+	able := relayServer(t, func(context.Context, *dispatch.Request) *dispatch.Answer {
+		return &dispatch.Answer{Status: 200, Header: http.Header{}}
+	})
+	var local []string
+	for range 60 {
+		isolated := relayServer(t, func(context.Context, *dispatch.Request) *dispatch.Answer {
+			return dispatch.Refuse(fault.Isolated, "no server")
+		})
+		local = append(local, isolated.URL)
+	}
+	s := relayTo(t, map[string][]string{"a": local, "b": {able.URL}})
+	for n := range 40 {
+		if result := send(s, callerRequest(http.MethodGet, "")); result.Answer == nil || result.Answer.Status != 200 {
+			t.Fatalf("request %d: got %+v, want an answer", n, result)
+		}
+	}
+}
