--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -25,7 +25,7 @@
 // headers and body and the headers below, and responds with the answer to it.
 const pathRelay = "/peer/relay"
 
-// Headers between VMs. Headers of callers and servers with this prefix are not passed on.
+// Headers between VMs. Those of the same names from callers and servers are not passed on.
 const (
 	relayMethod  = "Kumquatcleat-Relay-Method"
 	relayTarget  = "Kumquatcleat-Relay-Target"
