--- a/review/standin/gateways.go
+++ b/review/standin/gateways.go
@@ -113,9 +113,12 @@
 
 var runLine = regexp.MustCompile(`(?m)^run = "([^"]+)"`)
 
+// machine is the name of a machine and its zone.
+type machine struct{ name, zone string }
+
 // newFleet starts a gateway process on each address, with the command and the template of the
-// deploy file. The current folder is the root of the repository.
-func newFleet(rec *record, folder, storeAddress string, ips []string, settings map[string]any) (*fleet, error) {
+// deploy file. The current folder is the root of the repository. Machines without a name get one.
+func newFleet(rec *record, folder, storeAddress string, ips []string, machines []machine) (*fleet, error) {
 	deploy, err := os.ReadFile("deploy/system.toml")
 	if err != nil {
 		return nil, err
@@ -133,7 +136,10 @@
 	if err != nil {
 		return nil, err
 	}
-	zones := []string{"zone-a", "zone-b", "zone-c"}
+	for i := len(machines); i < len(ips); i++ {
+		zone := []string{"zone-a", "zone-b", "zone-c"}[i%3]
+		machines = append(machines, machine{fmt.Sprintf("front-%s-%d", zone, i/3+1), zone})
+	}
 	at := func(ip string, port int) string { return fmt.Sprintf("%s:%d", ip, port) }
 	var seeds []string
 	for _, ip := range ips[:min(3, len(ips))] {
@@ -141,7 +147,7 @@
 	}
 	for i, ip := range ips {
 		g := &gateway{
-			name: fmt.Sprintf("front-%s-%d", zones[i%3], i/3+1), zone: zones[i%3], ip: ip,
+			name: machines[i].name, zone: machines[i].zone, ip: ip,
 			front: at(ip, ports[0]), ready: at(ip, ports[1]), control: at(ip, ports[2]), met: at(ip, ports[3]),
 		}
 		fields := map[string]any{
@@ -150,9 +156,6 @@
 			"limits.linkMbps": 1000.0, "limits.maxFds": 4100, "bounds.graceS": grace.Seconds(), "bounds.drainS": drain.Seconds(),
 			"bounds.holdMaxS": 10, "platform.rowBytes": 65536, "bounds.retryBudgetRatio": 0.2, "bounds.retryBudgetSlack": 64, "bounds.budgetWindowS": 10,
 		}
-		for name, value := range settings {
-			fields[name] = value
-		}
 		text, err := render(string(template), fields)
 		if err != nil {
 			return nil, err
--- a/review/standin/latecopy.go
+++ b/review/standin/latecopy.go
@@ -14,8 +14,6 @@
 	garbleAnswers = 0.03
 	garbleTime    = 5 * time.Second
 	releaseGap    = time.Second
-	hotShare      = 0.4
-	hotKeys       = 60
 	inZone        = 200 * time.Microsecond
 	crossZone     = 1400 * time.Microsecond
 )
@@ -72,10 +70,10 @@
 	add := func(warm bool) error {
 		number++
 		u := &upstream{rec: s.rec, store: s.store, arrivals: s.arrivals, id: fmt.Sprintf("i-%08x", uint32(number*0x9E3779B1)), service: "kafi81c",
-			zone: []string{"zone-a", "zone-b", "zone-c"}[number%3], slots: 6, keyed: true, work: func() time.Duration { return around(100 * time.Millisecond) }}
+			zone: []string{"zone-a", "zone-b", "zone-c"}[number%3], slots: 6, keyed: true, work: func() time.Duration { return around(80 * time.Millisecond) }}
 		u.delay = func(ip string) time.Duration {
 			for i, g := range s.ips[:3] {
-				if g == ip && []string{"zone-a", "zone-b", "zone-c"}[i] != u.zone {
+				if g == ip && []string{"zone-a", "zone-b", "zone-c"}[i%3] != u.zone {
 					return crossZone
 				}
 			}
@@ -90,7 +88,7 @@
 		running = append(running, u)
 		return u.start(s.ips[7] + ":0")
 	}
-	const upstreams, replaced = 10, 4 // a share of 0.4 is released
+	const upstreams, replaced = 20, 9 // a share of 0.45 is released
 	for range upstreams {
 		if err := add(false); err != nil {
 			return couldNotRun, err
@@ -107,21 +105,13 @@
 	time.Sleep(4 * time.Second)
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
-	const each = 30
-	var hot atomic.Int64
-	hot.Store(-1)
-	pickKey := func() int {
-		if base := hot.Load(); base >= 0 && rand.Float64() < hotShare {
-			return int(base) + rand.IntN(hotKeys)
-		}
-		return rand.IntN(65536)
-	}
+	const each = 120
 	for i := range each {
 		clients.Go(func() {
 			c := &client{rec: s.rec, fleet: f, requests: s.requests, number: i, stop: stop}
 			for !c.stopped() {
 				began := time.Now()
-				c.fresh("unsafe", "POST", "jepu9.example", "/puka111/2f", time.Second, fmt.Sprintf("X-Kumquatcleat-Shard-Key: %d\r\n", pickKey()))
+				c.fresh("unsafe", "POST", "jepu9.example", "/puka111/2f", time.Second, fmt.Sprintf("X-Kumquatcleat-Shard-Key: %d\r\n", rand.IntN(65536)))
 				time.Sleep(around(110*time.Millisecond) - time.Since(began))
 			}
 		})
@@ -129,15 +119,16 @@
 	time.Sleep(2 * time.Second)
 	var leaving sync.WaitGroup
 	var failed atomic.Pointer[error]
-	for range 6 {
+	for range 9 {
 		if !s.trouble {
-			time.Sleep(12 * time.Second)
+			time.Sleep(9 * time.Second)
 			continue
 		}
-		dose.begin()
-		hot.Store(int64(rand.IntN(65536 - hotKeys)))
-		s.rec.say("release of the service, late copies for %v", garbleTime)
-		for range replaced {
+		s.rec.say("release of the service")
+		for n := range replaced {
+			if n%3 == 0 && !dose.active() || n == 6 {
+				dose.begin()
+			}
 			old := running[0]
 			running = running[1:]
 			if err := add(true); err != nil {
@@ -149,8 +140,6 @@
 			})
 			time.Sleep(releaseGap)
 		}
-		hot.Store(-1)
-		time.Sleep(7 * time.Second)
 	}
 	close(stop)
 	clients.Wait()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -6,7 +6,6 @@
 import (
 	"fmt"
 	"os"
-	"path/filepath"
 	"time"
 )
 
@@ -28,7 +27,7 @@
 	trouble  bool
 }
 
-var cases = map[string]func(*scene) (int, error){"pipeline": pipelineCase, "latecopy": lateCopyCase, "reborn": rebornCase}
+var cases = map[string]func(*scene) (int, error){"pipeline": pipelineCase, "latecopy": lateCopyCase, "reborn": rebornCase, "oldstore": oldStoreCase, "noleader": noLeaderCase}
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
@@ -55,7 +54,7 @@
 	} else {
 		fmt.Println("logs of the gateways:", folder)
 	}
-	ips, err := network(8)
+	ips, err := network(16)
 	if err != nil {
 		rec.say("could not run: %v", err)
 		return couldNotRun
@@ -78,5 +77,3 @@
 	}
 	return code
 }
-
-func gatewayLogs(folder string) string { return filepath.Join(folder, "*.log") }
--- a/review/standin/upstream.go
+++ b/review/standin/upstream.go
@@ -164,6 +164,7 @@
 		entry := fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":%q,"slots":%d},"status":{"state":%q,"seq":1,"warmupLeftS":%.2f}}`,
 			u.listener.Addr().String(), u.born.UnixMilli(), u.service, u.zone, u.slots, state, left)
 		if entry != last {
+			u.rec.add("ENTRY %s %s warmupLeftS %.2f", u.id, state, left)
 			u.store.put("servers", u.id, []byte(entry))
 			last = entry
 		}
@@ -202,7 +203,7 @@
 	}
 	first := 3 * link // the handshake and the first message
 	reader := bufio.NewReader(c)
-	late := "" // a copy of an earlier answer, due where the next one is expected
+	late, lateOf := "", "" // a copy of an earlier answer, due where the next one is expected
 	for {
 		_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
 		r, err := http.ReadRequest(reader)
@@ -216,6 +217,7 @@
 		time.Sleep(max(first, link))
 		first = 0
 		if late != "" {
+			u.rec.add("LATE-COPY %s at %s sent where the answer to %s is expected", lateOf, u.id, r.Header.Get("X-Kumquatcleat-Request-Id"))
 			if _, err := io.WriteString(c, late); err != nil {
 				return
 			}
@@ -231,6 +233,7 @@
 			_, err = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Kumquatcleat-Instance-Id: "+u.id+"\r\nContent-Length: 0\r\n\r\n")
 		default:
 			late, err = u.request(c, r)
+			lateOf = r.Header.Get("X-Kumquatcleat-Request-Id")
 		}
 		if err != nil {
 			return
