--- a/review/standin/noleader.go
+++ b/review/standin/noleader.go
@@ -10,6 +10,20 @@
 
 const recovery = 15 * time.Second // recoveryS
 
+// siteMachines returns the machines of the small site, with their names.
+func siteMachines() []machine {
+	var machines []machine
+	for _, zone := range []struct {
+		name  string
+		count int
+	}{{"lk-west-a", 5}, {"lk-west-b", 3}, {"lk-west-c", 4}} {
+		for i := range zone.count {
+			machines = append(machines, machine{fmt.Sprintf("front-%s-%d", zone.name, i+1), zone.name})
+		}
+	}
+	return machines
+}
+
 // comesBack reports whether a machine comes back after the final fault: those of lk-west-b and one
 // of lk-west-c. So one zone and three more machines are lost for good.
 func comesBack(name string) bool {
@@ -28,16 +42,7 @@
 			return couldNotRun, err
 		}
 	}
-	// The machines of the small site, with their names.
-	var machines []machine
-	for _, zone := range []struct {
-		name  string
-		count int
-	}{{"lk-west-a", 5}, {"lk-west-b", 3}, {"lk-west-c", 4}} {
-		for i := range zone.count {
-			machines = append(machines, machine{fmt.Sprintf("front-%s-%d", zone.name, i+1), zone.name})
-		}
-	}
+	machines := siteMachines()
 	f, err := newFleet(s.rec, s.folder, s.address, s.ips[2:2+len(machines)], machines)
 	if err != nil {
 		return couldNotRun, err
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -69,24 +69,42 @@
 }
 
 // listen serves the store and returns its address.
-func (s *store) listen(ip string) (string, error) {
+func (s *store) listen(ip string) (string, error) { return s.listenFor(ip, nil) }
+
+// listenFor serves the store to one machine, which sees the entries of upstreams as seen returns
+// them; nil: as they are.
+func (s *store) listenFor(ip string, seen func(value []byte) []byte) (string, error) {
 	listener, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		return "", err
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /rows-tx", s.tx)
-	mux.HandleFunc("GET /rows-get", s.get)
-	mux.HandleFunc("GET /rows-feed", s.feed)
+	see := func(w http.ResponseWriter) http.ResponseWriter { return seeing{w, seen} }
+	mux.HandleFunc("GET /rows-get", func(w http.ResponseWriter, r *http.Request) { s.get(see(w), r) })
+	mux.HandleFunc("GET /rows-feed", func(w http.ResponseWriter, r *http.Request) { s.feed(see(w), r) })
 	go func() { _ = http.Serve(listener, mux) }()
 	return listener.Addr().String(), nil
 }
 
+// seeing is an answer to a machine that sees entries of upstreams in its own way.
+type seeing struct {
+	http.ResponseWriter
+	seen func(value []byte) []byte
+}
+
 func (s *store) answer(w http.ResponseWriter, status int, p page) {
 	p.NowS = time.Since(s.began).Seconds()
 	if p.Rows == nil {
 		p.Rows = []row{}
 	}
+	if v, ok := w.(seeing); ok && v.seen != nil {
+		for i := range p.Rows {
+			if p.Rows[i].Table == "servers" && !p.Rows[i].Tombstone {
+				p.Rows[i].Value = v.seen(p.Rows[i].Value)
+			}
+		}
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Store-Era", "1")
 	w.WriteHeader(status)
