--- a/review/standin/latecopy.go
+++ b/review/standin/latecopy.go
@@ -10,7 +10,7 @@
 
 // Doses of the disruptions, as the site file of the small deployment names them.
 const (
-	garbleShare   = 0.6 // of the upstreams
+	garbleFifths  = 3 // of the upstreams, a share of 0.6
 	garbleAnswers = 0.03
 	garbleTime    = 5 * time.Second
 	releaseGap    = time.Second
@@ -82,7 +82,7 @@
 		if warm {
 			u.warmup = 3 * time.Second
 		}
-		if faulty := rand.Float64() < garbleShare; faulty {
+		if number%5 < garbleFifths {
 			u.onAnswer, u.lateCopy = dose.count, dose.take
 		}
 		running = append(running, u)
@@ -119,7 +119,7 @@
 	time.Sleep(2 * time.Second)
 	var leaving sync.WaitGroup
 	var failed atomic.Pointer[error]
-	for range 40 {
+	for range 44 {
 		if !s.trouble {
 			time.Sleep(2 * time.Second)
 			continue
