--- a/review/standin/reborn.go
+++ b/review/standin/reborn.go
@@ -60,15 +60,28 @@
 	roundTime = 9 * time.Second
 )
 
+// chosen returns the indexes of two upstreams: the one that holds a key, and any other.
+func chosen(list []*upstream, key uint32) map[int]bool {
+	indexes := map[int]bool{rand.IntN(len(list)): true}
+	for i, u := range list {
+		u.mu.Lock()
+		if u.holds(key) && len(indexes) < 2 {
+			indexes[i] = true
+		}
+		u.mu.Unlock()
+	}
+	return indexes
+}
+
 // rebornCase: an upstream that is cut off from the store crashes and starts again under its id.
 func rebornCase(s *scene) (int, error) {
 	s.store.put("op", "config", []byte(`{"version":7,"limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutS":3,"idleTimeoutS":15},
 "listeners":[{"host":"hulo84.example","rules":[{"name":"r-1","kind":"safe","targetLatencyS":0.6,"priority":2,"match":{"prefix":"/leny950/"},"action":{"service":"kafi81c","timeoutS":1.5,"maxAttempts":2}}]}],
 "clusters":[{"name":"kafi81c","healthPath":"/health","maxConns":130,"protocol":"h1","tls":false,"sharded":true,"warmS":5.0,"grants":"call"}]}`))
 	watch := &holdings{rec: s.rec, known: map[string]bool{}}
-	life := 0
+	var lives atomic.Int64
 	begin := func(id, zone, address string, cut time.Time) (*upstream, error) {
-		life++
+		life := lives.Add(1)
 		u := &upstream{rec: s.rec, store: s.store, arrivals: s.arrivals, id: id, service: "kafi81c", zone: zone, slots: 6, keyed: true,
 			work: func() time.Duration { return around(100 * time.Millisecond) }}
 		u.cut = cut
@@ -113,31 +126,29 @@
 		})
 	}
 	time.Sleep(4 * time.Second)
+	failed := make([]error, upstreams)
+	again := func(u *upstream) (*upstream, error) {
+		s.rec.say("%s is cut off from the store for %v, crashes and starts again under its id", u.id, cutTime)
+		address, heals := u.listener.Addr().String(), time.Now().Add(cutTime)
+		u.crash()
+		time.AfterFunc(3*heartbeat, func() { s.store.remove("servers", u.id) }) // of silence
+		time.Sleep(downTime)
+		return begin(u.id, u.zone, address, heals)
+	}
 	for range 9 {
 		next := time.Now().Add(roundTime)
 		busy.Store(int64(rand.IntN(65536 - busyKeys)))
 		time.Sleep(time.Duration(200+rand.IntN(1000)) * time.Millisecond)
 		if s.trouble {
-			key := uint32(busy.Load()) + busyKeys/2
-			for i, u := range running {
-				u.mu.Lock()
-				holds := u.holds(key)
-				u.mu.Unlock()
-				if !holds {
-					continue
-				}
-				s.rec.say("%s is cut off from the store for %v, crashes and starts again under its id", u.id, cutTime)
-				address := u.listener.Addr().String()
-				heals := time.Now().Add(cutTime)
-				u.crash()
-				time.AfterFunc(3*heartbeat, func() { s.store.remove("servers", u.id) }) // of silence
-				time.Sleep(downTime)
-				again, err := begin(u.id, u.zone, address, heals)
+			var begun sync.WaitGroup
+			for i := range chosen(running, uint32(busy.Load())+busyKeys/2) {
+				begun.Go(func() { running[i], failed[i] = again(running[i]) })
+			}
+			begun.Wait()
+			for _, err := range failed {
 				if err != nil {
 					return couldNotRun, err
 				}
-				running[i] = again
-				break
 			}
 		}
 		time.Sleep(time.Until(next))
