--- a/review/standin/gateways.go
+++ b/review/standin/gateways.go
@@ -195,6 +195,21 @@
 	return f, nil
 }
 
+// processes are those that were started; all of them end with the script.
+var processes struct {
+	sync.Mutex
+	list []*os.Process
+}
+
+// killAll ends all processes that were started and still run.
+func killAll() {
+	processes.Lock()
+	defer processes.Unlock()
+	for _, p := range processes.list {
+		_ = p.Kill() // does nothing to one that has been waited for
+	}
+}
+
 func (f *fleet) start(g *gateway) error {
 	command := exec.Command(f.run[0], f.run[1:]...)
 	command.Env = []string{"KUMQUATCLEAT_NODE_FILE=" + g.path, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
@@ -202,6 +217,9 @@
 	if err := command.Start(); err != nil {
 		return err
 	}
+	processes.Lock()
+	processes.list = append(processes.list, command.Process)
+	processes.Unlock()
 	exited := make(chan struct{})
 	g.command, g.exited = command, exited
 	f.rec.add("PROCESS %s started", g.name)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -6,6 +6,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -65,11 +67,17 @@
 		return couldNotRun
 	}
 	rec.say("case %s, trouble %t", name, s.trouble)
-	time.AfterFunc(115*time.Second, func() {
-		rec.say("could not run: it took too long")
+	giveUp := func(why string) {
+		rec.say("could not run: %s", why)
+		killAll()
+		_ = os.RemoveAll(folder)
 		rec.close()
 		os.Exit(couldNotRun)
-	})
+	}
+	time.AfterFunc(115*time.Second, func() { giveUp("it took too long") })
+	interrupts := make(chan os.Signal, 1)
+	signal.Notify(interrupts, os.Interrupt, syscall.SIGTERM)
+	go func() { giveUp((<-interrupts).String()) }()
 	code, err := cases[name](s)
 	if err != nil {
 		rec.say("could not run: %v", err)
