--- a/internal/dispatch/ratelimit_test.go
+++ b/internal/dispatch/ratelimit_test.go
@@ -275,10 +275,15 @@
 
 // Guards against repeats at the owner of a key that its rate limit leaves no room for.
 func TestRepeatAtOwnerKeepsToItsRateLimit(t *testing.T) {
-	f := newFixture(true, sheds(http.StatusMisdirectedRequest), answers(http.StatusOK))
-	f.setOwners(1, ownedByK0)
-	// After a second the VM has credit for one request, and not for two.
-	f.core.RateLimits.Stated(time.Now().Add(-time.Second), registry.Instance{ID: "k0", Incarnation: 1}, 1)
+	k0, start := registry.Instance{ID: "k0", Incarnation: 1}, time.Now().Add(-time.Second)
+	var f *fixture
+	// A limit starts with a random credit below one request. With at most half of one, the VM
+	// has credit for one request after a second, and not for two at the time of the repeat.
+	for wait := time.Duration(0); wait < 500*time.Millisecond; wait = f.core.RateLimits.Wait(start, k0) {
+		f = newFixture(true, sheds(http.StatusMisdirectedRequest), answers(http.StatusOK))
+		f.setOwners(1, ownedByK0)
+		f.core.RateLimits.Stated(start, k0, 1)
+	}
 	if answer := f.serve("/k/", 7); answer.Status != http.StatusTooManyRequests || len(f.sender.sent) != 1 {
 		t.Errorf("got status %d after %d sends, want 429 after one", answer.Status, len(f.sender.sent))
 	}
