Log of requests marks attempts that repeat one at the same server

The attempts of a request name servers, not whether an attempt was taken for a repeat, which decides whether it gets a connection of its own. Two attempts at one server without the mark now show that the repeat was not recognised.

--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -19,6 +19,7 @@
 // attemptResult is the result of one attempt: a response or a failure.
 type attemptResult struct {
 	choice   balance.Choice
+	repeat   bool // the request was sent to the server before
 	took     time.Duration
 	response *serverconn.Response
 	failure  *serverconn.Failure
@@ -106,7 +107,7 @@
 		now := time.Now()
 		r.core.observeStatements(now, server, response)
 		r.core.Balancer.Finished(now, server, balanceOutcome(ctx, now.Sub(began), response, failure))
-		results <- attemptResult{choice, now.Sub(began), response, failure}
+		results <- attemptResult{choice, repeat, now.Sub(began), response, failure}
 	}()
 }
 
@@ -197,6 +198,9 @@
 			what += fmt.Sprintf(" limit %.1f/s", e.response.RateLimit)
 		}
 	}
+	if e.repeat {
+		what += ", repeat"
+	}
 	r.attemptLog = append(r.attemptLog, fmt.Sprintf("%s %dms of %dms: %s", e.choice.Server.ID, e.took.Milliseconds(), e.choice.Expected.Milliseconds(), what))
 }
 
