A server whose registration changed is still the server that was tried

A request remembers the servers that it was sent to, so that a repeat at one of them gets a connection of its own: on the first one, a late copy of the first answer carries the ID of the repeat. It remembered pointers, and the registry puts a new *registry.Server in place of the old one at each change of a registration, a falling warm-up time among them. A repeat after a change counted as a first send, took the pooled connection, read the copy of the 421 and reported it, while the server ran the request. For services without keys the same server could be chosen as an untried one.

The request remembers instances, ID and incarnation, which is also the key of the connection pool: a connection can have carried the request only if the instance is among them. Nothing else compares servers by pointer (all uses of *registry.Server read; the other maps have instances or addresses as keys).

TestChangedRegistrationDoesNotHideRepeat (five kinds of change) and TestChangedRegistrationIsNotAnUntriedServer failed three times of three before, and pass now.

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -130,7 +130,11 @@
 	return balance.Choice{}, false
 }
 
-func (r *requestState) hasTried(s *registry.Server) bool { return slices.Contains(r.tried, s) }
+// hasTried reports whether the request was sent to this instance of a server. The registry
+// replaces the *registry.Server at each change of the registration, so pointers don't tell.
+func (r *requestState) hasTried(s *registry.Server) bool {
+	return slices.Contains(r.tried, s.Instance())
+}
 
 // serverWait returns the time until a server may get a request from this VM, 0 if it may now:
 // pauses that it asks for and rate limits that it states.
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -167,12 +167,12 @@
 	// relayed says that the request is sent through other VMs only.
 	relayed bool
 
-	sends            int // attempts that reached a server, including rejected ones
-	connectFailures  int // attempts that reached no server
-	tried            []*registry.Server
-	attemptLog       []string // result of each attempt, for the log
-	recordVersion    uint64   // version of the owners record that named the last owner
-	mayHaveRunAnswer *Answer  // of an attempt that ran or may have run
+	sends            int                 // attempts that reached a server, including rejected ones
+	connectFailures  int                 // attempts that reached no server
+	tried            []registry.Instance // servers that the request was sent to, in order
+	attemptLog       []string            // result of each attempt, for the log
+	recordVersion    uint64              // version of the owners record that named the last owner
+	mayHaveRunAnswer *Answer             // of an attempt that ran or may have run
 	// notOwnerAt is when the owner named by the record of version recordVersion
 	// answered that it does not own the key, zero if it has not. The grant may still
 	// be in flight after the record was written.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -422,6 +422,50 @@
 	}
 }
 
+// Guards against a request answered "not run" that ran: a server whose registration changed
+// between two sends is still the one that may repeat its first answer.
+func TestChangedRegistrationDoesNotHideRepeat(t *testing.T) {
+	for name, change := range map[string]func(*registry.Registry, registry.Server){
+		"warm-up": func(r *registry.Registry, s registry.Server) { s.Warmup = time.Second; r.Put(s) },
+		"slots":   func(r *registry.Registry, s registry.Server) { s.Slots++; r.Put(s) },
+		"drains":  func(r *registry.Registry, s registry.Server) { s.Draining, s.SeenAt = true, time.Now(); r.Put(s) },
+		"leaving": func(r *registry.Registry, s registry.Server) { r.MarkLeaving(s.Instance()) },
+		"returns": func(r *registry.Registry, s registry.Server) { r.Remove(s.ID, "test"); r.Put(s) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var f *fixture
+			f = newFixture(false, func(r *serverconn.Request) (*serverconn.Response, *serverconn.Failure) {
+				change(f.registry, *f.registry.Get("k0"))
+				return sheds(http.StatusMisdirectedRequest)(r)
+			}, answers(http.StatusOK))
+			f.setOwners(1, ownedByK0)
+			if answer := f.serve("/k/", 5); answer.Status != http.StatusOK {
+				t.Fatalf("got answer %+v, want status 200", answer)
+			}
+			if !slices.Equal(f.sender.sent, []string{"k0", "k0"}) || !slices.Equal(f.sender.fresh, []bool{false, true}) {
+				t.Fatalf("got attempts at %v, own connections %v; want two at k0, the second on its own", f.sender.sent, f.sender.fresh)
+			}
+		})
+	}
+}
+
+// Guards against a second attempt at a server that a request has tried, because its registration
+// changed meanwhile.
+func TestChangedRegistrationIsNotAnUntriedServer(t *testing.T) {
+	var f *fixture
+	f = newFixture(true, func(r *serverconn.Request) (*serverconn.Response, *serverconn.Failure) {
+		s := *f.registry.Get("s0")
+		s.Warmup = time.Second
+		f.registry.Put(s)
+		return sheds(http.StatusServiceUnavailable)(r)
+	}, answers(http.StatusOK))
+	f.registry.Remove("s1", "test")
+	f.registry.Remove("s2", "test")
+	if answer := f.serve("/p/", -1); answer.Status != http.StatusServiceUnavailable || len(f.sender.sent) != 1 {
+		t.Fatalf("got answer %+v, attempts at %v; want status 503 after one attempt", answer, f.sender.sent)
+	}
+}
+
 // A VM without a configuration tells callers to return when it will have one, but not later
 // than they honor.
 func TestStartingVMTellsCallersWhenToReturn(t *testing.T) {
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"net/http"
 	"runtime/debug"
-	"slices"
 	"strconv"
 	"time"
 
@@ -84,8 +83,8 @@
 // startAttempt sends the request to one server and delivers the result on results.
 func (r *requestState) startAttempt(ctx context.Context, choice balance.Choice, results chan<- attemptResult) {
 	server := choice.Server
-	repeat := slices.Contains(r.tried, server)
-	r.tried = append(r.tried, server)
+	repeat := r.hasTried(server)
+	r.tried = append(r.tried, server.Instance())
 	began := time.Now()
 	r.core.Balancer.Started(server)
 	request := &serverconn.Request{
