A stopping VM closes connections whose callers pipeline

Once the entry server shuts down, a connection with an unanswered request takes no further one, and the answer to the last request that was started closes it. A request that only waits for its turn is not started: it came behind an answer that closes the connection, so that its caller sends it again elsewhere. The reader still notices a caller that disconnects.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -45,19 +45,20 @@
 	if answer.Abandoned {
 		return false
 	}
-	last := p.last || c.closeAfter()
+	last := p.last || c.closeAfter(p)
 	return c.write(p, answer, last) == nil && !last
 }
 
-// closeAfter decides whether the next answer is the connection's last. It is when
-// the server shuts down and no further request was read.
-func (c *callerConn) closeAfter() bool {
+// closeAfter decides whether the next answer is the connection's last. It is when the server
+// shuts down and no later request was started. Those that only wait for their turn count as not
+// read by the caller, as they came behind an answer that closes the connection.
+func (c *callerConn) closeAfter(p *pendingAnswer) bool {
 	if !c.server.closing.Load() {
 		return false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.unanswered.Load() > 1 {
+	if c.started > p.number {
 		return false
 	}
 	c.closing = true
--- a/internal/entry/conn.go
+++ b/internal/entry/conn.go
@@ -40,15 +40,20 @@
 	server     *Server
 	reader     *bufio.Reader
 	pending    chan *pendingAnswer // in order of arrival
-	unanswered atomic.Int32        // requests read but not answered yet
-
-	mu      sync.Mutex // serializes admitting a request with deciding to close
-	closing bool       // no further request is accepted
+	unanswered atomic.Int32        // requests admitted but not answered yet
+
+	// mu serializes admitting and starting requests with deciding to close, and guards the
+	// fields below.
+	mu       sync.Mutex
+	closing  bool // the last answer is determined: no further request is admitted or started
+	admitted int  // requests admitted so far
+	started  int  // number of the last request that was started
 }
 
 // pendingAnswer is a request whose answer has not been written yet.
 type pendingAnswer struct {
 	request *dispatch.Request
+	number  int // of the request on its connection, from 1
 	answer  chan *dispatch.Answer
 	last    bool                     // the connection closes after the answer
 	memory  []*membudget.Reservation // released when the answer was written or abandoned
@@ -89,6 +94,9 @@
 		if _, err := c.reader.Peek(1); err != nil {
 			return isTimeout(err) && ctx.Err() == nil
 		}
+		if c.server.closing.Load() && c.unanswered.Load() > 0 {
+			return c.awaitLastAnswer(ctx)
+		}
 		_ = c.SetReadDeadline(time.Now().Add(c.limits().HeaderTimeout))
 		bodyMemory := c.server.settings.RequestMemory.Open()
 		request, refusal := c.readRequest(bodyMemory)
@@ -97,9 +105,9 @@
 			return false
 		}
 		p := &pendingAnswer{request: request, answer: make(chan *dispatch.Answer, 1), last: refusal != nil, memory: []*membudget.Reservation{bodyMemory}, written: make(chan struct{})}
-		if !c.admit() {
+		if !c.admit(p) {
 			p.release()
-			return true // an earlier answer closes the connection
+			return c.awaitLastAnswer(ctx)
 		}
 		if request != nil {
 			request.AnswerMemory = c.server.settings.AnswerMemory.Open()
@@ -121,12 +129,28 @@
 			if previous != nil && !mayRunConcurrently(request) {
 				<-previous.written
 			}
+			if !c.start(p) {
+				p.answer <- &dispatch.Answer{Abandoned: true}
+				return
+			}
 			p.answer <- c.serveRequest(ctx, request)
 		}(previous)
 		previous = p
 	}
 }
 
+// awaitLastAnswer waits until an earlier answer has closed the connection. It returns false when
+// the caller disconnected before.
+func (c *callerConn) awaitLastAnswer(ctx context.Context) bool {
+	c.setIdleDeadline()
+	for c.reader.Buffered() < c.reader.Size() {
+		if _, err := c.reader.Peek(c.reader.Buffered() + 1); err != nil {
+			return isTimeout(err) && ctx.Err() == nil
+		}
+	}
+	return true
+}
+
 // serveRequest answers a request. A panic ends the request, not the process. The request
 // may have been sent by then, so the answer does not promise that it did not run.
 func (c *callerConn) serveRequest(ctx context.Context, request *dispatch.Request) (answer *dispatch.Answer) {
@@ -139,15 +163,31 @@
 	return c.server.core.Serve(ctx, request)
 }
 
-// admit counts a new request. It returns false once the connection's last answer
-// has been determined.
-func (c *callerConn) admit() bool {
+// admit counts a new request. It returns false if an earlier answer closes the connection:
+// during a shutdown that of the last request before it, so that a caller that always has the
+// next request under way can't keep the connection open.
+func (c *callerConn) admit(p *pendingAnswer) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing {
+	if c.closing || c.server.closing.Load() && c.unanswered.Load() > 0 {
 		return false
 	}
 	c.unanswered.Add(1)
+	c.admitted++
+	p.number = c.admitted
+	return true
+}
+
+// start records that the service of a request begins. It returns false if the answer to an
+// earlier request closes the connection: the caller sends the request again elsewhere, so it
+// must not run.
+func (c *callerConn) start(p *pendingAnswer) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return false
+	}
+	c.started = max(c.started, p.number)
 	return true
 }
 
@@ -163,10 +203,14 @@
 // there is none: the connection is not idle, and reading on detects that the caller
 // disconnects.
 func (c *callerConn) setIdleDeadline() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	switch {
+	case c.closing:
+		_ = c.SetReadDeadline(time.Now())
 	case c.unanswered.Load() > 0:
 		_ = c.SetReadDeadline(time.Time{})
-	case c.isClosing() || c.server.closing.Load():
+	case c.server.closing.Load():
 		_ = c.SetReadDeadline(time.Now())
 	default:
 		_ = c.SetReadDeadline(time.Now().Add(c.limits().IdleTimeout))
@@ -182,12 +226,6 @@
 	return c.server.settings.Limits
 }
 
-func (c *callerConn) isClosing() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.closing
-}
-
 func isTimeout(err error) bool {
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -367,6 +367,77 @@
 	}
 }
 
+// Guards against a caller that pipelines without a pause and so keeps its connection open until
+// the process ends, with requests at work (LOST in review/3): once the server shuts down, the
+// connection takes no further request, answers those that it took and closes.
+func TestPipeliningConnectionClosesDuringShutdown(t *testing.T) {
+	s, sender := startServer(t, func(ctx context.Context, r *serverconn.Request) (*serverconn.Response, *serverconn.Failure) {
+		time.Sleep(60 * time.Millisecond)
+		return answerOK(ctx, r)
+	})
+	c := dial(t, s)
+	closed := make(chan struct{})
+	go func() {
+		for i := 1; ; i++ {
+			if _, err := fmt.Fprintf(c, "GET /p/ HTTP/1.1\r\nHost: h\r\nRequest-Id: %d\r\n\r\n", i); err != nil {
+				return
+			}
+			select {
+			case <-time.After(20 * time.Millisecond):
+			case <-closed:
+				return
+			}
+		}
+	}()
+	reader := bufio.NewReader(c)
+	for i := 1; ; i++ {
+		if i == 5 {
+			s.BeginShutdown()
+		}
+		_, body, resp := read(t, reader)
+		if body != fmt.Sprintf("whole %d", i) {
+			t.Fatalf("answer %d: got body %q, want that of this request", i, body)
+		}
+		if resp.Close {
+			close(closed)
+			if sent := len(sender.requests()); sent != i {
+				t.Errorf("got %d answers to %d requests that were sent to a server, want all", i, sent)
+			}
+			return
+		}
+		if i == 20 {
+			t.Fatal("the connection is still open 15 answers after the shutdown began")
+		}
+	}
+}
+
+// Guards against requests that wait for their turn on a connection and are started one after the
+// other until the process ends: they count as not read, and must not run.
+func TestRequestsWaitingForTheirTurnAreNotStartedDuringShutdown(t *testing.T) {
+	release := make(chan struct{})
+	s, sender := startServer(t, func(ctx context.Context, r *serverconn.Request) (*serverconn.Response, *serverconn.Failure) {
+		<-release
+		return answerOK(ctx, r)
+	})
+	c := dial(t, s)
+	for i := 1; i <= 3; i++ {
+		_, _ = fmt.Fprintf(c, "POST /p/ HTTP/1.1\r\nHost: h\r\nRequest-Id: %d\r\nContent-Length: 0\r\n\r\n", i)
+	}
+	time.Sleep(100 * time.Millisecond)
+	s.BeginShutdown()
+	close(release)
+	reader := bufio.NewReader(c)
+	if status, body, resp := read(t, reader); status != 200 || body != "whole 1" || !resp.Close {
+		t.Fatalf("got status %d, body %q, close %v; want 200, the body of the first request, close", status, body, resp.Close)
+	}
+	if rest, _ := io.ReadAll(reader); len(rest) != 0 {
+		t.Fatalf("got %q after the last answer, want nothing", rest)
+	}
+	if sent := sender.requests(); len(sent) != 1 {
+		t.Fatalf("requests that were sent to a server: got %q, want the first", sent)
+	}
+}
+
 // FuzzCheckHead checks that each accepted head has a Host header.
 func FuzzCheckHead(f *testing.F) {
 	f.Add([]byte("GET /p/ HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n"))
