A stopping VM refuses requests that may outlast it

Nothing compared a request's deadline with the end of the process.

From the moment the VM is out of rotation, a request whose deadline is after the end is refused at once, 503 "stopping" with the shortest hint: it has not run, and other VMs serve it. All others end in time, with an answer or at their deadline, as attempts and repeats keep to it. Requests of callers that wait their turn on a connection, and those that other VMs send here, take the same path. Requests accepted before are not touched: the platform sends no new ones by then.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -131,6 +131,7 @@
 type Core struct {
 	Parts
 	inFlight       atomic.Int64
+	stopBy         atomic.Pointer[time.Time] // nil unless the process stops
 	requestMetrics *requestMetrics
 }
 
@@ -142,6 +143,10 @@
 // InFlight returns how many requests are being served.
 func (c *Core) InFlight() int64 { return c.inFlight.Load() }
 
+// StopBy makes the core refuse new requests whose deadline is after end, when the process stops:
+// they might be cut off without an answer.
+func (c *Core) StopBy(end time.Time) { c.stopBy.Store(&end) }
+
 // Serve answers a request. ctx is canceled when the caller disconnects.
 func (c *Core) Serve(ctx context.Context, r *Request) *Answer {
 	c.inFlight.Add(1)
@@ -183,6 +188,10 @@
 	if refusal := r.resolve(); refusal != nil {
 		return refusal
 	}
+	if end := r.core.stopBy.Load(); end != nil && r.deadline.After(*end) {
+		return refuse(fault.Stopping, r.honored(minRetryAfter), "this VM stops in %v, the request may take %v",
+			time.Until(*end).Round(time.Millisecond), time.Until(r.deadline).Round(time.Millisecond))
+	}
 	if err := r.core.Suspicions.Admit(r.service.Name, r.fingerprint); err != nil {
 		return refuse(fault.Quarantined, 0, "%v", err)
 	}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -466,6 +466,27 @@
 	}
 }
 
+// Guards against requests that come late in a planned stop, are sent to a server and cut off
+// when the process ends: they are refused at once as not run, those that end in time are served.
+func TestRequestThatMayOutlastStopIsRefused(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		f := newFixture(idempotent, answers(http.StatusOK))
+		f.setOwners(1, ownedByK0)
+		f.core.StopBy(time.Now().Add(200 * time.Millisecond)) // the timeout of the routes is 400 ms
+		for path, key := range map[string]int{"/p/": -1, "/k/": 5} {
+			if a := f.serve(path, key); a.Refusal != fault.Stopping || a.Status != http.StatusServiceUnavailable || a.RetryAfter <= 0 {
+				t.Errorf("%s: got answer %+v, want a refusal with status 503 and a hint", path, a)
+			}
+			if a := f.serveWithin(path, key, 100*time.Millisecond); a.Status != http.StatusOK {
+				t.Errorf("%s, deadline before the end: got answer %+v, want status 200", path, a)
+			}
+		}
+		if len(f.sender.sent) != 2 {
+			t.Errorf("got attempts at %v, want those of the two requests that end in time", f.sender.sent)
+		}
+	}
+}
+
 // A VM without a configuration tells callers to return when it will have one, but not later
 // than they honor.
 func TestStartingVMTellsCallersWhenToReturn(t *testing.T) {
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -55,8 +55,8 @@
 	ClaimUnavailable Kind = "claim_unavailable"
 	// DuplicateRequest is a resent request whose first copy ran or may have run.
 	DuplicateRequest Kind = "duplicate_request"
-	// Stopping is a VM that is shutting down and takes no new requests. No code
-	// produces it: a VM that shuts down answers the requests that still reach it.
+	// Stopping is a VM that is shutting down and ends before the request would have to be
+	// answered.
 	Stopping Kind = "stopping"
 	// Starting is a VM that does not know the configuration in force yet.
 	Starting Kind = "starting"
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -17,7 +17,9 @@
 	listenAfterStop = 3200 * time.Millisecond
 	// stopMargin makes the process exit before the platform kills it.
 	stopMargin = 250 * time.Millisecond
-	stopPoll   = 20 * time.Millisecond
+	// answerMargin is the time for writing the answers to requests that end at their deadline.
+	answerMargin = 150 * time.Millisecond
+	stopPoll     = 20 * time.Millisecond
 )
 
 // stop shuts down gracefully: it reports the VM as not ready, resigns as coordinator,
@@ -34,8 +36,9 @@
 	g.peers.withdraw(resignCtx)
 	cancel()
 	wait.For(background, outOfRotationDelay-time.Since(began))
-	g.entry.BeginShutdown()
 	deadline := began.Add(g.settings.Grace() - stopMargin)
+	g.core.StopBy(deadline.Add(-answerMargin))
+	g.entry.BeginShutdown()
 	for time.Now().Before(deadline) {
 		if time.Since(began) > listenAfterStop {
 			g.entry.StopListening()
