Connections with a request on its way are not idle

A connection without an admitted request counted as idle, whether a request was being read or its first one was under way, and the idle deadline, which is now during a shutdown, replaced that of the request. By the same cause, an answer gave the next request, if a part of it had arrived, the time limit of idle connections.

A connection knows until when the request that it reads must be whole; the idle deadline does not touch that, and a connection without any request so far waits for its first one as long as for a head. In a shutdown both end in time for the answer: what is incomplete then is refused as not run instead of being cut off.

--- a/internal/entry/conn.go
+++ b/internal/entry/conn.go
@@ -40,7 +40,8 @@
 	server     *Server
 	reader     *bufio.Reader
 	pending    chan *pendingAnswer // in order of arrival
-	unanswered atomic.Int32        // requests admitted but not answered yet
+	accepted   time.Time
+	unanswered atomic.Int32 // requests admitted but not answered yet
 
 	// mu serializes admitting and starting requests with deciding to close, and guards the
 	// fields below.
@@ -48,6 +49,9 @@
 	closing  bool // the last answer is determined: no further request is admitted or started
 	admitted int  // requests admitted so far
 	started  int  // number of the last request that was started
+	// readUntil is when a request must be whole of which bytes have arrived; zero: none is
+	// being read.
+	readUntil time.Time
 }
 
 // pendingAnswer is a request whose answer has not been written yet.
@@ -97,7 +101,7 @@
 		if c.server.closing.Load() && c.unanswered.Load() > 0 {
 			return c.awaitLastAnswer(ctx)
 		}
-		_ = c.SetReadDeadline(time.Now().Add(c.limits().HeaderTimeout))
+		c.setRequestDeadline(c.limits().HeaderTimeout)
 		bodyMemory := c.server.settings.RequestMemory.Open()
 		request, refusal := c.readRequest(bodyMemory)
 		if request == nil && refusal == nil {
@@ -169,6 +173,7 @@
 func (c *callerConn) admit(p *pendingAnswer) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.readUntil = time.Time{}
 	if c.closing || c.server.closing.Load() && c.unanswered.Load() > 0 {
 		return false
 	}
@@ -199,22 +204,64 @@
 	return r.Method == http.MethodGet || r.Method == http.MethodHead
 }
 
-// setIdleDeadline sets the deadline for the next request. While answers are pending
-// there is none: the connection is not idle, and reading on detects that the caller
+// setIdleDeadline sets the deadline for the first byte of the next request. While answers are
+// pending there is none: the connection is not idle, and reading on detects that the caller
 // disconnects.
 func (c *callerConn) setIdleDeadline() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.applyIdleDeadline()
+}
+
+// applyIdleDeadline is setIdleDeadline for callers that hold mu.
+func (c *callerConn) applyIdleDeadline() {
 	switch {
 	case c.closing:
 		_ = c.SetReadDeadline(time.Now())
+	case !c.readUntil.IsZero():
+		// The deadline of the request that is being read applies.
 	case c.unanswered.Load() > 0:
 		_ = c.SetReadDeadline(time.Time{})
-	case c.server.closing.Load():
-		_ = c.SetReadDeadline(time.Now())
-	default:
+	case !c.server.closing.Load():
 		_ = c.SetReadDeadline(time.Now().Add(c.limits().IdleTimeout))
+	case c.admitted == 0: // a new connection, whose first request is on its way
+		_ = c.SetReadDeadline(earlier(c.accepted.Add(c.limits().HeaderTimeout), c.server.readUntil))
+	default:
+		_ = c.SetReadDeadline(time.Now())
+	}
+}
+
+// setRequestDeadline sets the deadline for the rest of a request of which bytes have arrived. In a
+// shutdown it is no later than the last moment at which the server reads.
+func (c *callerConn) setRequestDeadline(timeout time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readUntil = time.Now().Add(timeout)
+	if c.server.closing.Load() {
+		c.readUntil = earlier(c.readUntil, c.server.readUntil)
+	}
+	if !c.closing {
+		_ = c.SetReadDeadline(c.readUntil)
+	}
+}
+
+// beginShutdown applies the beginning shutdown to the deadline of the connection.
+func (c *callerConn) beginShutdown() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing || c.readUntil.IsZero() {
+		c.applyIdleDeadline()
+		return
+	}
+	c.readUntil = earlier(c.readUntil, c.server.readUntil)
+	_ = c.SetReadDeadline(c.readUntil)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
 	}
+	return a
 }
 
 // limits returns the configured limits, or those of the settings before a
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -353,7 +353,7 @@
 		_, _ = fmt.Fprintf(c, "GET /p/ HTTP/1.1\r\nHost: h\r\nRequest-Id: %d\r\n\r\n", i)
 	}
 	time.Sleep(100 * time.Millisecond)
-	s.BeginShutdown()
+	s.BeginShutdown(time.Now().Add(5 * time.Second))
 	close(release)
 	reader := bufio.NewReader(c)
 	for i := 1; i <= 3; i++ {
@@ -392,7 +392,7 @@
 	reader := bufio.NewReader(c)
 	for i := 1; ; i++ {
 		if i == 5 {
-			s.BeginShutdown()
+			s.BeginShutdown(time.Now().Add(5 * time.Second))
 		}
 		_, body, resp := read(t, reader)
 		if body != fmt.Sprintf("whole %d", i) {
@@ -424,7 +424,7 @@
 		_, _ = fmt.Fprintf(c, "POST /p/ HTTP/1.1\r\nHost: h\r\nRequest-Id: %d\r\nContent-Length: 0\r\n\r\n", i)
 	}
 	time.Sleep(100 * time.Millisecond)
-	s.BeginShutdown()
+	s.BeginShutdown(time.Now().Add(5 * time.Second))
 	close(release)
 	reader := bufio.NewReader(c)
 	if status, body, resp := read(t, reader); status != 200 || body != "whole 1" || !resp.Close {
@@ -438,6 +438,87 @@
 	}
 }
 
+// Guards against requests that are refused as slow, or closed unread, as soon as a shutdown begins:
+// those of which a part has arrived, and those on connections that were opened since.
+func TestRequestsOnTheirWayAreServedDuringShutdown(t *testing.T) {
+	parts := map[string][2]string{
+		"head":                  {"GET /p/ HTTP/1.1\r\nHo", "st: h\r\nRequest-Id: 1\r\n\r\n"},
+		"body":                  {"POST /p/ HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\nContent-Length: 5\r\n\r\nhe", "llo"},
+		"nothing":               {"", "GET /p/ HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\n\r\n"},
+		"nothing, then by half": {"", "POST /p/ HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\nContent-Length: 5\r\n\r\nhe|llo"},
+	}
+	for name, part := range parts {
+		for _, new := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, new connection %v", name, new), func(t *testing.T) {
+				s, _ := startServer(t, answerOK)
+				var c net.Conn
+				if !new {
+					c = dial(t, s)
+					_, _ = io.WriteString(c, part[0])
+					time.Sleep(40 * time.Millisecond)
+				}
+				s.BeginShutdown(time.Now().Add(5 * time.Second))
+				if new {
+					c = dial(t, s)
+					_, _ = io.WriteString(c, part[0])
+				}
+				for piece := range strings.SplitSeq(part[1], "|") {
+					time.Sleep(40 * time.Millisecond)
+					_, _ = io.WriteString(c, piece)
+				}
+				if status, body, resp := read(t, bufio.NewReader(c)); status != 200 || body != "whole 1" || !resp.Close {
+					t.Fatalf("got status %d, body %q, close %v; want 200, the body of this request, close", status, body, resp.Close)
+				}
+			})
+		}
+	}
+}
+
+// Guards against requests that are still incomplete when the process ends, and are cut off without
+// an answer: they are refused as not run before.
+func TestRequestsIncompleteAtTheEndOfShutdownAreRefused(t *testing.T) {
+	for name, request := range map[string]string{
+		"head": "POST /p/ HTTP/1.1\r\nHo",
+		"body": "POST /p/ HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhe",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, sender := startServer(t, answerOK)
+			c, idle := dial(t, s), dial(t, s)
+			_, _ = io.WriteString(c, request)
+			time.Sleep(40 * time.Millisecond)
+			began := time.Now()
+			s.BeginShutdown(began.Add(60 * time.Millisecond))
+			status, _, resp := read(t, bufio.NewReader(c))
+			if status != http.StatusServiceUnavailable || !resp.Close || time.Since(began) > 150*time.Millisecond {
+				t.Fatalf("got status %d, close %v after %v; want 503 that closes the connection after 60ms", status, resp.Close, time.Since(began))
+			}
+			if _, err := idle.Read(make([]byte, 1)); err != io.EOF || len(sender.requests()) != 0 {
+				t.Fatalf("got %v on a connection without a request, requests at a server %q; want EOF and none", err, sender.requests())
+			}
+		})
+	}
+}
+
+// Guards against an answer that replaces the time limit of the next request, which is being read
+// meanwhile, by that of idle connections.
+func TestAnswerKeepsTimeLimitOfNextRequest(t *testing.T) {
+	s, _ := startServer(t, func(ctx context.Context, r *serverconn.Request) (*serverconn.Response, *serverconn.Failure) {
+		time.Sleep(50 * time.Millisecond)
+		return answerOK(ctx, r)
+	})
+	c := dial(t, s)
+	began := time.Now()
+	_, _ = io.WriteString(c, "GET /p/ HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\n\r\nGET /p/ HTT")
+	reader := bufio.NewReader(c)
+	if status, _, _ := read(t, reader); status != http.StatusOK {
+		t.Fatalf("first request: got status %d, want 200", status)
+	}
+	// Heads may take 200 ms, connections may be idle for 1 s.
+	if status, _, _ := read(t, reader); status != http.StatusRequestTimeout || time.Since(began) > 600*time.Millisecond {
+		t.Fatalf("half of the second request: got status %d after %v, want 408 after 200ms", status, time.Since(began))
+	}
+}
+
 // FuzzCheckHead checks that each accepted head has a Host header.
 func FuzzCheckHead(f *testing.F) {
 	f.Add([]byte("GET /p/ HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n"))
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -27,7 +27,7 @@
 	case errors.Is(err, errHeadTooLarge):
 		return nil, refuseWithStatus(http.StatusRequestHeaderFieldsTooLarge, fault.BadRequest, "the request head exceeds %d bytes", limits.HeaderBytes)
 	case isTimeout(err):
-		return nil, refuseWithStatus(http.StatusRequestTimeout, fault.BadRequest, "the request head was incomplete after %v", limits.HeaderTimeout)
+		return nil, c.refuseIncomplete("the request head", limits.HeaderTimeout)
 	case err != nil:
 		return nil, nil
 	}
@@ -130,12 +130,12 @@
 		}
 	}
 	limit := min(limits.BodyBytes, c.server.settings.MaxBodyBytes)
-	_ = c.SetReadDeadline(time.Now().Add(c.server.settings.BodyTimeout))
+	c.setRequestDeadline(c.server.settings.BodyTimeout)
 	body, err := membudget.ReadAll(parsed.Body, parsed.ContentLength, limit, memory)
 	var netErr *net.OpError
 	switch {
 	case isTimeout(err):
-		return refuseWithStatus(http.StatusRequestTimeout, fault.BadRequest, "the body was incomplete after %v", c.server.settings.BodyTimeout)
+		return c.refuseIncomplete("the body", c.server.settings.BodyTimeout)
 	case errors.As(err, &netErr) || errors.Is(err, io.ErrUnexpectedEOF):
 		return &dispatch.Answer{Abandoned: true}
 	case errors.Is(err, membudget.ErrTooLarge):
@@ -151,6 +151,14 @@
 	return nil
 }
 
+// refuseIncomplete refuses a request of which a part has not arrived in time.
+func (c *callerConn) refuseIncomplete(part string, timeout time.Duration) *dispatch.Answer {
+	if c.server.closing.Load() && !time.Now().Before(c.server.readUntil) {
+		return dispatch.Refuse(fault.Stopping, "%s was incomplete when this VM stopped", part)
+	}
+	return refuseWithStatus(http.StatusRequestTimeout, fault.BadRequest, "%s was incomplete after %v", part, timeout)
+}
+
 // bodyMemoryRetryAfter is the Retry-After hint while the bodies of other requests occupy
 // the memory for bodies. They are answered or time out within seconds.
 const bodyMemoryRetryAfter = 500 * time.Millisecond
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -45,6 +45,7 @@
 	dialect   *dialect.Dialect
 	decisions *logging.Decisions
 	closing   atomic.Bool // shutting down: answers close their connections
+	readUntil time.Time   // when requests must be whole in a shutdown; set before closing
 
 	mu       sync.Mutex // guards the fields below
 	listener net.Listener
@@ -94,10 +95,11 @@
 // start serves a new connection in its own goroutine.
 func (s *Server) start(conn net.Conn) {
 	c := &callerConn{
-		Conn:    conn,
-		server:  s,
-		reader:  bufio.NewReaderSize(conn, initialReaderBytes),
-		pending: make(chan *pendingAnswer, maxPipelined),
+		Conn:     conn,
+		server:   s,
+		reader:   bufio.NewReaderSize(conn, initialReaderBytes),
+		pending:  make(chan *pendingAnswer, maxPipelined),
+		accepted: time.Now(),
 	}
 	s.mu.Lock()
 	s.conns[c] = true
@@ -120,17 +122,17 @@
 	delete(s.conns, c)
 }
 
-// BeginShutdown starts a graceful shutdown: answers close their connections, and
-// connections without a request in flight are closed at once. The listener stays
-// open until StopListening.
-func (s *Server) BeginShutdown() {
+// BeginShutdown starts a graceful shutdown: answers close their connections, and idle
+// connections are closed at once. Requests of which bytes have arrived, and the first ones of new
+// connections, are served if they are whole by readUntil, and refused as not run otherwise. The
+// listener stays open until StopListening. Call it once.
+func (s *Server) BeginShutdown(readUntil time.Time) {
+	s.readUntil = readUntil
 	s.closing.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if c.unanswered.Load() == 0 {
-			_ = c.SetReadDeadline(time.Now())
-		}
+		c.beginShutdown()
 	}
 }
 
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -37,8 +37,9 @@
 	cancel()
 	wait.For(background, outOfRotationDelay-time.Since(began))
 	deadline := began.Add(g.settings.Grace() - stopMargin)
-	g.core.StopBy(deadline.Add(-answerMargin))
-	g.entry.BeginShutdown()
+	answered := deadline.Add(-answerMargin)
+	g.core.StopBy(answered)
+	g.entry.BeginShutdown(answered)
 	for time.Now().Before(deadline) {
 		if time.Since(began) > listenAfterStop {
 			g.entry.StopListening()
