A stopping VM leaves requests of other VMs to others

A VM that serves the callers of an isolated VM turns new requests away once it stops, but not those whose body arrives after that, nor those that its core refuses as they would outlast the stop: their callers were refused although another VM could serve them.

The VM asks again once the body is there, answers "unable" (nothing was done) when the core has no time left, and counts a request as being received until its answer, with its length, is flushed.

TestStoppingVMLeavesRelayedRequestsToOthers and TestRelayedAnswerIsSentBeforeRequestCountsAsDone failed three times of three before.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"kumquatcleat/internal/dispatch"
@@ -80,6 +81,7 @@
 	bodies    *membudget.Budget
 	answers   *membudget.Budget
 	maxAnswer int64
+	receiving atomic.Int64 // requests of other VMs that are not answered yet
 
 	mu       sync.Mutex          // guards the fields below
 	unable   map[string]unableVM // by address
@@ -246,6 +248,11 @@
 
 // receive serves a request of a caller of another VM.
 func (s *relays) receive(w http.ResponseWriter, r *http.Request) {
+	s.receiving.Add(1)
+	defer s.receiving.Add(-1)
+	// Otherwise net/http sends the answer after this function returns, when the process
+	// may have ended.
+	defer func() { _ = http.NewResponseController(w).Flush() }()
 	version, err := strconv.ParseUint(r.Header.Get(relayVersion), 10, 64)
 	timeout, timeoutErr := strconv.ParseInt(r.Header.Get(relayTimeout), 10, 64)
 	if err != nil || timeoutErr != nil {
@@ -254,8 +261,7 @@
 		return
 	}
 	if !s.ready() || s.version() < version {
-		w.Header().Set(relayOutcome, relayUnable)
-		w.WriteHeader(http.StatusServiceUnavailable)
+		respondUnable(w)
 		return
 	}
 	memory := s.bodies.Open()
@@ -263,8 +269,11 @@
 	body, err := membudget.ReadAll(r.Body, r.ContentLength, maxCallerBodyBytes, memory)
 	if err != nil {
 		slog.Info("relay: body not read", "from", r.RemoteAddr, "request", r.Header.Get(relayID), "error", err.Error())
-		w.Header().Set(relayOutcome, relayUnable)
-		w.WriteHeader(http.StatusServiceUnavailable)
+		respondUnable(w)
+		return
+	}
+	if !s.ready() { // the VM has begun to stop while the body arrived
+		respondUnable(w)
 		return
 	}
 	answerMemory := s.answers.Open()
@@ -280,15 +289,21 @@
 	s.respond(w, s.serve(r.Context(), request))
 }
 
+// respondUnable responds that this VM did nothing with the request, so that another VM may take it.
+func respondUnable(w http.ResponseWriter) {
+	w.Header().Set(relayOutcome, relayUnable)
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // respond writes the answer to a relayed request.
 func (s *relays) respond(w http.ResponseWriter, answer *dispatch.Answer) {
 	header := w.Header()
 	if answer.Abandoned {
 		return // the other VM has closed the connection
 	}
-	if answer.Refusal == fault.Isolated {
-		header.Set(relayOutcome, relayUnable)
-		w.WriteHeader(http.StatusServiceUnavailable)
+	if answer.Refusal == fault.Isolated || answer.Refusal == fault.Stopping {
+		respondUnable(w)
 		return
 	}
 	if answer.Refusal != "" {
@@ -297,6 +312,7 @@
 		header.Set(relayRefusal, string(answer.Refusal))
 		header.Set(relayMessage, answer.Message)
 		header.Set(relayRetryAfter, strconv.FormatInt(answer.RetryAfter.Microseconds(), 10))
+		header.Set("Content-Length", "0")
 		return
 	}
 	for name, values := range withoutRelayHeaders(serverconn.EndToEndHeaders(answer.Header)) {
@@ -309,6 +325,10 @@
 	}
 	header.Set(relayOutcome, relayAnswered)
 	header.Set(relayLength, answer.Header.Get("Content-Length"))
+	if answer.Status != http.StatusNoContent && answer.Status != http.StatusNotModified {
+		// With chunks, the response would be complete only when the handler returns.
+		header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	}
 	w.WriteHeader(answer.Status)
 	if _, err := w.Write(answer.Body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
 		slog.Debug("relay: answer not sent", "error", err.Error())
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -243,3 +243,71 @@
 		}
 	}
 }
+
+// Guards against a VM that stops with requests of other VMs: those it has no time for, or whose
+// body arrives after the stop began, are served by another VM, and none counts as answered before
+// its answer is sent.
+func TestStoppingVMLeavesRelayedRequestsToOthers(t *testing.T) {
+	answered := func(context.Context, *dispatch.Request) *dispatch.Answer {
+		return &dispatch.Answer{Status: 200, Header: http.Header{}}
+	}
+	able := relayServer(t, answered)
+	noTime := relayServer(t, func(context.Context, *dispatch.Request) *dispatch.Answer {
+		return dispatch.Refuse(fault.Stopping, "ends sooner")
+	})
+	s := relayTo(t, map[string][]string{"a": {noTime.URL}, "b": {able.URL}})
+	if result := send(s, callerRequest(http.MethodPost, "payload")); result.Answer == nil || result.Answer.Status != 200 {
+		t.Errorf("no time: got %+v, want the answer of another VM", result)
+	}
+
+	stopping := relayTo(t, nil)
+	stops := false
+	stopping.serve, stopping.version = answered, func() uint64 { return 5 }
+	stopping.ready = func() bool {
+		before := stops
+		stops = true // right after the request was accepted
+		return !before
+	}
+	request := httptest.NewRequest(http.MethodPost, pathRelay, strings.NewReader("payload"))
+	request.Header.Set(relayVersion, "5")
+	request.Header.Set(relayTimeout, "1000000")
+	response := httptest.NewRecorder()
+	stopping.receive(response, request)
+	if got := response.Header().Get(relayOutcome); got != relayUnable {
+		t.Errorf("stop while the body arrives: got outcome %q, want %q", got, relayUnable)
+	}
+}
+
+// Guards against a process that ends between the service of another VM's request and the
+// sending of its answer: until that, the request counts as being received.
+func TestRelayedAnswerIsSentBeforeRequestCountsAsDone(t *testing.T) {
+	s := relayTo(t, nil)
+	s.serve, s.version, s.ready = func(context.Context, *dispatch.Request) *dispatch.Answer {
+		return &dispatch.Answer{Status: 200, Header: http.Header{}, Body: []byte("whole")}
+	}, func() uint64 { return 5 }, func() bool { return true }
+	request := httptest.NewRequest(http.MethodPost, pathRelay, strings.NewReader("payload"))
+	request.Header.Set(relayVersion, "5")
+	request.Header.Set(relayTimeout, "1000000")
+	response := &flushRecorder{ResponseRecorder: httptest.NewRecorder(), relays: s}
+	s.receive(response, request)
+	if response.receivingAtFlush != 1 || response.bytesAtFlush != len("whole") || s.receiving.Load() != 0 {
+		t.Errorf("got %d requests and %d bytes at the flush, %d requests after it; want 1, %d and 0",
+			response.receivingAtFlush, response.bytesAtFlush, s.receiving.Load(), len("whole"))
+	}
+	if got := response.Header().Get("Content-Length"); got != "5" {
+		t.Errorf("got Content-Length %q, want 5: with chunks the response is not complete at the flush", got)
+	}
+}
+
+// flushRecorder records the state at a flush.
+type flushRecorder struct {
+	*httptest.ResponseRecorder
+	relays           *relays
+	receivingAtFlush int64
+	bytesAtFlush     int
+}
+
+// Flush implements http.Flusher.
+func (r *flushRecorder) Flush() {
+	r.receivingAtFlush, r.bytesAtFlush = r.relays.receiving.Load(), r.Body.Len()
+}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -43,7 +43,7 @@
 	for time.Now().Before(deadline) {
 		if time.Since(began) > listenAfterStop {
 			g.entry.StopListening()
-			if g.entry.ConnectionCount() == 0 && g.core.InFlight() == 0 {
+			if g.entry.ConnectionCount() == 0 && g.core.InFlight() == 0 && g.relays.receiving.Load() == 0 {
 				break
 			}
 		}
