The daemon refuses requests that may outlast its stop

When the listener closes, the handler learns when the process ends and refuses requests with a later deadline as "stopping", not run. A request that may be deferred is deferred instead. With the default settings the grace of 60 s is longer than the longest timeout, so that only late requests are concerned.

--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -129,6 +129,58 @@
 	}
 }
 
+// Guards against requests that come late in a planned stop, are sent to a server and cut off at the
+// end of the grace period, those that must not be repeated too: they are refused as not run, and
+// served if their deadline is before the end.
+func TestRequestLateInShutdownIsNotCutOff(t *testing.T) {
+	for name, c := range map[string]struct {
+		timeoutMS string
+		workMS    string
+		status    int
+		outcome   fault.Outcome
+		runs      int
+	}{
+		"may outlast the stop": {"20000", "4000", http.StatusServiceUnavailable, fault.NotRun, 0},
+		"ends in time":         {"400", "30", http.StatusOK, "", 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			cluster := newTunedTestCluster(t, 1, func(s *settings.Settings) { s.ShutdownGraceMS = 4000 })
+			vm := cluster.vms[0]
+			conn, err := net.Dial("tcp", vm.settings.Listen)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			if _, err := io.WriteString(conn, "POST /swapbay/listings/7 HTTP/1.1\r\nHost: router\r\nContent-Le"); err != nil {
+				t.Fatal(err)
+			}
+			vm.stop()
+			cluster.waitFor("the listener to close", func() bool {
+				probe, err := net.Dial("tcp", vm.settings.Listen)
+				if err == nil {
+					_ = probe.Close()
+				}
+				return isRefusedConnection(err)
+			})
+			_, _ = fmt.Fprintf(conn, "ngth: 0\r\n%s: %s\r\n%s: %s\r\n%s: late\r\n\r\n", routing.HeaderTimeout, c.timeoutMS, standin.HeaderWorkMS, c.workMS, routing.HeaderIdempotencyKey)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatalf("got error %v, want an answer", err)
+			}
+			if resp.StatusCode != c.status || fault.Outcome(resp.Header.Get(routing.HeaderOutcome)) != c.outcome {
+				t.Errorf("got status %d, outcome %q, want %d and %q", resp.StatusCode, resp.Header.Get(routing.HeaderOutcome), c.status, c.outcome)
+			}
+			if err := <-vm.exited; err != nil {
+				t.Errorf("stop returned error %v, want none", err)
+			}
+			if runs := cluster.runs(withIdempotencyKey("late")); runs != c.runs {
+				t.Errorf("the request ran %d times, want %d", runs, c.runs)
+			}
+		})
+	}
+}
+
 func TestDrainedServerGetsNoNewRequests(t *testing.T) {
 	c := newTestCluster(t, 2)
 	next := *c.service
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -34,6 +34,8 @@
 	// shutdownDelay is the time between readiness turning 503 and the close of the
 	// listener, so that the platform's load balancer stops sending requests first.
 	shutdownDelay = time.Second
+	// answerMargin is the time for writing the answers to requests that end at their deadline.
+	answerMargin = 150 * time.Millisecond
 	// handoverTimeout bounds the handover of all roles in a planned stop.
 	handoverTimeout = 3 * time.Second
 	// readHeaderTimeout closes connections on which no request header arrives.
@@ -252,6 +254,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.ShutdownGrace())
 	defer cancel()
 	_ = wait.For(ctx, min(shutdownDelay, d.settings.ShutdownGrace()))
+	if end, ok := ctx.Deadline(); ok {
+		d.handler.StopBy(end.Add(-answerMargin))
+	}
 	d.handOver(ctx)
 	err := d.callerServer.shutdown(ctx)
 	if err != nil {
--- a/internal/routing/deferral.go
+++ b/internal/routing/deferral.go
@@ -64,7 +64,7 @@
 	}
 	switch err.Kind {
 	case fault.Overloaded, fault.QueueTimeout, fault.NoOwner, fault.NoServer,
-		fault.ConnectFailed, fault.ServerRefused, fault.NotOwner, fault.ClaimUnavailable:
+		fault.ConnectFailed, fault.ServerRefused, fault.NotOwner, fault.ClaimUnavailable, fault.Stopping:
 		return true
 	default:
 		return false
--- a/internal/routing/handler.go
+++ b/internal/routing/handler.go
@@ -65,6 +65,7 @@
 	metrics  *handlerMetrics
 	inFlight atomic.Int64
 	stopping atomic.Bool
+	stopBy   atomic.Pointer[time.Time] // nil until StopBy
 }
 
 // NewHandler returns a Handler.
@@ -80,6 +81,10 @@
 // another VM.
 func (h *Handler) Stop() { h.stopping.Store(true) }
 
+// StopBy makes the handler refuse new requests whose deadline is after end, when the process
+// stops: they might be cut off without an answer.
+func (h *Handler) StopBy(end time.Time) { h.stopBy.Store(&end) }
+
 // InFlight returns how many requests are being served.
 func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
 
@@ -136,6 +141,9 @@
 // serveNow acquires a claim if one is needed, sends the request and settles the
 // claim.
 func (h *Handler) serveNow(ctx context.Context, w http.ResponseWriter, r *http.Request, call *call, body *callerBody) *fault.Error {
+	if deadline, _ := ctx.Deadline(); h.stopsBefore(deadline) {
+		return fault.New(fault.Stopping, "this VM stops before the deadline of the request")
+	}
 	claim, ferr := h.acquireClaim(ctx, call, 0)
 	if ferr != nil {
 		return ferr
@@ -147,6 +155,12 @@
 	return ferr
 }
 
+// stopsBefore reports whether the process stops before a deadline.
+func (h *Handler) stopsBefore(deadline time.Time) bool {
+	end := h.stopBy.Load()
+	return end != nil && deadline.After(*end)
+}
+
 func bodyError(err error, call *call) *fault.Error {
 	if err == errBodyOverLimit {
 		return fault.New(fault.BodyTooLarge, "the body is over the limit of %d bytes of service %q", maxBody(call.service), call.service.Name)
