Clients of fixed addresses do not follow redirects

The clients of the store, of the platform's table and of control calls followed redirects too: a grant could have gone to another address.

--- a/internal/backend/http.go
+++ b/internal/backend/http.go
@@ -46,7 +46,7 @@
 
 		MaxResponseHeaderBytes: controlMaxHeadBytes,
 	}
-	client := &http.Client{Transport: transport, Timeout: controlTimeout}
+	client := &http.Client{Transport: transport, Timeout: controlTimeout, CheckRedirect: dial.NoRedirects}
 	return &ControlClients{service: httpc.NewServiceWithClient(controlBreaker, client)}
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -16,7 +16,7 @@
 // newPeerClient returns an HTTP client for calls to other VMs.
 func newPeerClient(localIP string, dialTimeout time.Duration) *http.Client {
 	dialer := dial.WithDeadPeerDetection(localIP, dialTimeout)
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{CheckRedirect: dial.NoRedirects, Transport: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second,
 		DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
 	}}
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -311,3 +311,33 @@
 func (r *flushRecorder) Flush() {
 	r.receivingAtFlush, r.bytesAtFlush = r.relays.receiving.Load(), r.Body.Len()
 }
+
+// Guards against a request that runs at several servers because its answer is a redirect: the VM
+// that sends it through another one returns that answer, and calls no address that it names.
+func TestRedirectOfServerIsTheAnswerToRelayedRequest(t *testing.T) {
+	var elsewhere atomic.Int64
+	other := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { elsewhere.Add(1) }))
+	defer other.Close()
+	for _, status := range []int{301, 302, 303, 307, 308} {
+		for _, location := range []string{"/p/made", other.URL + "/p/made"} {
+			for _, method := range []string{http.MethodPost, http.MethodGet} {
+				var served atomic.Int64
+				serve := func(context.Context, *dispatch.Request) *dispatch.Answer {
+					served.Add(1)
+					return &dispatch.Answer{Status: status, Header: http.Header{"Location": {location}}}
+				}
+				s := relayTo(t, map[string][]string{"a": {relayServer(t, serve).URL, relayServer(t, serve).URL}, "b": {relayServer(t, serve).URL}})
+				result := send(s, callerRequest(method, ""))
+				if result.Answer == nil || result.Answer.Status != status || result.Answer.Header.Get("Location") != location {
+					t.Errorf("%s, %d to %s: got %+v, want the answer of the server", method, status, location, result)
+				}
+				if n := served.Load(); n != 1 {
+					t.Errorf("%s, %d to %s: served %d times, want once", method, status, location, n)
+				}
+			}
+		}
+	}
+	if n := elsewhere.Load(); n != 0 {
+		t.Errorf("got %d calls to the address of the redirect, want none", n)
+	}
+}
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -73,7 +73,7 @@
 
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}
-	client := &http.Client{Transport: transport, Timeout: callTimeout}
+	client := &http.Client{Transport: transport, Timeout: callTimeout, CheckRedirect: dial.NoRedirects}
 	return &Client{base: "http://" + address, service: httpc.NewServiceWithClient(breakerName, client)}
 }
 
--- a/internal/routing/transport.go
+++ b/internal/routing/transport.go
@@ -66,12 +66,7 @@
 		DisableCompression:     true, // bodies are forwarded unchanged
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
-	client := &http.Client{
-		Transport: roundTripper,
-		CheckRedirect: func(*http.Request, []*http.Request) error {
-			return http.ErrUseLastResponse // the caller follows redirects
-		},
-	}
+	client := &http.Client{Transport: roundTripper, CheckRedirect: dial.NoRedirects} // the caller follows redirects
 	return &Transport{service: httpc.NewServiceWithClient(serverBreaker, client)}
 }
 
