The rest of a split range keeps what is known of its grants

The state of a range is found by span and token. When a part of a range moved away, the rest kept its token but got an empty state: the session in which the owner had acknowledged the token was forgotten, and so was that a grant under it had been left unanswered. The rest was granted at once, on any connection. Results that came in for the old span were dropped.

The rest now inherits the state of the range that it is a part of, and the result of a grant for the old span holds for it.

The random walk of coordinators never split ranges.

--- a/internal/keyspace/lease_tracker.go
+++ b/internal/keyspace/lease_tracker.go
@@ -250,15 +250,13 @@
 // Committed switches to a record that was written to the store.
 func (l *LeaseTracker) Committed(record Record, version uint64) {
 	pendingMoves := l.pendingMoves()
-	l.version = version
-	l.record = record
 	ranges := make(map[rangeKey]*rangeState, len(record.Ranges))
 	for i := range record.Ranges {
 		r := &record.Ranges[i]
 		key := rangeKey{r.Span, r.Token}
 		state := l.ranges[key]
 		if state == nil {
-			state = &rangeState{former: map[string]*formerState{}}
+			state = l.stateOfPart(r)
 			if before := pendingMoves[r.Span]; before.state != nil && before.owner.Same(r.Owner) {
 				state.former, state.handover = before.state.former, before.state.handover
 			}
@@ -270,7 +268,22 @@
 		}
 		ranges[key] = state
 	}
-	l.ranges = ranges
+	l.record, l.version, l.ranges = record, version, ranges
+}
+
+// stateOfPart returns the state of a range that is new in its record: what is known of the
+// grants under its token if it is the rest of a range that was split, otherwise nothing.
+func (l *LeaseTracker) stateOfPart(r *Range) *rangeState {
+	state := &rangeState{former: map[string]*formerState{}}
+	whole := l.record.rangeOf(r.From)
+	if r.Pending || whole == nil || whole.Pending || whole.To < r.To || whole.Token != r.Token || !whole.Owner.Same(r.Owner) {
+		return state
+	}
+	if known := l.ranges[rangeKey{whole.Span, whole.Token}]; known != nil {
+		*state = *known
+		state.former = map[string]*formerState{}
+	}
+	return state
 }
 
 // pendingMove is a pending range whose move is in progress.
@@ -429,10 +442,20 @@
 		}
 		holder.lastUnansweredAt = now
 	}
-	state := l.ranges[rangeKey{order.Span, order.Token}]
-	if state == nil {
-		return // the range was split or moved in the meantime
+	if state := l.ranges[rangeKey{order.Span, order.Token}]; state != nil {
+		l.updateRange(now, state, result)
+		return
+	}
+	// The range was moved or split since the order. The result holds for the rest of it.
+	for key, state := range l.ranges {
+		if key.token == order.Token && key.From >= order.Span.From && key.To <= order.Span.To {
+			l.updateRange(now, state, result)
+		}
 	}
+}
+
+// updateRange updates the state of a range by the result of a grant of its keys under its token.
+func (l *LeaseTracker) updateRange(now time.Duration, state *rangeState, result Result) {
 	switch {
 	case result.Acknowledged:
 		state.acknowledged, state.session = true, result.Session
--- a/internal/keyspace/lease_tracker_test.go
+++ b/internal/keyspace/lease_tracker_test.go
@@ -1,6 +1,7 @@
 package keyspace
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -178,3 +179,79 @@
 		t.Fatalf("unresponsiveFor: got %v, want 0 8 s after the last unanswered grant", s)
 	}
 }
+
+// keepFirstHalf commits a move of the last five keys to B. A keeps the others under its token.
+func keepFirstHalf(l *LeaseTracker) {
+	l.Committed(Record{Ranges: []Range{
+		{Span: Span{0, 4}, Owner: holderA, Token: 1},
+		{Span: Span{5, 9}, Owner: holderB, Token: 2, Pending: true, Former: []Former{{holderA, 1}}},
+	}}, 2)
+}
+
+// grantsOf returns the grants among orders.
+func grantsOf(orders []Order) []Order {
+	return slices.DeleteFunc(orders, func(o Order) bool { return o.Kind != OrderGrant })
+}
+
+// Guards against a new process of a server that gets the keys of the earlier one under the same
+// token, after a part of its range was split off: what is known of the grants under the token
+// holds for the rest.
+func TestRestOfSplitRangeIsRenewedOnlyInItsSession(t *testing.T) {
+	acknowledged := func() *LeaseTracker {
+		l := NewLeaseTracker(walkTiming, Record{}, 0, 0, 0, 0)
+		l.Committed(Record{Ranges: []Range{{Span: allKeys, Owner: holderA, Token: 1}}}, 1)
+		l.Done(0, onlyOrder(t, l, 0), Result{Acknowledged: true, Session: 7})
+		return l
+	}
+	renewal := walkTiming.RenewInterval
+	t.Run("acknowledged before", func(t *testing.T) {
+		l := acknowledged()
+		keepFirstHalf(l)
+		if grants := grantsOf(l.Orders(0, serving)); len(grants) != 0 {
+			t.Errorf("got grants %+v right after the split, want none: the lease of the whole range holds", grants)
+		}
+		if grants := grantsOf(l.Orders(renewal, serving)); len(grants) != 1 || grants[0].Session != 7 {
+			t.Errorf("got grants %+v, want one in session 7", grants)
+		}
+	})
+	t.Run("acknowledged after", func(t *testing.T) {
+		l := NewLeaseTracker(walkTiming, Record{}, 0, 0, 0, 0)
+		l.Committed(Record{Ranges: []Range{{Span: allKeys, Owner: holderA, Token: 1}}}, 1)
+		first := onlyOrder(t, l, 0)
+		keepFirstHalf(l)
+		l.Done(0, first, Result{Acknowledged: true, Session: 7})
+		if grants := grantsOf(l.Orders(renewal, serving)); len(grants) != 1 || grants[0].Session != 7 {
+			t.Errorf("got grants %+v, want one in session 7", grants)
+		}
+	})
+	for name, split := range map[string]bool{"unanswered before": false, "unanswered after": true} {
+		t.Run(name, func(t *testing.T) {
+			l := acknowledged()
+			order := onlyOrder(t, l, renewal)
+			if split {
+				keepFirstHalf(l)
+			}
+			l.Done(renewal, order, Result{})
+			if !split {
+				keepFirstHalf(l)
+			}
+			if grants := grantsOf(l.Orders(2*renewal, serving)); len(grants) != 0 {
+				t.Errorf("got grants %+v, want none before the token is raised", grants)
+			}
+			writeProgress(l, 2*renewal)
+			if grants := grantsOf(l.Orders(2*renewal, serving)); len(grants) != 1 || grants[0].Token != 3 {
+				t.Errorf("got grants %+v, want one under the raised token", grants)
+			}
+		})
+	}
+	t.Run("rejected", func(t *testing.T) {
+		l := acknowledged()
+		order := onlyOrder(t, l, renewal)
+		keepFirstHalf(l)
+		l.Done(renewal, order, Result{Rejected: true})
+		writeProgress(l, renewal)
+		if token := l.record.Ranges[0].Token; token != 3 {
+			t.Errorf("got token %d, want a raised one", token)
+		}
+	})
+}
--- a/internal/keyspace/random_walk_test.go
+++ b/internal/keyspace/random_walk_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -13,7 +14,9 @@
 
 const (
 	walkKeys = 16
-	walkStep = 20 * time.Millisecond
+	// maxWalkRanges bounds the number of ranges, which begins at one a server.
+	maxWalkRanges = 8
+	walkStep      = 20 * time.Millisecond
 )
 
 var walkTiming = Timing{
@@ -301,19 +304,30 @@
 	for i := range next.Ranges {
 		r := &next.Ranges[i]
 		unavailable := w.stateOf(r.Owner) != Serving || w.leases.unresponsiveFor(w.now, r.Owner) > walkTiming.UnresponsiveTimeout
-		if !unavailable && (r.Pending || !w.chance(4)) {
+		split := !unavailable && !r.Pending && r.Keys() > 1 && len(next.Ranges) < maxWalkRanges && w.chance(20)
+		if !unavailable && !split && (r.Pending || !w.chance(4)) {
 			continue
 		}
 		to := w.servers[w.rng.IntN(len(w.servers))].advertised()
 		if !unavailable && to.Same(r.Owner) {
 			continue
 		}
+		if split {
+			// Only a part moves. The rest keeps its owner and its token.
+			rest := *r
+			rest.To = r.From + uint32(r.Keys()/2) - 1
+			r.From = rest.To + 1
+			next.Ranges = append(next.Ranges, rest)
+		}
+		r = &next.Ranges[i]
 		if !r.Pending {
 			r.Former = []Former{{r.Owner, r.Token}}
 		}
 		r.Owner, r.Token, r.raiseToken, r.Pending, changed = to, 0, false, true, true
 	}
 	if changed {
+		slices.SortFunc(next.Ranges, func(a, b Range) int { return int(a.From) - int(b.From) })
+		next.Ranges, _ = mergeAdjacent(next.Ranges, w.leases.acknowledged)
 		next.raiseTokens()
 		w.commit(next)
 		if w.injectBug != nil {
