--- a/internal/entry/conn.go
+++ b/internal/entry/conn.go
@@ -137,7 +137,9 @@
 				p.answer <- &dispatch.Answer{Abandoned: true}
 				return
 			}
-			p.answer <- c.serveRequest(ctx, request)
+			answer := c.serveRequest(ctx, request)
+			bodyMemory.Release() // the caller may read the answer slowly
+			p.answer <- answer
 		}(previous)
 		previous = p
 	}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -256,6 +256,24 @@
 	}
 }
 
+// Guards against callers who are refused because the body of a request that is answered still
+// counts, until its caller has read the answer.
+func TestMemoryOfBodyIsFreeOnceTheRequestIsServed(t *testing.T) {
+	served := make(chan struct{})
+	s, _ := startServer(t, func(context.Context, *serverconn.Request) (*serverconn.Response, *serverconn.Failure) {
+		close(served)
+		return &serverconn.Response{Status: 200, Header: http.Header{}, Body: make([]byte, 64<<20)}, nil // more than socket buffers hold
+	})
+	c := dial(t, s)
+	_, _ = fmt.Fprintf(c, "POST /p/ HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", testBodyBytes, strings.Repeat("x", testBodyBytes))
+	<-served
+	for deadline := time.Now().Add(2 * time.Second); s.settings.RequestMemory.Used() != 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("got %d bytes in use after the request was served, want none", s.settings.RequestMemory.Used())
+		}
+	}
+}
+
 // The memory of answers is free again once they are written, or the caller has
 // disconnected.
 func TestMemoryOfAnswersIsReleased(t *testing.T) {
