--- a/internal/keyspace/coordinator_lease.go
+++ b/internal/keyspace/coordinator_lease.go
@@ -78,7 +78,10 @@
 	eraSeenAt time.Duration
 
 	lastClaim   claim         // in the coordinator row as last read
-	suspectedAt time.Duration // when the coordinator last failed to answer; 0: never
+	suspectedAt time.Duration // when this VM last began to poll often, as the coordinator did not answer; 0: never
+	// reportedAt is when SuspectCoordinator was last called, reportedSince when it was first
+	// called in the current series of calls.
+	reportedAt, reportedSince time.Duration
 
 	standbySignal chan struct{} // wakes MaintainStandby
 	pollSignal    chan struct{} // wakes Run: this VM must poll often
--- a/internal/keyspace/coordinator_lease_poll.go
+++ b/internal/keyspace/coordinator_lease_poll.go
@@ -22,7 +22,7 @@
 }
 
 const (
-	// suspectPollers is how many VMs poll when the coordinator does not answer.
+	// suspectPollers is how many VMs poll at first when the coordinator does not answer.
 	// Their first polls are staggered by rank, signaledPollStagger apart; the first VM
 	// that finds the lease expired acquires it.
 	suspectPollers      = 8
@@ -33,17 +33,24 @@
 )
 
 // SuspectCoordinator reports that the coordinator does not answer or no longer
-// coordinates. VMs of low rank then poll often.
+// coordinates. VMs of low rank then poll often. As long as that lasts, so do further
+// ones, suspectPollers more every suspectPollDuration: all before them may be lost.
 func (l *CoordinatorLease) SuspectCoordinator() {
-	if l.rank() >= suspectPollers {
-		return
-	}
+	rank := l.rank()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.held || l.abstains() {
 		return
 	}
-	l.suspectedAt = l.clock()
+	now := l.clock()
+	if l.reportedAt == 0 || now-l.reportedAt >= suspectPollDuration {
+		l.reportedSince = now
+	}
+	l.reportedAt = now
+	if lasted := int((now - l.reportedSince) / suspectPollDuration); rank >= suspectPollers*(1+lasted) {
+		return
+	}
+	l.suspectedAt = now
 	wait.Signal(l.pollSignal)
 }
 
@@ -57,8 +64,8 @@
 
 // firstRanksPollFactor and otherPollFactor are the poll intervals, in renewal
 // intervals, of VMs that are not the standby: those of ranks 0 and 1, and all others.
-// Among the others, VMs of rank below suspectPollers poll often for a while when the
-// coordinator does not accept their reports.
+// Others poll often for a while when the coordinator does not accept their reports, see
+// SuspectCoordinator.
 const (
 	firstRanksPollFactor = 12
 	otherPollFactor      = 150
--- a/internal/keyspace/coordinator_lease_test.go
+++ b/internal/keyspace/coordinator_lease_test.go
@@ -338,6 +338,40 @@
 	}
 }
 
+// Guards against a lease that nobody takes for minutes (RECOVER), because all VMs of low rank are
+// gone for good: VMs of higher ranks poll often once the coordinator has not answered for longer.
+// Single failures with pauses between them are no such case.
+func TestSuspicionThatLastsReachesHigherRanks(t *testing.T) {
+	const interval = 400 * time.Millisecond // of reports
+	for rank, want := range map[int]time.Duration{
+		suspectPollers: suspectPollDuration, 3*suspectPollers - 1: 2 * suspectPollDuration, 3 * suspectPollers: 3 * suspectPollDuration,
+	} {
+		r := newLeaseRig()
+		r.coordinatorWithStandby(t)
+		l := r.newLease("x")
+		l.rank = func() int { return rank }
+		l.poll(t.Context())
+		since := r.now
+		for l.pollInterval() > l.settings.RenewInterval && r.now-since < time.Minute {
+			r.now += interval
+			l.SuspectCoordinator()
+		}
+		if took := r.now - since; took < want || took > want+2*interval {
+			t.Errorf("rank %d: polls often after %v, want about %v", rank, took, want)
+		}
+		l = r.newLease("y")
+		l.rank = func() int { return rank }
+		l.poll(t.Context())
+		for range 20 {
+			r.now += suspectPollDuration
+			l.SuspectCoordinator()
+		}
+		if got := l.pollInterval(); got <= l.settings.RenewInterval {
+			t.Errorf("rank %d: polls every %v after failures with pauses between them", rank, got)
+		}
+	}
+}
+
 // Guards against a coordinator that keeps sending renewals to a failing store long
 // after its lease expired.
 func TestRenewalStopsAfterLeaseExpiry(t *testing.T) {
