An isolated VM leaves relayed requests that it can't send to others

Such a VM now answers "unable" at once if no open connection to the chosen server is free and nothing has been sent, and the first VM tries another one.

TestRelayedRequestIsLeftToOthersWithoutOpenConnection failed three times of three before.

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -58,8 +58,16 @@
 		return r.relay(ctx)
 	}
 	choice, refusal := r.choose(ctx)
-	if r.core.Reach.Isolated() && !r.request.Relayed && (refusal != nil || !r.core.HasIdleConnection(choice.Server)) {
-		return r.relay(ctx)
+	if r.core.Reach.Isolated() {
+		reachable := refusal == nil && r.core.HasIdleConnection(choice.Server)
+		switch {
+		case reachable:
+		case !r.request.Relayed:
+			return r.relay(ctx)
+		case refusal == nil && r.sends == 0:
+			// The VM that sent the request here tries another one.
+			return refuse(fault.Isolated, 0, "this VM has no open connection to server %s and can't open one", choice.Server.ID), false
+		}
 	}
 	if refusal != nil {
 		return refusal, false
--- a/internal/dispatch/isolated_test.go
+++ b/internal/dispatch/isolated_test.go
@@ -281,3 +281,41 @@
 		})
 	}
 }
+
+// isolatedButLive is a VM that can't open connections, while open ones live on.
+type isolatedButLive struct{ alwaysReaching }
+
+func (isolatedButLive) Isolated() bool { return true }
+
+// Guards against callers of isolated VMs who are refused (RECOVER at 295 VMs), because the VM that
+// their request was sent through is isolated too and only has connections that are in use: it
+// tried to open others, and refused the request as its own.
+func TestRelayedRequestIsLeftToOthersWithoutOpenConnection(t *testing.T) {
+	for path, key := range map[string]int{"/p/": -1, "/k/": 5} {
+		for _, idle := range []bool{false, true} {
+			f := newFixture(true, answers(http.StatusOK))
+			f.setOwners(1, ownedByK0)
+			f.core.Reach, f.core.HasIdleConnection = isolatedButLive{}, func(*registry.Server) bool { return idle }
+			request := &Request{ID: "id", Method: "GET", Target: path, Path: path, Host: "h", Arrived: time.Now(), Timeout: time.Second, Relayed: true}
+			if key >= 0 {
+				request.Key, request.HasKey = uint32(key), true
+			}
+			answer := f.core.Serve(context.Background(), request)
+			if idle && answer.Status != http.StatusOK || !idle && (answer.Refusal != fault.Isolated || len(f.sender.sent) != 0) {
+				t.Errorf("%s, open connection %v: got answer %+v after attempts at %v, want 200 with one, otherwise a refusal as isolated without any attempt", path, idle, answer, f.sender.sent)
+			}
+		}
+	}
+	// Once a server has got the request, this VM may not claim that it did nothing.
+	f := newFixture(true, fails(serverconn.Sent), answers(http.StatusOK))
+	open := true
+	f.core.Reach, f.core.HasIdleConnection = isolatedButLive{}, func(*registry.Server) bool {
+		before := open
+		open = false
+		return before
+	}
+	answer := f.core.Serve(context.Background(), &Request{ID: "id", Method: "GET", Target: "/p/", Path: "/p/", Host: "h", Arrived: time.Now(), Timeout: time.Second, Relayed: true})
+	if answer.Refusal == fault.Isolated || len(f.sender.sent) == 0 {
+		t.Errorf("after an attempt: got answer %+v after attempts at %v, want anything but a refusal as isolated", answer, f.sender.sent)
+	}
+}
