A server that leaves stays so when its registration returns

Its registration was removed and written again while it still ran, as after an outage of the store or from a copy, and the removal of a registration also dropped what the server itself had said.

That outlives the registration now, and is forgotten with the departure, a minute after the removal; it still belongs to the incarnation, so that a new process under the ID starts free. Only registered servers are told to other VMs, as before.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -59,7 +59,9 @@
 	departed      map[string]departure
 	returning     map[string]returning
 	onEnded       func(Instance, string)
-	leaving       map[string]int64 // incarnations that said in an answer that they leave, by server ID
+	// leaving holds the incarnations that said in an answer that they leave, by server ID. It
+	// outlives their registration, which may come back while they still run.
+	leaving map[string]int64
 }
 
 // New returns an empty registry.
@@ -127,7 +129,6 @@
 func (e *Edit) Remove(id, reason string) {
 	delete(e.registry.retainedUntil, id)
 	delete(e.registry.returning, id)
-	delete(e.registry.leaving, id)
 	if old := e.servers[id]; old != nil {
 		e.depart(old)
 		if !old.Draining {
@@ -168,6 +169,11 @@
 			expired = append(expired, id)
 		}
 	}
+	for id := range r.leaving {
+		if _, departed := r.departed[id]; !departed && r.Get(id) == nil {
+			delete(r.leaving, id)
+		}
+	}
 	lasted := r.sweepReturning(now)
 	r.mu.Unlock()
 	for _, id := range expired {
@@ -216,13 +222,15 @@
 	})
 }
 
-// Leaving returns the incarnations that said in an answer that they leave.
+// Leaving returns the registered incarnations that said in an answer that they leave.
 func (r *Registry) Leaving() []Instance {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var list []Instance
 	for id, incarnation := range r.leaving {
-		list = append(list, Instance{id, incarnation})
+		if s := r.Get(id); s != nil && s.Incarnation == incarnation {
+			list = append(list, Instance{id, incarnation})
+		}
 	}
 	return list
 }
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -175,3 +175,40 @@
 		t.Errorf("got leaving servers %v after the removal, want none", got)
 	}
 }
+
+// Guards against requests to a server that said that it leaves, once its registration was gone and
+// came back while it still runs, or came back with a restored store.
+func TestServerThatLeavesStaysSoWhenItsRegistrationReturns(t *testing.T) {
+	r := New()
+	ready := Server{ID: "a", Service: "svc", Address: "1", Incarnation: 1, SeenAt: time.Now()}
+	r.Put(ready)
+	r.MarkLeaving(ready.Instance())
+	for range 3 {
+		r.Remove("a", "test")
+		r.Sweep(time.Now())
+		r.Put(ready)
+		if s := r.Get("a"); s == nil || !s.Draining || len(r.Usable("svc")) != 0 {
+			t.Fatalf("got server %+v, %d usable, after its registration came back; want it draining", s, len(r.Usable("svc")))
+		}
+	}
+	r.Remove("a", "test")
+	r.Update(func(e *Edit) { e.InEra(1) })
+	r.Put(ready) // from the copy
+	r.Sweep(time.Now().Add(returnTime))
+	if s := r.Get("a"); s == nil || !s.Draining {
+		t.Errorf("got server %+v after its registration came back with a copy and lasted, want it draining", s)
+	}
+	r.Remove("a", "test")
+	for range 2 {
+		r.Sweep(time.Now().Add(2 * departureMemory))
+	}
+	if len(r.leaving) != 0 {
+		t.Errorf("got %v remembered long after the removal, want none", r.leaving)
+	}
+	next := ready
+	next.Incarnation++
+	r.Put(next)
+	if len(r.Usable("svc")) != 1 {
+		t.Error("a new process under the ID is not usable")
+	}
+}
