--- a/internal/dispatch/isolated_test.go
+++ b/internal/dispatch/isolated_test.go
@@ -287,7 +287,7 @@
 
 func (isolatedButLive) Isolated() bool { return true }
 
-// Guards against callers of isolated VMs who are refused (RECOVER at 295 VMs), because the VM that
+// Guards against callers of isolated VMs who are refused, because the VM that
 // their request was sent through is isolated too and only has connections that are in use: it
 // tried to open others, and refused the request as its own.
 func TestRelayedRequestIsLeftToOthersWithoutOpenConnection(t *testing.T) {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -386,7 +386,7 @@
 }
 
 // Guards against a caller that pipelines without a pause and so keeps its connection open until
-// the process ends, with requests at work (LOST in review/3): once the server shuts down, the
+// the process ends, with requests at work: once the server shuts down, the
 // connection takes no further request, answers those that it took and closes.
 func TestPipeliningConnectionClosesDuringShutdown(t *testing.T) {
 	s, sender := startServer(t, func(ctx context.Context, r *serverconn.Request) (*serverconn.Response, *serverconn.Failure) {
--- a/internal/keyspace/coordinator_lease_test.go
+++ b/internal/keyspace/coordinator_lease_test.go
@@ -338,7 +338,7 @@
 	}
 }
 
-// Guards against a lease that nobody takes for minutes (RECOVER), because all VMs of low rank are
+// Guards against a lease that nobody takes for minutes, because all VMs of low rank are
 // gone for good: VMs of higher ranks poll often once the coordinator has not answered for longer.
 // Single failures with pauses between them are no such case.
 func TestSuspicionThatLastsReachesHigherRanks(t *testing.T) {
