--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -58,13 +58,11 @@
 		return r.relay(ctx)
 	}
 	choice, refusal := r.choose(ctx)
-	if r.core.Reach.Isolated() {
-		reachable := refusal == nil && r.core.HasIdleConnection(choice.Server)
-		switch {
-		case reachable:
-		case !r.request.Relayed:
+	if r.core.Reach.Isolated() && (refusal != nil || !r.core.HasIdleConnection(choice.Server)) {
+		if !r.request.Relayed {
 			return r.relay(ctx)
-		case refusal == nil && r.sends == 0:
+		}
+		if refusal == nil && r.sends == 0 {
 			// The VM that sent the request here tries another one.
 			return refuse(fault.Isolated, 0, "this VM has no open connection to server %s and can't open one", choice.Server.ID), false
 		}
--- a/internal/entry/conn.go
+++ b/internal/entry/conn.go
@@ -49,8 +49,7 @@
 	closing  bool // the last answer is determined: no further request is admitted or started
 	admitted int  // requests admitted so far
 	started  int  // number of the last request that was started
-	// readUntil is when a request must be whole of which bytes have arrived; zero: none is
-	// being read.
+	// readUntil is the deadline of the request that is being read; zero: none is.
 	readUntil time.Time
 }
 
