Observability: fingerprints of requests that lose a connection, losses that runs excuse

A line of a request whose server broke the connection has its fingerprint and that of its path without the query, so that repeats with other queries show. The quarantine says when it refuses a request from now on, and which losses a run excused or cleared.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -7,6 +7,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -176,6 +177,7 @@
 	connectFailures  int                 // attempts that reached no server
 	tried            []registry.Instance // servers that the request was sent to, in order
 	attemptLog       []string            // result of each attempt, for the log
+	connectionLost   bool                // a server broke the connection of an attempt
 	recordVersion    uint64              // version of the owners record that named the last owner
 	mayHaveRunAnswer *Answer             // of an attempt that ran or may have run
 	// notOwnerAt is when the owner named by the record of version recordVersion
@@ -236,10 +238,15 @@
 		timeout = r.route.Timeout
 	}
 	r.deadline = r.request.Arrived.Add(timeout)
-	r.fingerprint = retry.Fingerprint(r.request.Method, r.request.Host+r.request.Target, "", r.request.Body)
+	r.fingerprint = r.fingerprintOf(r.request.Target)
 	return nil
 }
 
+// fingerprintOf returns the fingerprint of the request with another target.
+func (r *requestState) fingerprintOf(target string) uint64 {
+	return retry.Fingerprint(r.request.Method, r.request.Host+target, "", r.request.Body)
+}
+
 const (
 	// startRetryAfter is the Retry-After hint while the VM loads its configuration. After
 	// a loss of all VMs, nine of ten have it half a second after their start.
@@ -275,6 +282,11 @@
 	if r.request.HasKey {
 		attrs = append(attrs, slog.Uint64("key", uint64(r.request.Key)), slog.Uint64("record", r.recordVersion))
 	}
+	if r.connectionLost || a.Refusal == fault.Quarantined {
+		path, _, _ := strings.Cut(r.request.Target, "?")
+		attrs = append(attrs, slog.String("fingerprint", retry.FormatFingerprint(r.fingerprint)),
+			slog.String("path_fingerprint", retry.FormatFingerprint(r.fingerprintOf(path))))
+	}
 	if len(r.attemptLog) > 0 {
 		attrs = append(attrs, slog.Any("attempts", r.attemptLog))
 	}
--- a/internal/dispatch/results.go
+++ b/internal/dispatch/results.go
@@ -74,6 +74,7 @@
 	}
 	r.sends++
 	if failure.Reset {
+		r.connectionLost = true
 		r.core.Suspicions.ConnectionLost(r.service.Name, r.fingerprint, server)
 	}
 	if time.Until(r.deadline) < minAttemptTime {
--- a/internal/dispatch/suspicions.go
+++ b/internal/dispatch/suspicions.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"sync"
 	"time"
@@ -163,6 +162,6 @@
 			s.quarantine.ServerLostAt(r.at, r.service, r.fingerprint, instance.ID)
 		}
 		slog.Info("dispatch: server ended under a request", "server", instance.ID, "incarnation", instance.Incarnation, "service", r.service,
-			"fingerprint", fmt.Sprintf("%016x", r.fingerprint), "lost_ms_before", age.Milliseconds(), "counted", age <= window, "reason", reason)
+			"fingerprint", retry.FormatFingerprint(r.fingerprint), "lost_ms_before", age.Milliseconds(), "counted", age <= window, "reason", reason)
 	}
 }
--- a/internal/retry/fingerprint.go
+++ b/internal/retry/fingerprint.go
@@ -1,6 +1,10 @@
 package retry
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // separator separates the parts of a fingerprint, so that "a"+"bc" and "ab"+"c"
 // differ. Methods, paths and queries contain no zero byte.
@@ -18,3 +22,6 @@
 	digest.Write(bodyPrefix)
 	return digest.Sum64()
 }
+
+// FormatFingerprint returns a fingerprint as log lines show it.
+func FormatFingerprint(fingerprint uint64) string { return fmt.Sprintf("%016x", fingerprint) }
--- a/internal/retry/quarantine.go
+++ b/internal/retry/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"log/slog"
 	"slices"
 	"sync"
 	"time"
@@ -207,8 +208,8 @@
 	for _, l := range losses {
 		servers = append(servers, l.server)
 	}
-	return fault.New(fault.Quarantined, "%s: servers %v were lost under fingerprint %016x; refused for %v more",
-		service, servers, fingerprint, left.Round(time.Second))
+	return fault.New(fault.Quarantined, "%s: servers %v were lost under fingerprint %s; refused for %v more",
+		service, servers, FormatFingerprint(fingerprint), left.Round(time.Second))
 }
 
 // ServerLost implements Quarantine. Call it for a server that is gone or restarted as
@@ -221,10 +222,33 @@
 func (q *MemoryQuarantine) ServerLostAt(at time.Time, service string, fingerprint uint64, server string) {
 	q.lock.Lock()
 	defer q.lock.Unlock()
-	s := q.suspectFor(suspectKey{service, fingerprint}, q.now())
-	if s.addLoss(loss{server, at.Add(q.settings.Period.Duration())}) {
+	key := suspectKey{service, fingerprint}
+	s := q.suspectFor(key, q.now())
+	l := loss{server, at.Add(q.settings.Period.Duration())}
+	if !l.expires.After(s.cleared) {
+		slog.Info("quarantine: loss excused by a run", "service", service, "fingerprint", FormatFingerprint(fingerprint), "server", server,
+			"run_ms_before", l.expires.Sub(s.cleared.Add(-runEvidence)).Milliseconds())
+	}
+	refusedBefore := s.refused()
+	if s.addLoss(l) {
 		q.recordChange(s)
 	}
+	q.logRefused(key, s, refusedBefore, "this VM")
+}
+
+// logRefused logs a request that is refused from now on. source tells who saw the last loss.
+func (q *MemoryQuarantine) logRefused(key suspectKey, s *suspect, refusedBefore bool, source string) {
+	if refusedBefore || !s.refused() {
+		return
+	}
+	var servers []string
+	var ages []int64
+	for _, l := range s.counted() {
+		servers = append(servers, l.server)
+		ages = append(ages, q.now().Sub(l.expires.Add(-q.settings.Period.Duration())).Milliseconds())
+	}
+	slog.Info("quarantine: request refused from now on", "service", key.service, "fingerprint", FormatFingerprint(key.fingerprint),
+		"servers", servers, "lost_ms_ago", ages, "last_seen_by", source)
 }
 
 // Ran implements Quarantine.
@@ -233,7 +257,7 @@
 	defer q.lock.Unlock()
 	now, key := q.now(), suspectKey{service, fingerprint}
 	if s := q.suspects[key]; s != nil {
-		q.clear(s, now.Add(q.settings.Period.Duration()+runEvidence))
+		q.clear(key, s, "this VM", now.Add(q.settings.Period.Duration()+runEvidence))
 		return
 	}
 	if len(q.ran) >= recentRuns {
@@ -244,14 +268,16 @@
 
 // clear records that the losses which expire by then came before a successful run. It reports a
 // change only if there are such losses.
-func (q *MemoryQuarantine) clear(s *suspect, until time.Time) {
+func (q *MemoryQuarantine) clear(key suspectKey, s *suspect, source string, until time.Time) {
 	if !until.After(s.cleared) {
 		return
 	}
 	before := len(s.counted())
 	s.cleared = until
-	if len(s.counted()) != before {
+	if after := len(s.counted()); after != before {
 		q.recordChange(s)
+		slog.Info("quarantine: losses cleared by a run", "service", key.service, "fingerprint", FormatFingerprint(key.fingerprint),
+			"counted_before", before, "counted", after, "seen_by", source)
 	}
 }
 
@@ -333,10 +359,11 @@
 	key := suspectKey{reported.Service, reported.Fingerprint}
 	s := q.suspectFor(key, now)
 	if len(reported.Servers) == 0 {
-		q.clear(s, now.Add(min(reported.TTL, q.settings.Period.Duration()+runEvidence)))
+		q.clear(key, s, "another VM", now.Add(min(reported.TTL, q.settings.Period.Duration()+runEvidence)))
 		return
 	}
 	ttl := min(reported.TTL, q.settings.Period.Duration())
+	refusedBefore := s.refused()
 	changed := false
 	if !now.Add(ttl).After(s.cleared) {
 		changed, s.concernsAll = true, true // the sender does not know that the request ran
@@ -347,6 +374,7 @@
 	if changed {
 		q.recordChange(s)
 	}
+	q.logRefused(key, s, refusedBefore, "another VM")
 }
 
 // echoTolerance is how much later than a known loss a report of the same one may seem, because
