--- a/internal/dispatch/crashing_request_test.go
+++ b/internal/dispatch/crashing_request_test.go
@@ -1,11 +1,13 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"syscall"
@@ -27,7 +29,8 @@
 	registries []*registry.Registry
 	owners     []*keyspace.Owners
 	service    time.Duration
-	path       string // of the request that crashes servers
+	scenario   crashScenario
+	crashFrom  time.Time // the request crashes no server before
 
 	mu        sync.Mutex // guards the fields below
 	servers   map[string]*crashServer
@@ -41,6 +44,40 @@
 	served    int
 }
 
+// crashScenario describes a request that crashes servers, and its callers.
+type crashScenario struct {
+	vms   int
+	path  string
+	pause time.Duration // between requests, on average
+	// runsWellFor is how long the request runs like any other before it begins to crash servers.
+	runsWellFor time.Duration
+	// failedRuns is the share of its runs that the server answers with status 500.
+	failedRuns float64
+	// changingQuery says that each repeat has another query, or none.
+	changingQuery bool
+	// callerLeavesAfter is how long callers wait for its answer; 0: as long as others.
+	callerLeavesAfter time.Duration
+	// runsFor is how long the request runs until its server ends.
+	runsFor time.Duration
+	// silent says that ended servers break no connection and refuse none.
+	silent  bool
+	popular string // path of a harmless page, one of five requests
+	// exchangeFrom is when VMs begin to exchange what they saw, after the start.
+	exchangeFrom time.Duration
+}
+
+func (c crashScenario) String() string {
+	return fmt.Sprintf("%d VMs, %s each %v", c.vms, c.path, c.pause)
+}
+
+// target returns the target of the next request that crashes servers.
+func (c crashScenario) target() string {
+	if query := rand.IntN(40); c.changingQuery && query > 0 {
+		return fmt.Sprintf("%s?page=%d&sort=new", c.path, query)
+	}
+	return c.path
+}
+
 // crash is the end of a server under the request that crashes servers.
 type crash struct {
 	at time.Time
@@ -63,8 +100,10 @@
 	ownerMoveDelay = 1500 * time.Millisecond
 )
 
-func newCrashFleet(vms, servers int, path string) *crashFleet {
-	f := &crashFleet{service: 60 * time.Millisecond, path: path, servers: map[string]*crashServer{}, running: map[*Core]int{}}
+func newCrashFleet(scenario crashScenario, servers int) *crashFleet {
+	vms := scenario.vms
+	f := &crashFleet{service: 60 * time.Millisecond, scenario: scenario, servers: map[string]*crashServer{}, running: map[*Core]int{},
+		crashFrom: time.Now().Add(crashLead + scenario.runsWellFor)}
 	for i := range servers {
 		for _, service := range []string{"plain", "keyed"} {
 			address := fmt.Sprintf("%s%d", service, i)
@@ -108,6 +147,7 @@
 	f.mu.Lock()
 	f.running[core] = f.processes
 	f.mu.Unlock()
+	time.Sleep(time.Until(f.crashFrom.Add(f.scenario.exchangeFrom - f.scenario.runsWellFor - crashLead)))
 	for {
 		time.Sleep(exchangeInterval)
 		f.mu.Lock()
@@ -152,6 +192,22 @@
 	}
 }
 
+// crashIn ends a server in a while, unless it has ended by then. The caller holds the lock.
+func (f *crashFleet) crashIn(in time.Duration, s *crashServer, settled bool) {
+	if in == 0 {
+		f.crash(s, settled)
+		return
+	}
+	life := s.lives
+	time.AfterFunc(in, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if s.lives == life && time.Now().After(s.downUntil) {
+			f.crash(s, settled)
+		}
+	})
+}
+
 // crash ends a server, which starts again under another ID. The caller holds the lock.
 func (f *crashFleet) crash(s *crashServer, settled bool) {
 	now := time.Now()
@@ -200,6 +256,10 @@
 	s := f.servers[r.Server.Address]
 	if time.Now().Before(s.downUntil) {
 		f.mu.Unlock()
+		if f.scenario.silent {
+			time.Sleep(connectTimeout)
+			return nil, &serverconn.Failure{Progress: serverconn.NotSent, Err: context.DeadlineExceeded}
+		}
 		return nil, errConnectionRefused
 	}
 	if s.ID != r.Server.ID {
@@ -207,34 +267,59 @@
 		return &serverconn.Response{Status: http.StatusMisdirectedRequest, NotStarted: true, ServerID: s.ID, Header: http.Header{}}, nil
 	}
 	lost := s.crashed
-	if r.Target == f.path {
-		f.crash(s, time.Since(c.started) >= crashSettle)
+	status := http.StatusOK
+	if path, _, _ := strings.Cut(r.Target, "?"); path == f.scenario.path && !time.Now().Before(f.crashFrom) {
+		status = http.StatusInternalServerError
+		if rand.Float64() >= f.scenario.failedRuns {
+			f.crashIn(f.scenario.runsFor, s, time.Since(c.started) >= crashSettle)
+		}
 	}
 	f.mu.Unlock()
+	if f.scenario.silent {
+		lost = nil
+	}
+	took := time.Duration((0.3 + rand.ExpFloat64()*0.7) * float64(f.service))
+	if status != http.StatusOK {
+		took = max(took, f.scenario.runsFor+time.Millisecond)
+	}
 	select {
 	case <-lost:
 		return nil, &serverconn.Failure{Progress: serverconn.Sent, Reset: true, Err: io.EOF}
 	case <-ctx.Done():
 		return nil, &serverconn.Failure{Progress: serverconn.Sent, Err: ctx.Err()}
-	case <-time.After(time.Duration((0.3 + rand.ExpFloat64()*0.7) * float64(f.service))):
-		return &serverconn.Response{Status: http.StatusOK, Header: http.Header{}}, nil
+	case <-time.After(time.Until(r.Deadline)):
+		return nil, &serverconn.Failure{Progress: serverconn.Sent, Err: os.ErrDeadlineExceeded}
+	case <-time.After(took):
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if time.Now().Before(s.downUntil) { // the server ended silently
+		f.mu.Unlock()
+		time.Sleep(time.Until(r.Deadline))
+		f.mu.Lock()
+		return nil, &serverconn.Failure{Progress: serverconn.Sent, Err: os.ErrDeadlineExceeded}
+	}
+	return &serverconn.Response{Status: status, Header: http.Header{}}, nil
 }
 
+// connectTimeout is how long a VM waits for a connection.
+const connectTimeout = 300 * time.Millisecond
+
 // probe opens a connection to a server and reports whether it was refused.
 func (f *crashFleet) probe(_ context.Context, server *registry.Server) bool {
 	time.Sleep(connectTime)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return time.Now().Before(f.servers[server.Address].downUntil)
+	return time.Now().Before(f.servers[server.Address].downUntil) && !f.scenario.silent
 }
 
 // request sends one request to a random VM.
-func (f *crashFleet) request(path string) *Answer {
+func (f *crashFleet) request(ctx context.Context, target string) *Answer {
 	f.mu.Lock()
 	vm := f.vms[rand.IntN(len(f.vms))]
 	f.mu.Unlock()
-	return vm.Serve(context.Background(), &Request{ID: "id", Method: "GET", Target: path, Path: path, Host: "h", Key: 7, HasKey: true, Arrived: time.Now(), Timeout: 800 * time.Millisecond})
+	path, _, _ := strings.Cut(target, "?")
+	return vm.Serve(ctx, &Request{ID: "id", Method: "GET", Target: target, Path: path, Host: "h", Key: 7, HasKey: true, Arrived: time.Now(), Timeout: 800 * time.Millisecond})
 }
 
 // load sends harmless requests until a time: a part of them for the same popular page.
@@ -243,10 +328,10 @@
 		time.Sleep(time.Duration(rand.ExpFloat64() / perSecond * float64(time.Second)))
 		path := fmt.Sprint([]string{"/p/", "/k/", "/u/"}[i%3], "page", i)
 		if i%5 == 0 {
-			path = "/p/popular"
+			path = cmp.Or(f.scenario.popular, "/p/popular")
 		}
 		requests.Go(func() {
-			answer := f.request(path)
+			answer := f.request(context.Background(), path)
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			switch {
@@ -265,24 +350,133 @@
 	crashesAllowed = 3               // sends that operators allow after that, over all VMs
 )
 
+// crashLead is when the first request that may crash servers is sent, after the start.
+const crashLead = time.Second
+
+// eachCrashScenario runs a test for fleets of several sizes, services and rates of the request,
+// each with the given change.
+func eachCrashScenario(t *testing.T, pauses []time.Duration, change func(*crashScenario)) {
+	for _, vms := range []int{1, 12, 80} {
+		for _, path := range []string{"/p/crash", "/u/crash", "/k/crash"} {
+			for _, pause := range pauses {
+				scenario := crashScenario{vms: vms, path: path, pause: pause}
+				change(&scenario)
+				t.Run(scenario.String(), func(t *testing.T) {
+					t.Parallel()
+					synctest.Test(t, func(t *testing.T) { testCrashingRequest(t, scenario) })
+				})
+			}
+		}
+	}
+}
+
+var crashPauses = []time.Duration{100 * time.Millisecond, 900 * time.Millisecond, 2 * time.Second}
+
 // Guards against a request that crashes the servers which run it and that VMs send to ever more
 // servers, because each of them counts the lost servers alone or does not notice their end.
 func TestVMsTogetherStopRequestThatCrashesServers(t *testing.T) {
-	for _, vms := range []int{1, 12, 80} {
-		for _, path := range []string{"/p/crash", "/u/crash", "/k/crash"} {
-			for _, pause := range []time.Duration{100 * time.Millisecond, 900 * time.Millisecond} {
-				t.Run(fmt.Sprintf("%d VMs, %s each %v", vms, path, pause), func(t *testing.T) {
-					synctest.Test(t, func(t *testing.T) { testCrashingRequest(t, vms, path, pause) })
+	eachCrashScenario(t, crashPauses[:2], func(*crashScenario) {})
+}
+
+// Guards against counting the servers that end under one request apart, because its repeats have
+// other queries.
+func TestVMsStopCrashingRequestWhoseQueryChanges(t *testing.T) {
+	eachCrashScenario(t, crashPauses, func(c *crashScenario) { c.changingQuery = true })
+}
+
+// Guards against runs that excuse the servers lost after them: the request ran well until it began to
+// crash servers.
+func TestVMsStopRequestThatBeginsToCrashServers(t *testing.T) {
+	for _, runsWellFor := range []time.Duration{3 * time.Second, 8 * time.Second} {
+		eachCrashScenario(t, crashPauses, func(c *crashScenario) { c.runsWellFor = runsWellFor })
+	}
+}
+
+// Guards against answers that say the server failed passing for good runs of a request that crashes
+// other servers.
+func TestVMsStopCrashingRequestThatFailsElsewhere(t *testing.T) {
+	eachCrashScenario(t, crashPauses, func(c *crashScenario) { c.failedRuns = 0.3 })
+}
+
+// Guards against losses that nobody counts because the caller had left before the server ended.
+func TestVMsStopCrashingRequestWhoseCallersLeave(t *testing.T) {
+	eachCrashScenario(t, crashPauses, func(c *crashScenario) {
+		c.callerLeavesAfter, c.runsFor = 30*time.Millisecond, 90*time.Millisecond
+	})
+}
+
+// Guards against losses that nobody counts because servers end without breaking connections.
+func TestVMsStopRequestUnderWhichServersFallSilent(t *testing.T) {
+	eachCrashScenario(t, crashPauses, func(c *crashScenario) { c.silent = true })
+}
+
+// Guards against VMs that count alone while they can't reach the coordinator.
+func TestVMsStopCrashingRequestWithoutCoordinator(t *testing.T) {
+	eachCrashScenario(t, crashPauses, func(c *crashScenario) { c.exchangeFrom = 12 * time.Second })
+}
+
+// Guards against refusing a harmless page because it was at work on servers that ended for other
+// reasons, all at once or one after the other.
+func TestHarmlessPageIsServedWhileServersEnd(t *testing.T) {
+	for _, ends := range []struct {
+		name    string
+		servers int           // that end
+		over    time.Duration // within
+		each    time.Duration // repeated
+	}{
+		{"together", 4, 300 * time.Millisecond, 8 * time.Second},
+		{"in sequence", 8, 8 * time.Second, 10 * time.Second},
+		{"slowly in sequence", 3, 9 * time.Second, 10 * time.Second},
+	} {
+		for _, vms := range []int{1, 12, 80} {
+			for _, page := range []string{"/p/popular", "/u/popular", "/k/popular"} {
+				t.Run(fmt.Sprintf("%d VMs, %s, servers end %s", vms, page, ends.name), func(t *testing.T) {
+					t.Parallel()
+					synctest.Test(t, func(t *testing.T) {
+						f := newCrashFleet(crashScenario{vms: vms, popular: page, runsFor: time.Hour}, 12)
+						until := time.Now().Add(crashTestDuration)
+						var requests sync.WaitGroup
+						requests.Go(func() { f.load(float64(30+vms*5), until, &requests) })
+						for time.Now().Before(until) {
+							start := time.Now()
+							f.endServers(page, ends.servers, ends.over)
+							time.Sleep(time.Until(start.Add(ends.each)))
+						}
+						f.finish(&requests)
+						f.checkRefusals(t)
+					})
 				})
 			}
 		}
 	}
 }
 
-func testCrashingRequest(t *testing.T, vms int, path string, pause time.Duration) {
-	const duration = 30 * time.Second
-	f := newCrashFleet(vms, 12, path)
-	until := time.Now().Add(duration)
+// endServers ends servers of the service that serves a page, spread over a time.
+func (f *crashFleet) endServers(page string, servers int, over time.Duration) {
+	service := "plain"
+	if strings.HasPrefix(page, "/k/") {
+		service = "keyed"
+	}
+	for i := range servers {
+		f.mu.Lock()
+		s := f.servers[f.keyOwner]
+		if service == "plain" || i > 0 {
+			s = f.servers[fmt.Sprint(service, rand.IntN(len(f.servers)/2))]
+		}
+		if time.Now().After(s.downUntil) {
+			f.crash(s, true)
+		}
+		f.mu.Unlock()
+		time.Sleep(over / time.Duration(servers))
+	}
+}
+
+const crashTestDuration = 30 * time.Second
+
+func testCrashingRequest(t *testing.T, scenario crashScenario) {
+	vms := scenario.vms
+	f := newCrashFleet(scenario, 12)
+	until := time.Now().Add(crashTestDuration)
 	var requests sync.WaitGroup
 	requests.Go(func() { f.load(float64(30+vms*5), until, &requests) })
 	// VMs are replaced all the time: one that has just started knows nothing.
@@ -292,17 +486,19 @@
 			f.addVM(rand.IntN(vms), vms)
 		}
 	})
-	time.Sleep(time.Second)
+	time.Sleep(crashLead)
 	for time.Now().Before(until) {
-		requests.Go(func() { f.request(path) })
-		time.Sleep(pause/2 + time.Duration(rand.Int64N(int64(pause))))
+		requests.Go(func() {
+			ctx, cancel := context.Background(), func() {}
+			if scenario.callerLeavesAfter > 0 {
+				ctx, cancel = context.WithTimeout(ctx, scenario.callerLeavesAfter)
+			}
+			defer cancel()
+			f.request(ctx, scenario.target())
+		})
+		time.Sleep(scenario.pause/2 + time.Duration(rand.Int64N(int64(scenario.pause))))
 	}
-	requests.Wait()
-	time.Sleep(2 * crashDowntime)
-	f.mu.Lock()
-	f.ended = true
-	f.mu.Unlock()
-	time.Sleep(2 * exchangeInterval)
+	f.finish(&requests)
 	late := 0
 	for _, c := range f.crashes {
 		if len(f.crashes) >= crashesBefore && c.settled && c.at.After(f.crashes[crashesBefore-1].at.Add(crashSettle)) {
@@ -313,7 +509,23 @@
 	if late > crashesAllowed {
 		t.Errorf("the request was sent %d times later than %v after it had crashed the third server, want at most %d", late, crashSettle, crashesAllowed)
 	}
-	if f.refusedOK > 5+f.served/500 { // what operators allow of refused requests that are proper
+	f.checkRefusals(t)
+}
+
+// finish waits for the requests and ends the fleet.
+func (f *crashFleet) finish(requests *sync.WaitGroup) {
+	requests.Wait()
+	time.Sleep(2 * crashDowntime)
+	f.mu.Lock()
+	f.ended = true
+	f.mu.Unlock()
+	time.Sleep(2 * exchangeInterval)
+}
+
+// checkRefusals fails the test if more harmless requests were refused than operators allow of
+// requests that are proper.
+func (f *crashFleet) checkRefusals(t *testing.T) {
+	if f.refusedOK > 5+f.served/500 {
 		t.Errorf("%d harmless requests were refused as if they crashed servers, %d were served", f.refusedOK, f.served)
 	}
 }
