Repeats of a request that crashes servers are counted whatever their query

Callers saw 502 again and again, each with another server lost, while no VM refused the request. Cause: the fingerprint covered the query, so repeats of one path with other queries were counted apart, one server each.

Losses and runs are recorded under two fingerprints, with and without the query. The one without is cleared by any good run at that path, so one bad query does not close a path that works. The daemon had the same fault.

--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -281,9 +281,10 @@
 			break
 		}
 	}
+	fingerprint := retry.Fingerprint(http.MethodGet, "/crash", "", []byte("body"))
 	for _, vm := range c.vms[1:] {
 		c.waitFor("the quarantine at "+vm.settings.ID, func() bool {
-			return vm.suspects.Admit("swapbay", retry.Fingerprint(http.MethodGet, "/crash", "", []byte("body"))) != nil
+			return vm.suspects.Admit("swapbay", retry.Fingerprints{Request: fingerprint, Path: fingerprint}) != nil
 		})
 	}
 }
--- a/internal/daemon/suspects.go
+++ b/internal/daemon/suspects.go
@@ -43,8 +43,8 @@
 }
 
 // ServerLost implements retry.Quarantine.
-func (s *suspects) ServerLost(service string, fingerprint uint64, server string) {
-	s.MemoryQuarantine.ServerLost(service, fingerprint, server)
+func (s *suspects) ServerLost(service string, request retry.Fingerprints, server string) {
+	s.MemoryQuarantine.ServerLost(service, request, server)
 	select {
 	case s.lossPending <- struct{}{}:
 	default:
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -167,9 +167,8 @@
 	route    *routetable.Route
 	service  routetable.Service
 	deadline time.Time
-	// fingerprint is equal for requests with the same method, host, target and
-	// body.
-	fingerprint uint64
+	// fingerprints cover method, host, target and body.
+	fingerprints retry.Fingerprints
 	// relayed says that the request is sent through other VMs only.
 	relayed bool
 
@@ -194,7 +193,7 @@
 		return refuse(fault.Stopping, r.honored(minRetryAfter), "this VM stops in %v, the request may take %v",
 			time.Until(*end).Round(time.Millisecond), time.Until(r.deadline).Round(time.Millisecond))
 	}
-	if err := r.core.Suspicions.Admit(r.service.Name, r.fingerprint); err != nil {
+	if err := r.core.Suspicions.Admit(r.service.Name, r.fingerprints); err != nil {
 		return refuse(fault.Quarantined, 0, "%v", err)
 	}
 	if r.core.Reach.Isolated() && !r.core.Reach.ConnectionsLive() {
@@ -238,13 +237,17 @@
 		timeout = r.route.Timeout
 	}
 	r.deadline = r.request.Arrived.Add(timeout)
-	r.fingerprint = r.fingerprintOf(r.request.Target)
+	r.fingerprints = fingerprints(r.request)
 	return nil
 }
 
-// fingerprintOf returns the fingerprint of the request with another target.
-func (r *requestState) fingerprintOf(target string) uint64 {
-	return retry.Fingerprint(r.request.Method, r.request.Host+target, "", r.request.Body)
+func fingerprints(r *Request) retry.Fingerprints {
+	request := retry.Fingerprint(r.Method, r.Host+r.Target, "", r.Body)
+	path, _, hasQuery := strings.Cut(r.Target, "?")
+	if !hasQuery {
+		return retry.Fingerprints{Request: request, Path: request}
+	}
+	return retry.Fingerprints{Request: request, Path: retry.Fingerprint(r.Method, r.Host+path, "", r.Body)}
 }
 
 const (
@@ -283,9 +286,8 @@
 		attrs = append(attrs, slog.Uint64("key", uint64(r.request.Key)), slog.Uint64("record", r.recordVersion))
 	}
 	if r.connectionLost || a.Refusal == fault.Quarantined {
-		path, _, _ := strings.Cut(r.request.Target, "?")
-		attrs = append(attrs, slog.String("fingerprint", retry.FormatFingerprint(r.fingerprint)),
-			slog.String("path_fingerprint", retry.FormatFingerprint(r.fingerprintOf(path))))
+		attrs = append(attrs, slog.String("fingerprint", retry.FormatFingerprint(r.fingerprints.Request)),
+			slog.String("path_fingerprint", retry.FormatFingerprint(r.fingerprints.Path)))
 	}
 	if len(r.attemptLog) > 0 {
 		attrs = append(attrs, slog.Any("attempts", r.attemptLog))
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -288,33 +288,38 @@
 		s := NewSuspicions(retry.NewQuarantine(retry.DefaultQuarantineSettings(), func() time.Time { return now }), func() time.Time { return now }, nil)
 		blamed := false
 		for _, id := range []string{"x", "y"} {
-			if err := s.Admit("svc", 1); err != nil {
+			if err := s.Admit("svc", request(1)); err != nil {
 				t.Fatalf("%s: refused before two servers ended: %v", name, err)
 			}
-			s.ConnectionLost("svc", 1, server(id))
+			s.ConnectionLost("svc", request(1), server(id))
 			blamed = end(s, server(id), func(d time.Duration) { now = now.Add(d) })
-			s.ConnectionLost("svc", 2, server("z"))
+			s.ConnectionLost("svc", request(2), server("z"))
 		}
-		if refused := s.Admit("svc", 1) != nil; refused != blamed {
+		if refused := s.Admit("svc", request(1)) != nil; refused != blamed {
 			t.Errorf("%s: got refused %v after two servers, want %v", name, refused, blamed)
 		}
-		if err := s.Admit("svc", 2); err != nil {
+		if err := s.Admit("svc", request(2)); err != nil {
 			t.Errorf("%s: a request under which no server ended is refused: %v", name, err)
 		}
 	}
 }
 
+// request returns the fingerprints of a request without a query.
+func request(fingerprint uint64) retry.Fingerprints {
+	return retry.Fingerprints{Request: fingerprint, Path: fingerprint}
+}
+
 // Requests at one server are lost one after the other; its end may be known before the last one.
 func TestRequestLostAfterServerIsKnownToHaveEndedIsBlamed(t *testing.T) {
 	s := NewSuspicions(retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now), time.Now, nil)
 	for _, id := range []string{"x", "y"} {
 		server := &registry.Server{ID: id, Incarnation: 1, FailureDomain: "a"}
-		s.ConnectionLost("svc", 1, server)
+		s.ConnectionLost("svc", request(1), server)
 		s.ConnectionRefused(server.Instance())
 		s.Answered(&registry.Server{ID: "other", FailureDomain: "a"})
-		s.ConnectionLost("svc", 2, server)
+		s.ConnectionLost("svc", request(2), server)
 	}
-	if s.Admit("svc", 2) == nil {
+	if s.Admit("svc", request(2)) == nil {
 		t.Error("the request that was lost later is admitted, want it refused")
 	}
 }
--- a/internal/dispatch/results.go
+++ b/internal/dispatch/results.go
@@ -26,7 +26,7 @@
 	if response.NotStarted {
 		return r.handleNotStarted(choice, response)
 	}
-	r.core.Suspicions.Ran(r.service.Name, r.fingerprint)
+	r.core.Suspicions.Ran(r.service.Name, r.fingerprints)
 	answer := &Answer{Status: response.Status, Header: response.Header, Body: response.Body}
 	retryable := response.Status >= 500 && r.route.Idempotent
 	return answer, retryable
@@ -75,7 +75,7 @@
 	r.sends++
 	if failure.Reset {
 		r.connectionLost = true
-		r.core.Suspicions.ConnectionLost(r.service.Name, r.fingerprint, server)
+		r.core.Suspicions.ConnectionLost(r.service.Name, r.fingerprints, server)
 	}
 	if time.Until(r.deadline) < minAttemptTime {
 		return refuse(fault.ServerTimeout, 0, "%v", failure), false
--- a/internal/dispatch/suspicions.go
+++ b/internal/dispatch/suspicions.go
@@ -37,9 +37,9 @@
 
 // lostRequest is a request whose connection was lost.
 type lostRequest struct {
-	service     string
-	fingerprint uint64
-	at          time.Time
+	service string
+	request retry.Fingerprints
+	at      time.Time
 }
 
 const (
@@ -65,15 +65,17 @@
 func (s *Suspicions) Quarantine() *retry.MemoryQuarantine { return s.quarantine }
 
 // Admit returns an error for a request that is in quarantine.
-func (s *Suspicions) Admit(service string, fingerprint uint64) error {
-	return s.quarantine.Admit(service, fingerprint)
+func (s *Suspicions) Admit(service string, request retry.Fingerprints) error {
+	return s.quarantine.Admit(service, request)
 }
 
 // Ran clears the suspicion of a request that a server completed.
-func (s *Suspicions) Ran(service string, fingerprint uint64) { s.quarantine.Ran(service, fingerprint) }
+func (s *Suspicions) Ran(service string, request retry.Fingerprints) {
+	s.quarantine.Ran(service, request)
+}
 
 // ConnectionLost records a request whose server broke the connection.
-func (s *Suspicions) ConnectionLost(service string, fingerprint uint64, server *registry.Server) {
+func (s *Suspicions) ConnectionLost(service string, fingerprints retry.Fingerprints, server *registry.Server) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
@@ -83,7 +85,7 @@
 		l = &lostRequests{domain: server.FailureDomain}
 		s.lost[server.Instance()] = l
 	}
-	request := lostRequest{service, fingerprint, now}
+	request := lostRequest{service, fingerprints, now}
 	if len(l.requests) < maxLostRequests {
 		l.requests = append(l.requests, request)
 	}
@@ -159,9 +161,9 @@
 	for _, r := range requests {
 		age := ended.Sub(r.at)
 		if age <= window {
-			s.quarantine.ServerLostAt(r.at, r.service, r.fingerprint, instance.ID)
+			s.quarantine.ServerLostAt(r.at, r.service, r.request, instance.ID)
 		}
 		slog.Info("dispatch: server ended under a request", "server", instance.ID, "incarnation", instance.Incarnation, "service", r.service,
-			"fingerprint", retry.FormatFingerprint(r.fingerprint), "lost_ms_before", age.Milliseconds(), "counted", age <= window, "reason", reason)
+			"fingerprint", retry.FormatFingerprint(r.request.Request), "path_fingerprint", retry.FormatFingerprint(r.request.Path), "lost_ms_before", age.Milliseconds(), "counted", age <= window, "reason", reason)
 	}
 }
--- a/internal/gateway/loads_test.go
+++ b/internal/gateway/loads_test.go
@@ -79,11 +79,11 @@
 		vms = append(vms, vm)
 		go vm.run(t.Context())
 	}
-	vms[0].quarantine.ServerLost("svc", 7, "s1")
-	vms[1].quarantine.ServerLost("svc", 7, "s2")
+	vms[0].quarantine.ServerLost("svc", retry.Fingerprints{Request: 7, Path: 7}, "s1")
+	vms[1].quarantine.ServerLost("svc", retry.Fingerprints{Request: 7, Path: 7}, "s2")
 	eventually(t, "all VMs to refuse the request", func() bool {
 		for _, vm := range append(vms, coordinator) {
-			if vm.quarantine.Admit("svc", 7) == nil {
+			if vm.quarantine.Admit("svc", retry.Fingerprints{Request: 7, Path: 7}) == nil {
 				return false
 			}
 		}
--- a/internal/retry/exchange_test.go
+++ b/internal/retry/exchange_test.go
@@ -44,9 +44,9 @@
 // if an answer is lost on the way. Then nothing is sent any more.
 func TestLossesAddUpThroughCoordinator(t *testing.T) {
 	r := newExchangeRig(5)
-	r.vms[1].ServerLost("swapbay", crashingFingerprint, "s1")
-	r.vms[3].ServerLost("swapbay", crashingFingerprint, "s2")
-	r.vms[4].ServerLost("swapbay", crashingFingerprint+1, "s2")
+	r.vms[1].ServerLost("swapbay", crashing, "s1")
+	r.vms[3].ServerLost("swapbay", crashing, "s2")
+	r.vms[4].ServerLost("swapbay", requestOf(8), "s2")
 	r.round(3)
 	r.round(2)
 	r.round()
@@ -54,7 +54,7 @@
 	for _, q := range append(r.vms, r.coordinator) {
 		expectRefused(t, q, true)
 	}
-	if err := r.vms[0].Admit("swapbay", crashingFingerprint+1); err != nil {
+	if err := r.vms[0].Admit("swapbay", requestOf(8)); err != nil {
 		t.Errorf("a request under which one server was lost: got %v, want no refusal", err)
 	}
 	if list := r.vms[0].Snapshot(); len(list) != 2 {
@@ -71,10 +71,10 @@
 // gets it from there.
 func TestNewCoordinatorLearnsSuspects(t *testing.T) {
 	r := newExchangeRig(3)
-	r.vms[1].ServerLost("swapbay", crashingFingerprint, "s1")
+	r.vms[1].ServerLost("swapbay", crashing, "s1")
 	r.round()
 	r.coordinator, r.process = NewQuarantine(DefaultQuarantineSettings(), r.clock.now), "p2"
-	r.vms[2].ServerLost("swapbay", crashingFingerprint, "s2")
+	r.vms[2].ServerLost("swapbay", crashing, "s2")
 	r.vms = append(r.vms, NewQuarantine(DefaultQuarantineSettings(), r.clock.now))
 	r.exchanges = append(r.exchanges, NewExchange(r.vms[3]))
 	for range 3 {
@@ -88,12 +88,12 @@
 // A successful run on one VM reaches all that refuse the request.
 func TestRunReachesVMsThatRefuse(t *testing.T) {
 	r := newExchangeRig(3)
-	r.vms[0].ServerLost("swapbay", crashingFingerprint, "s1")
-	r.vms[0].ServerLost("swapbay", crashingFingerprint, "s2")
+	r.vms[0].ServerLost("swapbay", crashing, "s1")
+	r.vms[0].ServerLost("swapbay", crashing, "s2")
 	r.round()
 	r.round()
 	expectRefused(t, r.vms[2], true)
-	r.vms[1].Ran("swapbay", crashingFingerprint)
+	r.vms[1].Ran("swapbay", crashing)
 	r.round()
 	r.round()
 	for _, q := range append(r.vms, r.coordinator) {
@@ -105,8 +105,8 @@
 func TestManySuspectsAreSentInParts(t *testing.T) {
 	r := newExchangeRig(2)
 	for i := range uint64(3 * maxSuspects) {
-		r.vms[0].ServerLost("swapbay", i, "s1")
-		r.vms[0].ServerLost("swapbay", i, "s2")
+		r.vms[0].ServerLost("swapbay", requestOf(i), "s1")
+		r.vms[0].ServerLost("swapbay", requestOf(i), "s2")
 	}
 	if report, _ := r.exchanges[0].Report(); len(report.Suspects) > 2*maxSuspects {
 		t.Errorf("got %d suspects in one report, want at most %d of %d losses each", len(report.Suspects), maxSuspects, refusalThreshold)
@@ -115,7 +115,7 @@
 		r.round()
 	}
 	for i := range uint64(3 * maxSuspects) {
-		if r.vms[1].Admit("swapbay", i) == nil {
+		if r.vms[1].Admit("swapbay", requestOf(i)) == nil {
 			t.Fatalf("suspect %d is admitted, want it refused", i)
 		}
 	}
--- a/internal/retry/quarantine.go
+++ b/internal/retry/quarantine.go
@@ -167,10 +167,18 @@
 }
 
 // Admit implements Quarantine.
-func (q *MemoryQuarantine) Admit(service string, fingerprint uint64) error {
+func (q *MemoryQuarantine) Admit(service string, request Fingerprints) error {
 	q.lock.Lock()
 	defer q.lock.Unlock()
-	key := suspectKey{service, fingerprint}
+	for _, fingerprint := range request.levels() {
+		if err := q.admit(suspectKey{service, fingerprint}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (q *MemoryQuarantine) admit(key suspectKey) error {
 	s := q.suspects[key]
 	if s == nil {
 		return nil
@@ -184,7 +192,7 @@
 		return nil
 	}
 	if now.Before(s.expires()) && !q.admitsEarly(s, now) {
-		return refusal(service, fingerprint, s.counted(), s.expires().Sub(now))
+		return refusal(key, s.counted(), s.expires().Sub(now))
 	}
 	if !now.Before(s.expires()) {
 		s.losses[0].expires = now.Add(q.settings.Trial.Duration())
@@ -203,30 +211,35 @@
 	return true
 }
 
-func refusal(service string, fingerprint uint64, losses []loss, left time.Duration) error {
+func refusal(key suspectKey, losses []loss, left time.Duration) error {
 	var servers []string
 	for _, l := range losses {
 		servers = append(servers, l.server)
 	}
 	return fault.New(fault.Quarantined, "%s: servers %v were lost under fingerprint %s; refused for %v more",
-		service, servers, FormatFingerprint(fingerprint), left.Round(time.Second))
+		key.service, servers, FormatFingerprint(key.fingerprint), left.Round(time.Second))
 }
 
 // ServerLost implements Quarantine. Call it for a server that is gone or restarted as
 // another incarnation, not for a single broken connection.
-func (q *MemoryQuarantine) ServerLost(service string, fingerprint uint64, server string) {
-	q.ServerLostAt(q.now(), service, fingerprint, server)
+func (q *MemoryQuarantine) ServerLost(service string, request Fingerprints, server string) {
+	q.ServerLostAt(q.now(), service, request, server)
 }
 
 // ServerLostAt is ServerLost for a server that was lost at an earlier time.
-func (q *MemoryQuarantine) ServerLostAt(at time.Time, service string, fingerprint uint64, server string) {
+func (q *MemoryQuarantine) ServerLostAt(at time.Time, service string, request Fingerprints, server string) {
 	q.lock.Lock()
 	defer q.lock.Unlock()
-	key := suspectKey{service, fingerprint}
+	for _, fingerprint := range request.levels() {
+		q.recordLoss(at, suspectKey{service, fingerprint}, server)
+	}
+}
+
+func (q *MemoryQuarantine) recordLoss(at time.Time, key suspectKey, server string) {
 	s := q.suspectFor(key, q.now())
 	l := loss{server, at.Add(q.settings.Period.Duration())}
 	if !l.expires.After(s.cleared) {
-		slog.Info("quarantine: loss excused by a run", "service", service, "fingerprint", FormatFingerprint(fingerprint), "server", server,
+		slog.Info("quarantine: loss excused by a run", "service", key.service, "fingerprint", FormatFingerprint(key.fingerprint), "server", server,
 			"run_ms_before", l.expires.Sub(s.cleared.Add(-runEvidence)).Milliseconds())
 	}
 	refusedBefore := s.refused()
@@ -252,10 +265,16 @@
 }
 
 // Ran implements Quarantine.
-func (q *MemoryQuarantine) Ran(service string, fingerprint uint64) {
+func (q *MemoryQuarantine) Ran(service string, request Fingerprints) {
 	q.lock.Lock()
 	defer q.lock.Unlock()
-	now, key := q.now(), suspectKey{service, fingerprint}
+	for _, fingerprint := range request.levels() {
+		q.recordRun(suspectKey{service, fingerprint})
+	}
+}
+
+func (q *MemoryQuarantine) recordRun(key suspectKey) {
+	now := q.now()
 	if s := q.suspects[key]; s != nil {
 		q.clear(key, s, "this VM", now.Add(q.settings.Period.Duration()+runEvidence))
 		return
--- a/internal/retry/quarantine_test.go
+++ b/internal/retry/quarantine_test.go
@@ -14,11 +14,16 @@
 func (c *clock) now() time.Time          { return c.t }
 func (c *clock) advance(d time.Duration) { c.t = c.t.Add(d) }
 
-const crashingFingerprint = uint64(7)
+var crashing = requestOf(7)
+
+// requestOf returns a request without a query.
+func requestOf(fingerprint uint64) Fingerprints {
+	return Fingerprints{Request: fingerprint, Path: fingerprint}
+}
 
 func expectRefused(t *testing.T, q *MemoryQuarantine, want bool) {
 	t.Helper()
-	err := q.Admit("swapbay", crashingFingerprint)
+	err := q.Admit("swapbay", crashing)
 	if got := err != nil; got != want {
 		t.Fatalf("got refused %v (%v), want %v", got, err, want)
 	}
@@ -32,15 +37,15 @@
 func TestRequestIsRefusedAfterTwoServersLost(t *testing.T) {
 	c := newClock()
 	q := NewQuarantine(DefaultQuarantineSettings(), c.now)
-	q.ServerLost("swapbay", crashingFingerprint, "s1")
-	q.ServerLost("swapbay", crashingFingerprint, "s1")
+	q.ServerLost("swapbay", crashing, "s1")
+	q.ServerLost("swapbay", crashing, "s1")
 	expectRefused(t, q, false)
-	q.ServerLost("swapbay", crashingFingerprint, "s2")
+	q.ServerLost("swapbay", crashing, "s2")
 	expectRefused(t, q, true)
-	if err := q.Admit("swapbay", crashingFingerprint+1); err != nil {
+	if err := q.Admit("swapbay", requestOf(8)); err != nil {
 		t.Fatalf("different fingerprint: got %v, want no refusal", err)
 	}
-	if err := q.Admit("reefread", crashingFingerprint); err != nil {
+	if err := q.Admit("reefread", crashing); err != nil {
 		t.Fatalf("different service: got %v, want no refusal", err)
 	}
 }
@@ -48,12 +53,12 @@
 func TestSuccessfulTrialEndsQuarantine(t *testing.T) {
 	c := newClock()
 	q := NewQuarantine(DefaultQuarantineSettings(), c.now)
-	q.ServerLost("swapbay", crashingFingerprint, "s1")
-	q.ServerLost("swapbay", crashingFingerprint, "s2")
+	q.ServerLost("swapbay", crashing, "s1")
+	q.ServerLost("swapbay", crashing, "s2")
 	c.advance(period())
 	expectRefused(t, q, false) // the trial
 	expectRefused(t, q, true)  // only one trial at a time
-	q.Ran("swapbay", crashingFingerprint)
+	q.Ran("swapbay", crashing)
 	expectRefused(t, q, false)
 	expectRefused(t, q, false)
 }
@@ -61,11 +66,11 @@
 func TestFailedTrialRestartsQuarantinePeriod(t *testing.T) {
 	c := newClock()
 	q := NewQuarantine(DefaultQuarantineSettings(), c.now)
-	q.ServerLost("swapbay", crashingFingerprint, "s1")
-	q.ServerLost("swapbay", crashingFingerprint, "s2")
+	q.ServerLost("swapbay", crashing, "s1")
+	q.ServerLost("swapbay", crashing, "s2")
 	c.advance(period())
 	expectRefused(t, q, false)
-	q.ServerLost("swapbay", crashingFingerprint, "s3")
+	q.ServerLost("swapbay", crashing, "s3")
 	c.advance(period() - time.Second)
 	expectRefused(t, q, true)
 }
@@ -73,19 +78,19 @@
 func TestSuccessfulRunClearsEarlierLoss(t *testing.T) {
 	c := newClock()
 	q := NewQuarantine(DefaultQuarantineSettings(), c.now)
-	q.ServerLost("swapbay", crashingFingerprint, "s1")
-	q.Ran("swapbay", crashingFingerprint)
-	q.ServerLost("swapbay", crashingFingerprint, "s2")
+	q.ServerLost("swapbay", crashing, "s1")
+	q.Ran("swapbay", crashing)
+	q.ServerLost("swapbay", crashing, "s2")
 	expectRefused(t, q, false)
 }
 
 func TestStalePeerReportDoesNotUndoSuccessfulRun(t *testing.T) {
 	c := newClock()
 	q := NewQuarantine(DefaultQuarantineSettings(), c.now)
-	q.ServerLost("swapbay", crashingFingerprint, "s1")
-	q.ServerLost("swapbay", crashingFingerprint, "s2")
+	q.ServerLost("swapbay", crashing, "s1")
+	q.ServerLost("swapbay", crashing, "s2")
 	report := q.Snapshot()
-	q.Ran("swapbay", crashingFingerprint)
+	q.Ran("swapbay", crashing)
 	q.Merge(report)
 	expectRefused(t, q, false)
 }
@@ -94,8 +99,8 @@
 	c := newClock()
 	a := NewQuarantine(DefaultQuarantineSettings(), c.now)
 	b := NewQuarantine(DefaultQuarantineSettings(), c.now)
-	a.ServerLost("swapbay", crashingFingerprint, "s1")
-	b.ServerLost("swapbay", crashingFingerprint, "s2")
+	a.ServerLost("swapbay", crashing, "s1")
+	b.ServerLost("swapbay", crashing, "s2")
 	a.Merge(b.Snapshot())
 	b.Merge(a.Snapshot())
 	expectRefused(t, a, true)
@@ -105,9 +110,9 @@
 func TestExpiredLossDoesNotCount(t *testing.T) {
 	c := newClock()
 	q := NewQuarantine(DefaultQuarantineSettings(), c.now)
-	q.ServerLost("swapbay", crashingFingerprint, "s1")
+	q.ServerLost("swapbay", crashing, "s1")
 	c.advance(period())
-	q.ServerLost("swapbay", crashingFingerprint, "s2")
+	q.ServerLost("swapbay", crashing, "s2")
 	expectRefused(t, q, false)
 }
 
@@ -116,10 +121,10 @@
 	s := DefaultQuarantineSettings()
 	s.Entries = 16
 	q := NewQuarantine(s, c.now)
-	q.ServerLost("swapbay", crashingFingerprint, "s1")
-	q.ServerLost("swapbay", crashingFingerprint, "s2")
+	q.ServerLost("swapbay", crashing, "s1")
+	q.ServerLost("swapbay", crashing, "s2")
 	for i := range uint64(1000) {
-		q.ServerLost("swapbay", 100+i, "s1")
+		q.ServerLost("swapbay", requestOf(100+i), "s1")
 		if len(q.suspects) > s.Entries {
 			t.Fatalf("got %d entries, want at most %d", len(q.suspects), s.Entries)
 		}
@@ -134,21 +139,21 @@
 		c := newClock()
 		a := NewQuarantine(DefaultQuarantineSettings(), c.now)
 		b := NewQuarantine(DefaultQuarantineSettings(), c.now)
-		a.ServerLost("swapbay", crashingFingerprint, "s1")
-		a.ServerLost("swapbay", crashingFingerprint, "s2")
+		a.ServerLost("swapbay", crashing, "s1")
+		a.ServerLost("swapbay", crashing, "s2")
 		c.advance(100 * time.Millisecond)
 		if ranFirst {
-			b.Ran("swapbay", crashingFingerprint)
+			b.Ran("swapbay", crashing)
 		}
 		c.advance(100 * time.Millisecond)
 		b.Merge(a.Snapshot())
 		if !ranFirst {
-			b.Ran("swapbay", crashingFingerprint)
+			b.Ran("swapbay", crashing)
 		}
 		expectRefused(t, b, false)
 		a.Merge(b.Snapshot())
 		expectRefused(t, a, false)
-		a.ServerLostAt(c.now().Add(-150*time.Millisecond), "swapbay", crashingFingerprint, "s3")
+		a.ServerLostAt(c.now().Add(-150*time.Millisecond), "swapbay", crashing, "s3")
 		expectRefused(t, a, false)
 	}
 }
@@ -158,10 +163,10 @@
 	c := newClock()
 	a := NewQuarantine(DefaultQuarantineSettings(), c.now)
 	b := NewQuarantine(DefaultQuarantineSettings(), c.now)
-	b.Ran("swapbay", crashingFingerprint)
+	b.Ran("swapbay", crashing)
 	c.advance(runEvidence + 100*time.Millisecond)
-	a.ServerLost("swapbay", crashingFingerprint, "s1")
-	a.ServerLost("swapbay", crashingFingerprint, "s2")
+	a.ServerLost("swapbay", crashing, "s1")
+	a.ServerLost("swapbay", crashing, "s2")
 	b.Merge(a.Snapshot())
 	expectRefused(t, b, true)
 }
@@ -171,7 +176,7 @@
 	c := newClock()
 	q := NewQuarantine(DefaultQuarantineSettings(), c.now)
 	for fingerprint := range uint64(10) {
-		q.ServerLost("swapbay", fingerprint, "s1")
+		q.ServerLost("swapbay", requestOf(fingerprint), "s1")
 	}
 	first, next := q.Since(0, 6, false)
 	rest, end := q.Since(next, 6, false)
@@ -184,11 +189,11 @@
 	if refused, _ := q.Since(0, 6, true); len(refused) != 0 {
 		t.Fatalf("got %v, want none refused", refused)
 	}
-	q.ServerLost("swapbay", crashingFingerprint, "s2")
-	if refused, _ := q.Since(0, 6, true); len(refused) != 2 || refused[0].Fingerprint != crashingFingerprint {
+	q.ServerLost("swapbay", crashing, "s2")
+	if refused, _ := q.Since(0, 6, true); len(refused) != 2 || refused[0].Fingerprint != crashing.Path {
 		t.Fatalf("got %v, want both losses of the refused fingerprint", refused)
 	}
-	q.Ran("swapbay", crashingFingerprint)
+	q.Ran("swapbay", crashing)
 	if cleared, _ := q.Since(end+1, 6, true); len(cleared) != 1 || len(cleared[0].Servers) != 0 {
 		t.Fatalf("got %v, want the successful run", cleared)
 	}
@@ -199,15 +204,15 @@
 func TestLossesShortlyAfterRunDoNotCount(t *testing.T) {
 	c := newClock()
 	q := NewQuarantine(DefaultQuarantineSettings(), c.now)
-	q.Ran("swapbay", crashingFingerprint)
+	q.Ran("swapbay", crashing)
 	c.advance(runEvidence - time.Millisecond)
 	for _, server := range []string{"s1", "s2", "s3"} {
-		q.ServerLost("swapbay", crashingFingerprint, server)
+		q.ServerLost("swapbay", crashing, server)
 	}
 	expectRefused(t, q, false)
 	c.advance(2 * time.Millisecond)
-	q.ServerLost("swapbay", crashingFingerprint, "s4")
-	q.ServerLost("swapbay", crashingFingerprint, "s5")
+	q.ServerLost("swapbay", crashing, "s4")
+	q.ServerLost("swapbay", crashing, "s5")
 	expectRefused(t, q, true)
 }
 
@@ -217,15 +222,34 @@
 	c := newClock()
 	q := NewQuarantine(DefaultQuarantineSettings(), c.now)
 	q.TryEarly(func() bool { return true })
-	q.ServerLost("swapbay", crashingFingerprint, "s1")
-	q.ServerLost("swapbay", crashingFingerprint, "s2")
+	q.ServerLost("swapbay", crashing, "s1")
+	q.ServerLost("swapbay", crashing, "s2")
 	expectRefused(t, q, true)
 	c.advance(earlyTrialDelay)
 	expectRefused(t, q, false) // the trial
 	expectRefused(t, q, true)
-	q.ServerLost("swapbay", crashingFingerprint, "s3")
+	q.ServerLost("swapbay", crashing, "s3")
 	c.advance(time.Minute)
 	expectRefused(t, q, true)
-	q.Ran("swapbay", crashingFingerprint)
+	q.Ran("swapbay", crashing)
 	expectRefused(t, q, false)
 }
+
+// One query that crashes servers does not keep others from a path that runs well with them, and
+// queries that differ each time are counted together.
+func TestQuarantineCountsQueriesApartAndTogether(t *testing.T) {
+	q := NewQuarantine(DefaultQuarantineSettings(), newClock().now)
+	good, bad := Fingerprints{Request: 1, Path: 9}, Fingerprints{Request: 2, Path: 9}
+	q.ServerLost("swapbay", bad, "s1")
+	q.Ran("swapbay", good)
+	q.ServerLost("swapbay", bad, "s2")
+	if q.Admit("swapbay", bad) == nil || q.Admit("swapbay", good) != nil {
+		t.Error("want the query that crashes servers refused and the other one admitted")
+	}
+	for i, server := range []string{"s1", "s2"} {
+		q.ServerLost("reefread", Fingerprints{Request: uint64(i), Path: 9}, server)
+	}
+	if q.Admit("reefread", Fingerprints{Request: 7, Path: 9}) == nil {
+		t.Error("a path under which two servers were lost with different queries is admitted")
+	}
+}
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -55,9 +55,9 @@
 // Quarantine refuses requests that have crashed two servers.
 type Quarantine interface {
 	// Admit returns a *fault.Error of kind Quarantined, or nil.
-	Admit(service string, fingerprint uint64) error
+	Admit(service string, request Fingerprints) error
 	// ServerLost reports that a server was lost while it ran the request.
-	ServerLost(service string, fingerprint uint64, server string)
+	ServerLost(service string, request Fingerprints, server string)
 	// Ran reports that a server ran the request to completion.
-	Ran(service string, fingerprint uint64)
+	Ran(service string, request Fingerprints)
 }
--- a/internal/routing/deferral.go
+++ b/internal/routing/deferral.go
@@ -216,7 +216,7 @@
 	body := &callerBody{buffered: item.Request.Body, length: int64(len(item.Request.Body))}
 	recorder := &answerRecorder{header: http.Header{}}
 	forwarder := &forwarder{handler: h, call: call, body: body, request: r, writer: recorder}
-	forwarder.fingerprint = forwarder.computeFingerprint()
+	forwarder.fingerprints = forwarder.computeFingerprints()
 	ferr = forwarder.sendWithRetries(ctx)
 	h.settle(ctx, claim, ferr)
 	if ferr != nil {
--- a/internal/routing/forwarder.go
+++ b/internal/routing/forwarder.go
@@ -20,20 +20,23 @@
 // forwarder sends one call to a server, with retries, and proxies the answer. It is
 // used by one goroutine.
 type forwarder struct {
-	handler     *Handler
-	call        *call
-	body        *callerBody
-	request     *http.Request
-	writer      http.ResponseWriter
-	fingerprint uint64
-	mayHaveRun  bool      // an earlier attempt may have run
-	sentAt      time.Time // of the last attempt
-	headerAt    time.Time // when its answer began, or failed
-	refusal     string    // HeaderNotStarted of the last server that refused
+	handler      *Handler
+	call         *call
+	body         *callerBody
+	request      *http.Request
+	writer       http.ResponseWriter
+	fingerprints retry.Fingerprints
+	mayHaveRun   bool      // an earlier attempt may have run
+	sentAt       time.Time // of the last attempt
+	headerAt     time.Time // when its answer began, or failed
+	refusal      string    // HeaderNotStarted of the last server that refused
 }
 
-func (f *forwarder) computeFingerprint() uint64 {
-	return retry.Fingerprint(f.request.Method, f.call.path, f.request.URL.RawQuery, f.body.buffered)
+func (f *forwarder) computeFingerprints() retry.Fingerprints {
+	return retry.Fingerprints{
+		Request: retry.Fingerprint(f.request.Method, f.call.path, f.request.URL.RawQuery, f.body.buffered),
+		Path:    retry.Fingerprint(f.request.Method, f.call.path, "", f.body.buffered),
+	}
 }
 
 // sendWithRetries sends the request until it is answered, the retry policy stops,
@@ -96,7 +99,7 @@
 // attempt makes one attempt: it checks the quarantine, resolves the target, acquires
 // a permit, sends the request and records the result.
 func (f *forwarder) attempt(ctx context.Context, number int) *fault.Error {
-	if err := f.handler.Quarantine.Admit(f.call.service.Name, f.fingerprint); err != nil {
+	if err := f.handler.Quarantine.Admit(f.call.service.Name, f.fingerprints); err != nil {
 		return toFaultError(err)
 	}
 	target, err := f.resolveTarget(ctx)
@@ -234,7 +237,7 @@
 func (f *forwarder) recordResult(target Target, err *fault.Error) {
 	if err == nil {
 		f.handler.chooser.recordSuccess(target.Server.ID)
-		f.handler.Quarantine.Ran(f.call.service.Name, f.fingerprint)
+		f.handler.Quarantine.Ran(f.call.service.Name, f.fingerprints)
 		return
 	}
 	switch err.Kind {
@@ -253,7 +256,7 @@
 		incarnation := f.handler.chooser.incarnationID(target)
 		f.handler.chooser.recordFailure(target.Server.ID)
 		if f.handler.Prober.Lost(target) {
-			f.handler.Quarantine.ServerLost(f.call.service.Name, f.fingerprint, incarnation)
+			f.handler.Quarantine.ServerLost(f.call.service.Name, f.fingerprints, incarnation)
 		}
 	}
 }
--- a/internal/routing/handler.go
+++ b/internal/routing/handler.go
@@ -149,7 +149,7 @@
 		return ferr
 	}
 	forwarder := &forwarder{handler: h, call: call, body: body, request: r, writer: w}
-	forwarder.fingerprint = forwarder.computeFingerprint()
+	forwarder.fingerprints = forwarder.computeFingerprints()
 	ferr = forwarder.sendWithRetries(ctx)
 	h.settle(r.Context(), claim, ferr)
 	return ferr
