An answer that says the server failed is no good run

A request that crashed most servers and was answered 500 or 504 by some was sent on for ever: any answer that did not say "not started" excused the servers that were lost before it and for 10 s after it. A server that failed the request proves nothing of the others.

--- a/internal/dispatch/results.go
+++ b/internal/dispatch/results.go
@@ -26,7 +26,9 @@
 	if response.NotStarted {
 		return r.handleNotStarted(choice, response)
 	}
-	r.core.Suspicions.Ran(r.service.Name, r.fingerprints)
+	if response.Status < http.StatusInternalServerError { // a server that failed the request proves nothing of others
+		r.core.Suspicions.Ran(r.service.Name, r.fingerprints)
+	}
 	answer := &Answer{Status: response.Status, Header: response.Header, Body: response.Body}
 	retryable := response.Status >= 500 && r.route.Idempotent
 	return answer, retryable
--- a/internal/routing/forward_test.go
+++ b/internal/routing/forward_test.go
@@ -95,7 +95,19 @@
 // testRouter is a router in front of one server.
 type testRouter struct {
 	*httptest.Server
-	resolver *fixedResolver
+	resolver   *fixedResolver
+	quarantine *countingQuarantine
+}
+
+// countingQuarantine counts the runs that are reported to it.
+type countingQuarantine struct {
+	retry.Quarantine
+	ran atomic.Int64
+}
+
+func (q *countingQuarantine) Ran(service string, request retry.Fingerprints) {
+	q.ran.Add(1)
+	q.Quarantine.Ran(service, request)
 }
 
 func newTestRouter(t testing.TB, address string, policy retry.Policy) *testRouter {
@@ -106,15 +118,16 @@
 		Limits: config.Limits{MaxBodyBytes: 256 << 10},
 	}
 	resolver := &fixedResolver{server: server}
+	quarantine := &countingQuarantine{Quarantine: retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now)}
 	handler := NewHandler(Parts{
 		Services: oneService{service}, Resolver: resolver, Gate: unlimitedGate{}, Policies: onePolicy{policy}, Prober: noProber{},
-		Claimer: noClaims{}, Quarantine: retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now),
+		Claimer: noClaims{}, Quarantine: quarantine,
 		Transport: NewTransport(0), Canceler: noCancel{}, Deferrals: noDeferrals{},
 		Decisions: logging.NewDecisions(metrics.NewRegistry()), Metrics: metrics.NewRegistry(),
 	})
 	front := httptest.NewServer(handler)
 	t.Cleanup(front.Close)
-	return &testRouter{Server: front, resolver: resolver}
+	return &testRouter{Server: front, resolver: resolver, quarantine: quarantine}
 }
 
 func (r *testRouter) do(t *testing.T, method, path, body string, header ...string) (*http.Response, string, error) {
@@ -377,3 +390,23 @@
 		}
 	}
 }
+
+// Guards against an answer that says the server failed passing for a good run of a request that
+// crashes other servers.
+func TestFailedRunIsNotReportedToQuarantine(t *testing.T) {
+	status := atomic.Int64{}
+	address, _ := rawServer(t, func(conn net.Conn, _ *http.Request, _ int64) bool {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d Status\r\nContent-Length: 0\r\n\r\n", status.Load())
+		return true
+	})
+	router := newTestRouter(t, address, retry.Fixed{Attempts: 1})
+	for _, c := range []struct{ status, ran int64 }{{500, 0}, {504, 0}, {200, 1}, {404, 2}} {
+		status.Store(c.status)
+		if _, _, err := router.do(t, http.MethodGet, "/shop/x", ""); err != nil {
+			t.Fatal(err)
+		}
+		if got := router.quarantine.ran.Load(); got != c.ran {
+			t.Errorf("after status %d: got %d runs, want %d", c.status, got, c.ran)
+		}
+	}
+}
--- a/internal/routing/forwarder.go
+++ b/internal/routing/forwarder.go
@@ -29,6 +29,7 @@
 	mayHaveRun   bool      // an earlier attempt may have run
 	sentAt       time.Time // of the last attempt
 	headerAt     time.Time // when its answer began, or failed
+	status       int       // of the last answer
 	refusal      string    // HeaderNotStarted of the last server that refused
 }
 
@@ -170,6 +171,7 @@
 	if err != nil {
 		return f.sendError(ctx, target, sent, err)
 	}
+	f.status = resp.StatusCode
 	defer func() { _ = resp.Body.Close() }()
 	if reason := resp.Header.Get(backend.HeaderNotStarted); reason != "" && resp.StatusCode == http.StatusServiceUnavailable {
 		f.refusal = reason
@@ -237,7 +239,9 @@
 func (f *forwarder) recordResult(target Target, err *fault.Error) {
 	if err == nil {
 		f.handler.chooser.recordSuccess(target.Server.ID)
-		f.handler.Quarantine.Ran(f.call.service.Name, f.fingerprints)
+		if f.status < http.StatusInternalServerError { // a server that failed the request proves nothing of others
+			f.handler.Quarantine.Ran(f.call.service.Name, f.fingerprints)
+		}
 		return
 	}
 	switch err.Kind {
