A good run excuses the servers lost before it, none lost later

A request that ran well until it began to crash servers was sent on to one server after the other for 10 s. Cause: a good run excused each loss of the next 10 s, so that a popular page at work on servers that end together is not refused. The evidence outlived what it proved: the run says nothing of what the request does later.

A run clears what was lost before it ended. The popular page is told apart by what it does next: it runs elsewhere. So a request that ran in the 10 s before its first loss is refused 1.2 s later, the time that reports of such runs take, and it gets trials that back off, whatever number of servers was lost. In messages the TTL of a run keeps its meaning for earlier releases, which excuse 10 s as before.

TestLossesShortlyAfterRunDoNotCount demanded what is the fault here, that three servers lost 10 s after a run do not count; TestLossesShortlyAfterRunCountLater replaces it: not for 1.2 s, then all count, until the request runs again.

--- a/internal/retry/quarantine.go
+++ b/internal/retry/quarantine.go
@@ -51,9 +51,18 @@
 // request that ran on it.
 const refusalThreshold = 2
 
-// maxLosses is how many losses of a fingerprint are kept. More than refusalThreshold leave no
-// doubt.
-const maxLosses = refusalThreshold + 1
+// maxLosses is how many losses of a fingerprint are kept.
+const maxLosses = 4
+
+// A page that ran shortly before the first loss may be popular and at work on several servers that
+// end at the same time, and other VMs may have seen it run since. So it is refused later than others.
+const (
+	// recentRun is how long before the first loss a run counts as shortly before.
+	recentRun = 10 * time.Second
+	// runReportDelay is how long reports of later runs may take: to the coordinator and from
+	// there to all VMs, each with its next report.
+	runReportDelay = 1200 * time.Millisecond
+)
 
 // Suspect is what one VM tells others about a fingerprint: its requests ran on servers that
 // were lost, or one ran successfully if Servers is empty.
@@ -76,7 +85,8 @@
 }
 
 // suspect is a VM's state of one fingerprint. Losses that expire no later than cleared came
-// before a successful run, or less than runEvidence after it.
+// before a successful run. A run excuses no later loss: a request that ran well may begin to
+// crash servers, while a harmless one goes on running on others.
 //
 // Merging takes the later time of each server, the maxLosses servers with the latest times,
 // and the later value of cleared. This is commutative, associative and idempotent, so the order
@@ -101,20 +111,43 @@
 	return s.losses[:n]
 }
 
-func (s *suspect) refused() bool { return len(s.counted()) >= refusalThreshold }
+// ranRecently reports whether the request ran shortly before the first of the counted losses.
+func (s *suspect) ranRecently(counted []loss) bool {
+	return len(counted) > 0 && counted[len(counted)-1].expires.Sub(s.cleared) <= recentRun
+}
+
+// refusedFor returns how long the request has been refused at the given time, negative if it will
+// be. condemned says whether enough losses count.
+func (s *suspect) refusedFor(now time.Time, period time.Duration) (since time.Duration, condemned bool) {
+	counted := s.counted()
+	if len(counted) < refusalThreshold {
+		return 0, false
+	}
+	since = now.Sub(counted[len(counted)-refusalThreshold].expires.Add(-period))
+	if s.ranRecently(counted) {
+		since -= runReportDelay
+	}
+	return since, true
+}
 
-// expires returns when the last loss no longer counts.
+// condemned reports whether enough losses count to refuse the request, now or soon.
+func (s *suspect) condemned() bool {
+	_, condemned := s.refusedFor(time.Time{}, 0)
+	return condemned
+}
+
+// expires returns when the last loss no longer counts, or the last run need not be known.
 func (s *suspect) expires() time.Time {
 	if counted := s.counted(); len(counted) > 0 {
 		return counted[0].expires
 	}
-	return s.cleared
+	return s.cleared.Add(runReportMargin)
 }
 
 // expired reports whether the suspect can be dropped. A refused suspect is kept for one
 // more period to wait for its trial.
 func (s *suspect) expired(now time.Time, period time.Duration) bool {
-	if s.refused() {
+	if s.condemned() {
 		return !now.Before(s.expires().Add(period))
 	}
 	return !now.Before(s.expires())
@@ -122,16 +155,17 @@
 
 // MemoryQuarantine implements Quarantine in memory. It is safe for concurrent use.
 //
-// A fingerprint is refused from the loss of the second different server until one
-// period after the last loss. Then one request is admitted as a trial. The trial moves
+// A fingerprint is refused from the loss of the second different server, somewhat later if it ran
+// shortly before the first one, until one period after the last loss. Then one request is admitted as a trial. The trial moves
 // the expiry to its own end, so that peers that receive the report wait too. If the
 // trial request runs, the fingerprint is cleared; if its server is lost, the period
-// restarts. A successful run clears the losses before it and shortly after it, also those that
-// are reported later: a harmless request may happen to run on several lost servers.
+// restarts. A successful run clears the losses before it, also those that are reported later: a
+// harmless request may happen to run on several lost servers.
 //
 // Two servers may be lost for a reason that concerns only one of the requests at work on
 // them. So one VM, see TryEarly, admits a trial soon after the second loss, unless a third
-// one was lost under the fingerprint.
+// one was lost under the fingerprint. If it ran shortly before, there are further trials, each
+// after a multiple of the time since the first loss.
 type MemoryQuarantine struct {
 	settings QuarantineSettings
 	now      func() time.Time
@@ -149,14 +183,18 @@
 // has heard of the losses that others saw.
 const earlyTrialDelay = 1500 * time.Millisecond
 
+// trialBackoff is the pause before the next early trial of a request that ran shortly before its
+// first loss, as a multiple of the time between its first and last loss.
+const trialBackoff = 6
+
 // TryEarly makes the quarantine admit early trials while may returns true. That must be so on
 // one VM at a time: the trials of several would each cost a server. Call it before the
 // quarantine is used.
 func (q *MemoryQuarantine) TryEarly(may func() bool) { q.tryEarly = may }
 
-// runEvidence is how long after a successful run losses do not count. A popular page may be
-// at work on several servers that end at the same time, but then it has run shortly before.
-const runEvidence = 10 * time.Second
+// runReportMargin is added to the TTL of a run that is reported: earlier releases excuse losses up
+// to that long after it.
+const runReportMargin = 10 * time.Second
 
 // recentRuns is how many fingerprints that ran are remembered, besides those of suspects.
 const recentRuns = 2048
@@ -188,7 +226,7 @@
 		delete(q.suspects, key)
 		return nil
 	}
-	if !s.refused() {
+	if since, condemned := s.refusedFor(now, q.settings.Period.Duration()); !condemned || since < 0 {
 		return nil
 	}
 	if now.Before(s.expires()) && !q.admitsEarly(s, now) {
@@ -203,8 +241,16 @@
 
 // admitsEarly reports whether to admit an early trial now.
 func (q *MemoryQuarantine) admitsEarly(s *suspect, now time.Time) bool {
+	counted := s.counted()
+	pause := earlyTrialDelay
+	switch {
+	case s.ranRecently(counted):
+		pause = max(pause, trialBackoff*counted[0].expires.Sub(counted[len(counted)-1].expires))
+	case len(counted) > refusalThreshold:
+		return false
+	}
 	lost := s.expires().Add(-q.settings.Period.Duration())
-	if len(s.counted()) > refusalThreshold || now.Sub(lost) < earlyTrialDelay || now.Before(s.triedUntil) || !q.tryEarly() {
+	if now.Sub(lost) < pause || now.Before(s.triedUntil) || !q.tryEarly() {
 		return false
 	}
 	s.triedUntil = now.Add(q.settings.Trial.Duration())
@@ -240,18 +286,20 @@
 	l := loss{server, at.Add(q.settings.Period.Duration())}
 	if !l.expires.After(s.cleared) {
 		slog.Info("quarantine: loss excused by a run", "service", key.service, "fingerprint", FormatFingerprint(key.fingerprint), "server", server,
-			"run_ms_before", l.expires.Sub(s.cleared.Add(-runEvidence)).Milliseconds())
+			"run_ms_after", s.cleared.Sub(l.expires).Milliseconds())
 	}
-	refusedBefore := s.refused()
+	condemnedBefore := s.condemned()
 	if s.addLoss(l) {
 		q.recordChange(s)
 	}
-	q.logRefused(key, s, refusedBefore, "this VM")
+	q.logCondemned(key, s, condemnedBefore, "this VM")
 }
 
-// logRefused logs a request that is refused from now on. source tells who saw the last loss.
-func (q *MemoryQuarantine) logRefused(key suspectKey, s *suspect, refusedBefore bool, source string) {
-	if refusedBefore || !s.refused() {
+// logCondemned logs a request that is refused from now on, or soon. source tells who saw the last
+// loss.
+func (q *MemoryQuarantine) logCondemned(key suspectKey, s *suspect, before bool, source string) {
+	since, condemned := s.refusedFor(q.now(), q.settings.Period.Duration())
+	if before || !condemned {
 		return
 	}
 	var servers []string
@@ -261,7 +309,7 @@
 		ages = append(ages, q.now().Sub(l.expires.Add(-q.settings.Period.Duration())).Milliseconds())
 	}
 	slog.Info("quarantine: request refused from now on", "service", key.service, "fingerprint", FormatFingerprint(key.fingerprint),
-		"servers", servers, "lost_ms_ago", ages, "last_seen_by", source)
+		"servers", servers, "lost_ms_ago", ages, "in_ms", max(0, -since).Milliseconds(), "last_seen_by", source)
 }
 
 // Ran implements Quarantine.
@@ -276,7 +324,7 @@
 func (q *MemoryQuarantine) recordRun(key suspectKey) {
 	now := q.now()
 	if s := q.suspects[key]; s != nil {
-		q.clear(key, s, "this VM", now.Add(q.settings.Period.Duration()+runEvidence))
+		q.clear(key, s, "this VM", now.Add(q.settings.Period.Duration()))
 		return
 	}
 	if len(q.ran) >= recentRuns {
@@ -304,7 +352,7 @@
 func (q *MemoryQuarantine) recordChange(s *suspect) {
 	q.changes++
 	s.changed = q.changes
-	s.concernsAll = s.concernsAll || s.refused()
+	s.concernsAll = s.concernsAll || s.condemned()
 }
 
 // Snapshot returns the fingerprints with unexpired losses or successful runs, to be sent to peers.
@@ -356,7 +404,7 @@
 	for _, l := range s.counted() {
 		add(l.expires, []string{l.server})
 	}
-	add(s.cleared, nil)
+	add(s.cleared.Add(runReportMargin), nil)
 	return list
 }
 
@@ -378,11 +426,11 @@
 	key := suspectKey{reported.Service, reported.Fingerprint}
 	s := q.suspectFor(key, now)
 	if len(reported.Servers) == 0 {
-		q.clear(key, s, "another VM", now.Add(min(reported.TTL, q.settings.Period.Duration()+runEvidence)))
+		q.clear(key, s, "another VM", now.Add(min(reported.TTL-runReportMargin, q.settings.Period.Duration())))
 		return
 	}
 	ttl := min(reported.TTL, q.settings.Period.Duration())
-	refusedBefore := s.refused()
+	condemnedBefore := s.condemned()
 	changed := false
 	if !now.Add(ttl).After(s.cleared) {
 		changed, s.concernsAll = true, true // the sender does not know that the request ran
@@ -393,7 +441,7 @@
 	if changed {
 		q.recordChange(s)
 	}
-	q.logRefused(key, s, refusedBefore, "another VM")
+	q.logCondemned(key, s, condemnedBefore, "another VM")
 }
 
 // echoTolerance is how much later than a known loss a report of the same one may seem, because
@@ -429,7 +477,7 @@
 	s = &suspect{}
 	for _, runs := range []map[suspectKey]time.Time{q.ranBefore, q.ran} {
 		if at, ok := runs[key]; ok {
-			s.cleared = at.Add(q.settings.Period.Duration() + runEvidence)
+			s.cleared = at.Add(q.settings.Period.Duration())
 			delete(runs, key)
 		}
 	}
@@ -458,8 +506,8 @@
 }
 
 func evictBefore(a, b *suspect) bool {
-	if a.refused() != b.refused() {
-		return !a.refused()
+	if a.condemned() != b.condemned() {
+		return !a.condemned()
 	}
 	return a.expires().Before(b.expires())
 }
--- a/internal/retry/quarantine_test.go
+++ b/internal/retry/quarantine_test.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -164,7 +165,7 @@
 	a := NewQuarantine(DefaultQuarantineSettings(), c.now)
 	b := NewQuarantine(DefaultQuarantineSettings(), c.now)
 	b.Ran("swapbay", crashing)
-	c.advance(runEvidence + 100*time.Millisecond)
+	c.advance(recentRun + 100*time.Millisecond)
 	a.ServerLost("swapbay", crashing, "s1")
 	a.ServerLost("swapbay", crashing, "s2")
 	b.Merge(a.Snapshot())
@@ -199,21 +200,51 @@
 	}
 }
 
-// Guards against a popular page that is refused because it was at work on servers that ended
-// shortly after it had run, with no later run to clear it.
-func TestLossesShortlyAfterRunDoNotCount(t *testing.T) {
+// Guards against a popular page that is refused because it was at work on several servers that
+// ended shortly after it had run, before others could tell that it has run since; and against its run
+// excusing what is lost later.
+func TestLossesShortlyAfterRunCountLater(t *testing.T) {
 	c := newClock()
 	q := NewQuarantine(DefaultQuarantineSettings(), c.now)
 	q.Ran("swapbay", crashing)
-	c.advance(runEvidence - time.Millisecond)
+	c.advance(recentRun - time.Millisecond)
 	for _, server := range []string{"s1", "s2", "s3"} {
 		q.ServerLost("swapbay", crashing, server)
 	}
+	c.advance(runReportDelay - time.Millisecond)
 	expectRefused(t, q, false)
-	c.advance(2 * time.Millisecond)
-	q.ServerLost("swapbay", crashing, "s4")
-	q.ServerLost("swapbay", crashing, "s5")
+	c.advance(time.Millisecond)
 	expectRefused(t, q, true)
+	q.Ran("swapbay", crashing)
+	expectRefused(t, q, false)
+	q.ServerLost("swapbay", crashing, "s4")
+	c.advance(runReportDelay)
+	expectRefused(t, q, false)
+}
+
+// Guards against a popular page that stays refused because it was at work on many servers that
+// ended, and against many trials of one that goes on crashing servers.
+func TestTrialsOfRequestThatRanBeforeBackOff(t *testing.T) {
+	c := newClock()
+	q := NewQuarantine(DefaultQuarantineSettings(), c.now)
+	q.TryEarly(func() bool { return true })
+	q.Ran("swapbay", crashing)
+	for i := range 4 {
+		c.advance(time.Second)
+		q.ServerLost("swapbay", crashing, fmt.Sprint("s", i))
+	}
+	c.advance(runReportDelay)
+	trials := 0
+	for range 2400 { // four minutes
+		if q.Admit("swapbay", crashing) == nil {
+			trials++
+			q.ServerLost("swapbay", crashing, fmt.Sprint("trial", trials))
+		}
+		c.advance(100 * time.Millisecond)
+	}
+	if trials < 1 || trials > 3 {
+		t.Errorf("got %d trials in four minutes, want 1 to 3", trials)
+	}
 }
 
 // One VM admits one trial soon after the second loss; its success admits the request again. A
