The end of a server counts against the request that was found out before

Cause: a server that ends counted against each request at work there alike.

Losses of a request are left out that another one explains which had lost two servers before. The eight last losses of a request are kept for this instead of four.

TestRequestThatCrashesServersExplainsLossesOfOthers failed before.

--- a/internal/retry/quarantine.go
+++ b/internal/retry/quarantine.go
@@ -52,7 +52,7 @@
 const refusalThreshold = 2
 
 // maxLosses is how many losses of a fingerprint are kept.
-const maxLosses = 4
+const maxLosses = 8
 
 // A page that ran shortly before the first loss may be popular and at work on several servers that
 // end at the same time, and other VMs may have seen it run since. So it is refused later than others.
@@ -64,6 +64,9 @@
 	runReportDelay = 1200 * time.Millisecond
 )
 
+// sameLoss is how much reports of one loss may differ in time.
+const sameLoss = 50 * time.Millisecond
+
 // Suspect is what one VM tells others about a fingerprint: its requests ran on servers that
 // were lost, or one ran successfully if Servers is empty.
 type Suspect struct {
@@ -116,24 +119,13 @@
 	return len(counted) > 0 && counted[len(counted)-1].expires.Sub(s.cleared) <= recentRun
 }
 
-// refusedFor returns how long the request has been refused at the given time, negative if it will
-// be. condemned says whether enough losses count.
-func (s *suspect) refusedFor(now time.Time, period time.Duration) (since time.Duration, condemned bool) {
-	counted := s.counted()
-	if len(counted) < refusalThreshold {
-		return 0, false
-	}
-	since = now.Sub(counted[len(counted)-refusalThreshold].expires.Add(-period))
-	if s.ranRecently(counted) {
-		since -= runReportDelay
-	}
-	return since, true
-}
-
 // condemned reports whether enough losses count to refuse the request, now or soon.
-func (s *suspect) condemned() bool {
-	_, condemned := s.refusedFor(time.Time{}, 0)
-	return condemned
+func (s *suspect) condemned() bool { return len(s.counted()) >= refusalThreshold }
+
+// condemnedBefore reports whether the request was condemned clearly before another one.
+func (s *suspect) condemnedBefore(other *suspect) bool {
+	a, b := s.counted(), other.counted()
+	return len(a) >= refusalThreshold && b[len(b)-refusalThreshold].expires.Sub(a[len(a)-refusalThreshold].expires) > sameLoss
 }
 
 // expires returns when the last loss no longer counts, or the last run need not be known.
@@ -173,7 +165,9 @@
 
 	lock     sync.Mutex // guards the fields below
 	suspects map[suspectKey]*suspect
-	changes  uint64 // number of changes of suspects
+	// condemned are the suspects that are refused, now or soon.
+	condemned map[suspectKey]*suspect
+	changes   uint64 // number of changes of suspects
 	// ran and ranBefore hold when fingerprints last ran: ran the newer ones, up to
 	// recentRuns, ranBefore those of the generation before.
 	ran, ranBefore map[suspectKey]time.Time
@@ -201,7 +195,7 @@
 
 // NewQuarantine returns an empty quarantine.
 func NewQuarantine(s QuarantineSettings, now func() time.Time) *MemoryQuarantine {
-	return &MemoryQuarantine{settings: s, now: now, suspects: make(map[suspectKey]*suspect), ran: make(map[suspectKey]time.Time), tryEarly: func() bool { return false }}
+	return &MemoryQuarantine{settings: s, now: now, suspects: make(map[suspectKey]*suspect), condemned: make(map[suspectKey]*suspect), ran: make(map[suspectKey]time.Time), tryEarly: func() bool { return false }}
 }
 
 // Admit implements Quarantine.
@@ -223,33 +217,66 @@
 	}
 	now := q.now()
 	if s.expired(now, q.settings.Period.Duration()) {
-		delete(q.suspects, key)
+		q.drop(key)
 		return nil
 	}
-	if since, condemned := s.refusedFor(now, q.settings.Period.Duration()); !condemned || since < 0 {
+	blamed := q.blamed(key, s)
+	if len(blamed) < refusalThreshold || q.refusedFor(s, blamed) < 0 {
 		return nil
 	}
-	if now.Before(s.expires()) && !q.admitsEarly(s, now) {
-		return refusal(key, s.counted(), s.expires().Sub(now))
+	if now.Before(s.expires()) && !q.admitsEarly(s, blamed) {
+		return refusal(key, blamed, s.expires().Sub(now))
 	}
 	if !now.Before(s.expires()) {
 		s.losses[0].expires = now.Add(q.settings.Trial.Duration())
-		q.recordChange(s)
+		q.recordChange(key, s)
 	}
 	return nil
 }
 
-// admitsEarly reports whether to admit an early trial now.
-func (q *MemoryQuarantine) admitsEarly(s *suspect, now time.Time) bool {
+// blamed returns the counted losses but those that a request explains which was condemned before:
+// what crashes servers ends other requests, too, that are at work there.
+func (q *MemoryQuarantine) blamed(key suspectKey, s *suspect) []loss {
 	counted := s.counted()
+	if len(counted) < refusalThreshold {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(counted), func(l loss) bool {
+		for otherKey, other := range q.condemned {
+			if otherKey != key && otherKey.service == key.service && other.condemnedBefore(s) && other.lost(l.server) {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// lost reports whether a server counts as lost under the request.
+func (s *suspect) lost(server string) bool {
+	return slices.ContainsFunc(s.counted(), func(l loss) bool { return l.server == server })
+}
+
+// refusedFor returns how long a request has been refused for the losses it is blamed for, negative
+// if it will be refused later.
+func (q *MemoryQuarantine) refusedFor(s *suspect, blamed []loss) time.Duration {
+	since := q.now().Sub(blamed[len(blamed)-refusalThreshold].expires.Add(-q.settings.Period.Duration()))
+	if s.ranRecently(blamed) {
+		since -= runReportDelay
+	}
+	return since
+}
+
+// admitsEarly reports whether to admit an early trial now.
+func (q *MemoryQuarantine) admitsEarly(s *suspect, blamed []loss) bool {
+	now := q.now()
 	pause := earlyTrialDelay
 	switch {
-	case s.ranRecently(counted):
-		pause = max(pause, trialBackoff*counted[0].expires.Sub(counted[len(counted)-1].expires))
-	case len(counted) > refusalThreshold:
+	case s.ranRecently(blamed):
+		pause = max(pause, trialBackoff*blamed[0].expires.Sub(blamed[len(blamed)-1].expires))
+	case len(blamed) > refusalThreshold:
 		return false
 	}
-	lost := s.expires().Add(-q.settings.Period.Duration())
+	lost := blamed[0].expires.Add(-q.settings.Period.Duration())
 	if now.Sub(lost) < pause || now.Before(s.triedUntil) || !q.tryEarly() {
 		return false
 	}
@@ -288,28 +315,28 @@
 		slog.Info("quarantine: loss excused by a run", "service", key.service, "fingerprint", FormatFingerprint(key.fingerprint), "server", server,
 			"run_ms_after", s.cleared.Sub(l.expires).Milliseconds())
 	}
-	condemnedBefore := s.condemned()
+	before := s.condemned()
 	if s.addLoss(l) {
-		q.recordChange(s)
+		q.recordChange(key, s)
 	}
-	q.logCondemned(key, s, condemnedBefore, "this VM")
+	q.logCondemned(key, s, before, "this VM")
 }
 
 // logCondemned logs a request that is refused from now on, or soon. source tells who saw the last
 // loss.
 func (q *MemoryQuarantine) logCondemned(key suspectKey, s *suspect, before bool, source string) {
-	since, condemned := s.refusedFor(q.now(), q.settings.Period.Duration())
-	if before || !condemned {
+	if before || !s.condemned() {
 		return
 	}
+	counted := s.counted()
 	var servers []string
 	var ages []int64
-	for _, l := range s.counted() {
+	for _, l := range counted {
 		servers = append(servers, l.server)
 		ages = append(ages, q.now().Sub(l.expires.Add(-q.settings.Period.Duration())).Milliseconds())
 	}
 	slog.Info("quarantine: request refused from now on", "service", key.service, "fingerprint", FormatFingerprint(key.fingerprint),
-		"servers", servers, "lost_ms_ago", ages, "in_ms", max(0, -since).Milliseconds(), "last_seen_by", source)
+		"servers", servers, "lost_ms_ago", ages, "in_ms", max(0, -q.refusedFor(s, counted)).Milliseconds(), "last_seen_by", source)
 }
 
 // Ran implements Quarantine.
@@ -342,17 +369,22 @@
 	before := len(s.counted())
 	s.cleared = until
 	if after := len(s.counted()); after != before {
-		q.recordChange(s)
+		q.recordChange(key, s)
 		slog.Info("quarantine: losses cleared by a run", "service", key.service, "fingerprint", FormatFingerprint(key.fingerprint),
 			"counted_before", before, "counted", after, "seen_by", source)
 	}
 }
 
 // recordChange gives a changed suspect the next number.
-func (q *MemoryQuarantine) recordChange(s *suspect) {
+func (q *MemoryQuarantine) recordChange(key suspectKey, s *suspect) {
 	q.changes++
 	s.changed = q.changes
-	s.concernsAll = s.concernsAll || s.condemned()
+	if !s.condemned() {
+		delete(q.condemned, key)
+		return
+	}
+	s.concernsAll = true
+	q.condemned[key] = s
 }
 
 // Snapshot returns the fingerprints with unexpired losses or successful runs, to be sent to peers.
@@ -430,7 +462,7 @@
 		return
 	}
 	ttl := min(reported.TTL, q.settings.Period.Duration())
-	condemnedBefore := s.condemned()
+	before := s.condemned()
 	changed := false
 	if !now.Add(ttl).After(s.cleared) {
 		changed, s.concernsAll = true, true // the sender does not know that the request ran
@@ -439,9 +471,9 @@
 		changed = s.addLoss(loss{server, now.Add(ttl)}) || changed
 	}
 	if changed {
-		q.recordChange(s)
+		q.recordChange(key, s)
 	}
-	q.logCondemned(key, s, condemnedBefore, "another VM")
+	q.logCondemned(key, s, before, "another VM")
 }
 
 // echoTolerance is how much later than a known loss a report of the same one may seem, because
@@ -470,7 +502,7 @@
 	if s != nil && !s.expired(now, q.settings.Period.Duration()) {
 		return s
 	}
-	delete(q.suspects, key)
+	q.drop(key)
 	if len(q.suspects) >= q.settings.Entries {
 		q.evict(now)
 	}
@@ -493,7 +525,7 @@
 	var candidate *suspect
 	for key, s := range q.suspects {
 		if s.expired(now, q.settings.Period.Duration()) {
-			delete(q.suspects, key)
+			q.drop(key)
 			continue
 		}
 		if candidate == nil || evictBefore(s, candidate) {
@@ -501,10 +533,15 @@
 		}
 	}
 	if len(q.suspects) >= q.settings.Entries {
-		delete(q.suspects, candidateKey)
+		q.drop(candidateKey)
 	}
 }
 
+func (q *MemoryQuarantine) drop(key suspectKey) {
+	delete(q.suspects, key)
+	delete(q.condemned, key)
+}
+
 func evictBefore(a, b *suspect) bool {
 	if a.condemned() != b.condemned() {
 		return !a.condemned()
--- a/internal/retry/quarantine_test.go
+++ b/internal/retry/quarantine_test.go
@@ -247,6 +247,33 @@
 	}
 }
 
+// Guards against refusing a popular page because it was at work on servers that another request
+// crashed.
+func TestRequestThatCrashesServersExplainsLossesOfOthers(t *testing.T) {
+	c := newClock()
+	q := NewQuarantine(DefaultQuarantineSettings(), c.now)
+	page := requestOf(9)
+	for i := range 4 {
+		server := fmt.Sprint("s", i)
+		q.ServerLost("swapbay", crashing, server)
+		if i > 0 {
+			q.ServerLost("swapbay", page, server)
+		}
+		c.advance(200 * time.Millisecond)
+	}
+	c.advance(runReportDelay)
+	expectRefused(t, q, true)
+	if err := q.Admit("swapbay", page); err != nil {
+		t.Errorf("the page at work on the same servers: %v", err)
+	}
+	for _, server := range []string{"s8", "s9"} { // the other request was not there
+		q.ServerLost("swapbay", page, server)
+	}
+	if q.Admit("swapbay", page) == nil {
+		t.Error("the page is admitted after two servers that nothing else explains")
+	}
+}
+
 // One VM admits one trial soon after the second loss; its success admits the request again. A
 // third loss rules the trial out.
 func TestEarlyTrialIsAdmittedOnce(t *testing.T) {
