Servers that end after their caller left count against the request

Cause: an attempt whose caller had gone recorded nothing, and such a caller may be the only one that saw the end.

Attempts record by themselves what they show, whether or not somebody waits for them: one that was unanswered when its caller left is blamed if the registration of its server goes, or the server refuses connections. No connection is opened to find out, as many callers leave. A loss counts from the beginning of its attempt, so that a run elsewhere meanwhile clears it. Answers take the lock only while a server refuses connections. The last 256 requests of a server are remembered, not the first.

--- a/internal/dispatch/crashing_request_test.go
+++ b/internal/dispatch/crashing_request_test.go
@@ -286,9 +286,9 @@
 	case <-lost:
 		return nil, &serverconn.Failure{Progress: serverconn.Sent, Reset: true, Err: io.EOF}
 	case <-ctx.Done():
-		return nil, &serverconn.Failure{Progress: serverconn.Sent, Err: ctx.Err()}
+		return nil, &serverconn.Failure{Progress: serverconn.Sent, Unanswered: true, Err: ctx.Err()}
 	case <-time.After(time.Until(r.Deadline)):
-		return nil, &serverconn.Failure{Progress: serverconn.Sent, Err: os.ErrDeadlineExceeded}
+		return nil, &serverconn.Failure{Progress: serverconn.Sent, Unanswered: true, Err: os.ErrDeadlineExceeded}
 	case <-time.After(took):
 	}
 	f.mu.Lock()
@@ -297,7 +297,7 @@
 		f.mu.Unlock()
 		time.Sleep(time.Until(r.Deadline))
 		f.mu.Lock()
-		return nil, &serverconn.Failure{Progress: serverconn.Sent, Err: os.ErrDeadlineExceeded}
+		return nil, &serverconn.Failure{Progress: serverconn.Sent, Unanswered: true, Err: os.ErrDeadlineExceeded}
 	}
 	return &serverconn.Response{Status: status, Header: http.Header{}}, nil
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -291,9 +291,9 @@
 			if err := s.Admit("svc", request(1)); err != nil {
 				t.Fatalf("%s: refused before two servers ended: %v", name, err)
 			}
-			s.ConnectionLost("svc", request(1), server(id))
+			s.ConnectionLost("svc", request(1), server(id), now)
 			blamed = end(s, server(id), func(d time.Duration) { now = now.Add(d) })
-			s.ConnectionLost("svc", request(2), server("z"))
+			s.ConnectionLost("svc", request(2), server("z"), now)
 		}
 		if refused := s.Admit("svc", request(1)) != nil; refused != blamed {
 			t.Errorf("%s: got refused %v after two servers, want %v", name, refused, blamed)
@@ -304,6 +304,24 @@
 	}
 }
 
+// Guards against losses that nobody counts because the server broke no connection, or the caller
+// had left before: the registration shows the end, before or after the request ends unanswered.
+func TestUnansweredRequestIsBlamedForEndedServer(t *testing.T) {
+	s := NewSuspicions(retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now), time.Now, nil)
+	for _, id := range []string{"x", "y"} {
+		server := &registry.Server{ID: id, Incarnation: 1, FailureDomain: "a"}
+		s.Unanswered("svc", request(1), server, time.Now())
+		s.Ended(server.Instance(), "its entry is gone")
+		s.Unanswered("svc", request(2), server, time.Now())
+		s.Unanswered("svc", request(3), &registry.Server{ID: "z" + id, Incarnation: 1, FailureDomain: "a"}, time.Now())
+	}
+	for fingerprint, refused := range map[uint64]bool{1: true, 2: true, 3: false} {
+		if got := s.Admit("svc", request(fingerprint)) != nil; got != refused {
+			t.Errorf("request %d: got refused %v, want %v", fingerprint, got, refused)
+		}
+	}
+}
+
 // request returns the fingerprints of a request without a query.
 func request(fingerprint uint64) retry.Fingerprints {
 	return retry.Fingerprints{Request: fingerprint, Path: fingerprint}
@@ -314,10 +332,10 @@
 	s := NewSuspicions(retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now), time.Now, nil)
 	for _, id := range []string{"x", "y"} {
 		server := &registry.Server{ID: id, Incarnation: 1, FailureDomain: "a"}
-		s.ConnectionLost("svc", request(1), server)
+		s.ConnectionLost("svc", request(1), server, time.Now())
 		s.ConnectionRefused(server.Instance())
 		s.Answered(&registry.Server{ID: "other", FailureDomain: "a"})
-		s.ConnectionLost("svc", request(2), server)
+		s.ConnectionLost("svc", request(2), server, time.Now())
 	}
 	if s.Admit("svc", request(2)) == nil {
 		t.Error("the request that was lost later is admitted, want it refused")
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -30,8 +30,8 @@
 // responding does not delay the answer, and a server that is only slow can still
 // answer until the other does.
 func (r *requestState) hedge(ctx context.Context, choice balance.Choice) (*Answer, bool) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(errAnswered)
 	results := make(chan attemptResult, 2)
 	running := 1
 	r.startAttempt(ctx, choice, results)
@@ -80,6 +80,9 @@
 	return choice, r.mayRetry()
 }
 
+// errAnswered ends the attempt that is still running when another one was answered.
+var errAnswered = errors.New("another attempt was answered")
+
 // startAttempt sends the request to one server and delivers the result on results.
 func (r *requestState) startAttempt(ctx context.Context, choice balance.Choice, results chan<- attemptResult) {
 	server := choice.Server
@@ -106,10 +109,24 @@
 		now := time.Now()
 		r.core.observeStatements(now, server, response)
 		r.core.Balancer.Finished(now, server, balanceOutcome(ctx, now.Sub(began), response, failure))
+		r.observeEnd(ctx, server, began, failure)
 		results <- attemptResult{choice, repeat, now.Sub(began), response, failure}
 	}()
 }
 
+// observeEnd records what a failed attempt shows of the end of its server.
+func (r *requestState) observeEnd(ctx context.Context, server *registry.Server, began time.Time, failure *serverconn.Failure) {
+	switch {
+	case failure == nil:
+	case failure.Refused:
+		r.core.Suspicions.ConnectionRefused(server.Instance())
+	case failure.Reset:
+		r.core.Suspicions.ConnectionLost(r.service.Name, r.fingerprints, server, began)
+	case failure.Unanswered && context.Cause(ctx) != errAnswered:
+		r.core.Suspicions.Unanswered(r.service.Name, r.fingerprints, server, began)
+	}
+}
+
 // send sends a request to one server. A panic ends the attempt, not the process: an attempt
 // shares no state with other requests but the statistics of its server, which are
 // updated by the caller.
--- a/internal/dispatch/results.go
+++ b/internal/dispatch/results.go
@@ -66,19 +66,13 @@
 	}
 	if failure.Progress == serverconn.NotSent {
 		r.connectFailures++
-		if failure.Refused {
-			r.core.Suspicions.ConnectionRefused(server.Instance())
-		}
 		// The keys of an unreachable owner move only after its lease expires. Until
 		// then the caller may reach it through another VM, so refuse at once. An isolated
 		// VM sends the request through another one.
 		return refuse(fault.ConnectFailed, r.honored(unreachedRetryAfter), "%v", failure), !r.service.DividedByKey || r.core.Reach.Isolated()
 	}
 	r.sends++
-	if failure.Reset {
-		r.connectionLost = true
-		r.core.Suspicions.ConnectionLost(r.service.Name, r.fingerprints, server)
-	}
+	r.connectionLost = r.connectionLost || failure.Reset
 	if time.Until(r.deadline) < minAttemptTime {
 		return refuse(fault.ServerTimeout, 0, "%v", failure), false
 	}
--- a/internal/dispatch/suspicions.go
+++ b/internal/dispatch/suspicions.go
@@ -3,47 +3,55 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"kumquatcleat/internal/registry"
 	"kumquatcleat/internal/retry"
 )
 
-// Suspicions finds requests that crash servers. A request whose connection was lost is
-// blamed if its server has ended: it refuses connections while other servers of its failure
-// domain answer, or its registration shows it. Safe for concurrent use.
+// Suspicions finds requests that crash servers. A request that a server did not answer is blamed if
+// the server has ended: it refuses connections while other servers of its failure domain answer,
+// or its registration shows it. Safe for concurrent use.
 //
 // A lost connection by itself proves nothing, as full servers reset connections, and a refused
-// one neither, as a network fault can refuse the connections to many servers at once.
+// one neither, as a network fault can refuse the connections to many servers at once. No less may a
+// server end under a request whose caller has left, or without breaking its connections.
 type Suspicions struct {
 	quarantine *retry.MemoryQuarantine
 	now        func() time.Time
 	// probe opens a connection to a server and reports whether it was refused; nil: none.
 	probe func(context.Context, *registry.Server) bool
+	// refusing is how many servers refuse connections while none of their domain has answered.
+	refusing atomic.Int32
 
-	mu   sync.Mutex // guards lost
+	mu   sync.Mutex // guards the fields below
 	lost map[registry.Instance]*lostRequests
+	// ended are the servers whose registration has shown their end, with its time.
+	ended map[registry.Instance]time.Time
 }
 
-// lostRequests are the requests whose connections to one incarnation of a server were lost.
+// lostRequests are the requests that one incarnation of a server did not answer.
 type lostRequests struct {
-	domain    string
-	requests  []lostRequest
-	probed    time.Time // when a connection was last opened to find out whether it has ended
-	refused   time.Time // when it first refused a connection after the first loss
-	answering bool      // another server of its domain has answered since then
+	domain   string
+	requests []lostRequest // in the order of their ends
+	probed   time.Time     // when a connection was last opened to find out whether it has ended
+	refused  time.Time     // when it first refused a connection after the first loss
+	waiting  bool          // it refuses connections, and no server of its domain has answered since
 }
 
-// lostRequest is a request whose connection was lost.
+// lostRequest is a request without an answer.
 type lostRequest struct {
 	service string
 	request retry.Fingerprints
-	at      time.Time
+	began   time.Time // the attempt
+	at      time.Time // when the connection broke, the caller left or the deadline passed
 }
 
 const (
-	// refusalWindow is how long after a lost connection a connection that the server
+	// refusalWindow is how long after a lost request a connection that the server
 	// refuses counts against the request. A server may end for another reason.
 	refusalWindow = 2 * time.Second
 	// endWindow is the same for the end of a server that the registrations show: an entry
@@ -52,13 +60,13 @@
 	// probePause is the least time between two probes of a server, which may be alive and
 	// overloaded.
 	probePause = time.Second
-	// maxLostRequests is how many lost requests are remembered for a server.
+	// maxLostRequests is how many lost requests are remembered for a server, the last ones.
 	maxLostRequests = 256
 )
 
 // NewSuspicions returns Suspicions that report crashes to q.
 func NewSuspicions(q *retry.MemoryQuarantine, now func() time.Time, probe func(context.Context, *registry.Server) bool) *Suspicions {
-	return &Suspicions{quarantine: q, now: now, probe: probe, lost: map[registry.Instance]*lostRequests{}}
+	return &Suspicions{quarantine: q, now: now, probe: probe, lost: map[registry.Instance]*lostRequests{}, ended: map[registry.Instance]time.Time{}}
 }
 
 // Quarantine returns the quarantine to which crashes are reported.
@@ -74,37 +82,75 @@
 	s.quarantine.Ran(service, request)
 }
 
-// ConnectionLost records a request whose server broke the connection.
-func (s *Suspicions) ConnectionLost(service string, fingerprints retry.Fingerprints, server *registry.Server) {
+// ConnectionLost records a request whose server broke the connection. began is when the attempt
+// did.
+func (s *Suspicions) ConnectionLost(service string, request retry.Fingerprints, server *registry.Server, began time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.now()
-	s.forget(now)
-	l := s.lost[server.Instance()]
+	l := s.record(lostRequest{service, request, began, s.now()}, server)
+	if s.probe != nil && s.now().Sub(l.probed) >= probePause {
+		l.probed = s.now()
+		go s.runProbe(server)
+	}
+}
+
+// Unanswered records a request that its server had neither answered nor broken off when the caller
+// left or the deadline passed.
+func (s *Suspicions) Unanswered(service string, request retry.Fingerprints, server *registry.Server, began time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.record(lostRequest{service, request, began, s.now()}, server)
+}
+
+// record remembers a lost request, and blames it if the end of its server is known. The caller holds
+// the lock.
+func (s *Suspicions) record(request lostRequest, server *registry.Server) *lostRequests {
+	s.forget(request.at)
+	instance := server.Instance()
+	l := s.lost[instance]
 	if l == nil {
 		l = &lostRequests{domain: server.FailureDomain}
-		s.lost[server.Instance()] = l
-	}
-	request := lostRequest{service, fingerprints, now}
-	if len(l.requests) < maxLostRequests {
-		l.requests = append(l.requests, request)
+		s.lost[instance] = l
 	}
-	if l.answering {
-		s.blame(server.Instance(), []lostRequest{request}, l.refused, refusalWindow, reasonRefuses)
+	if len(l.requests) >= maxLostRequests {
+		l.requests = slices.Delete(l.requests, 0, 1)
 	}
-	if s.probe != nil && now.Sub(l.probed) >= probePause {
-		l.probed = now
-		go s.runProbe(server)
+	l.requests = append(l.requests, request)
+	if ended, ok := s.ended[instance]; ok {
+		s.blame(instance, l.requests[len(l.requests)-1:], ended, endWindow, "its registration has shown its end")
+	} else if !l.refused.IsZero() && !l.waiting {
+		s.blame(instance, l.requests[len(l.requests)-1:], l.refused, refusalWindow, reasonRefuses)
 	}
+	return l
 }
 
-// forget drops servers whose losses are too old to be explained. The caller holds the lock.
+// forget drops what is too old to matter. The caller holds the lock.
 func (s *Suspicions) forget(now time.Time) {
 	for instance, l := range s.lost {
 		if now.Sub(l.requests[len(l.requests)-1].at) > endWindow {
+			s.setWaiting(l, false)
 			delete(s.lost, instance)
 		}
 	}
+	for instance, at := range s.ended {
+		if now.Sub(at) > endWindow {
+			delete(s.ended, instance)
+		}
+	}
+}
+
+// setWaiting sets whether a server refuses connections while none of its domain has answered since.
+// The caller holds the lock.
+func (s *Suspicions) setWaiting(l *lostRequests, waiting bool) {
+	if l.waiting == waiting {
+		return
+	}
+	l.waiting = waiting
+	if waiting {
+		s.refusing.Add(1)
+	} else {
+		s.refusing.Add(-1)
+	}
 }
 
 // probeTimeout bounds a probe.
@@ -127,17 +173,21 @@
 		return
 	}
 	if l.refused.IsZero() || s.now().Sub(l.refused) > refusalWindow {
-		l.refused, l.answering = s.now(), false
+		l.refused = s.now()
+		s.setWaiting(l, true)
 	}
 }
 
 // Answered records that a server answered, whatever it did.
 func (s *Suspicions) Answered(server *registry.Server) {
+	if s.refusing.Load() == 0 {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for instance, l := range s.lost {
-		if l.domain == server.FailureDomain && !l.refused.IsZero() && !l.answering && instance != server.Instance() {
-			l.answering = true
+		if l.domain == server.FailureDomain && l.waiting && instance != server.Instance() {
+			s.setWaiting(l, false)
 			s.blame(instance, l.requests, l.refused, refusalWindow, reasonRefuses)
 		}
 	}
@@ -147,8 +197,10 @@
 func (s *Suspicions) Ended(instance registry.Instance, reason string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.ended[instance] = s.now()
 	if l := s.lost[instance]; l != nil {
 		s.blame(instance, l.requests, s.now(), endWindow, reason)
+		s.setWaiting(l, false)
 		delete(s.lost, instance)
 	}
 }
@@ -161,7 +213,7 @@
 	for _, r := range requests {
 		age := ended.Sub(r.at)
 		if age <= window {
-			s.quarantine.ServerLostAt(r.at, r.service, r.request, instance.ID)
+			s.quarantine.ServerLostAt(r.began, r.service, r.request, instance.ID)
 		}
 		slog.Info("dispatch: server ended under a request", "server", instance.ID, "incarnation", instance.Incarnation, "service", r.service,
 			"fingerprint", retry.FormatFingerprint(r.request.Request), "path_fingerprint", retry.FormatFingerprint(r.request.Path), "lost_ms_before", age.Milliseconds(), "counted", age <= window, "reason", reason)
--- a/internal/serverconn/exchange.go
+++ b/internal/serverconn/exchange.go
@@ -73,7 +73,10 @@
 	Progress Progress
 	Refused  bool // the server's address refused the connection
 	Reset    bool // the server closed or reset the connection
-	Err      error
+	// Unanswered says that the request was sent and neither answered nor broken off when the caller
+	// left or the deadline passed.
+	Unanswered bool
+	Err        error
 }
 
 // Error implements error.
@@ -155,7 +158,7 @@
 	var timeout interface{ Timeout() bool }
 	switch {
 	case ctx.Err() != nil:
-		f.Err = fmt.Errorf("server %s: caller canceled: %w", r.Server.ID, ctx.Err())
+		f.Err, f.Unanswered = fmt.Errorf("server %s: caller canceled: %w", r.Server.ID, ctx.Err()), true
 	case errors.Is(err, errInvalidAnswer), errors.Is(err, membudget.ErrExhausted):
 	case errors.As(err, &timeout) && timeout.Timeout():
 	default:
