--- a/internal/serverconn/exchange.go
+++ b/internal/serverconn/exchange.go
@@ -161,6 +161,7 @@
 		f.Err, f.Unanswered = fmt.Errorf("server %s: caller canceled: %w", r.Server.ID, ctx.Err()), true
 	case errors.Is(err, errInvalidAnswer), errors.Is(err, membudget.ErrExhausted):
 	case errors.As(err, &timeout) && timeout.Timeout():
+		f.Unanswered = true
 	default:
 		f.Reset = true
 	}
--- a/internal/serverconn/exchange_test.go
+++ b/internal/serverconn/exchange_test.go
@@ -227,7 +227,7 @@
 	server, _ := rawServer(t)
 	start := time.Now()
 	_, f := send(newSender(), server, "1", true)
-	if f == nil || f.Progress != Sent || f.Reset || time.Since(start) > time.Second {
+	if f == nil || f.Progress != Sent || f.Reset || !f.Unanswered || time.Since(start) > time.Second {
 		t.Fatalf("got failure %+v after %v, want a timeout with progress Sent within 1s", f, time.Since(start))
 	}
 }
