VMs that can't reach the coordinator share suspects through the store

Cause: the coordinator is the only way from VM to VM, and a limit of the fleet that depends on one path is none while that path is away.

A VM whose last report was not delivered posts what is missing in its row in the store, which all VMs read; the coordinator posts what is refused, so that VMs which can't report learn it too. Nothing is written otherwise.

--- a/internal/dispatch/crashing_request_test.go
+++ b/internal/dispatch/crashing_request_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -37,6 +38,7 @@
 	keyOwner  string // address
 	record    uint64 // version of the owners record
 	crashes   []crash
+	posts     map[int]retry.Post // by VM
 	processes int
 	running   map[*Core]int // number of the process
 	ended     bool
@@ -102,7 +104,7 @@
 
 func newCrashFleet(scenario crashScenario, servers int) *crashFleet {
 	vms := scenario.vms
-	f := &crashFleet{service: 60 * time.Millisecond, scenario: scenario, servers: map[string]*crashServer{}, running: map[*Core]int{},
+	f := &crashFleet{service: 60 * time.Millisecond, scenario: scenario, servers: map[string]*crashServer{}, running: map[*Core]int{}, posts: map[int]retry.Post{},
 		crashFrom: time.Now().Add(crashLead + scenario.runsWellFor)}
 	for i := range servers {
 		for _, service := range []string{"plain", "keyed"} {
@@ -147,7 +149,7 @@
 	f.mu.Lock()
 	f.running[core] = f.processes
 	f.mu.Unlock()
-	time.Sleep(time.Until(f.crashFrom.Add(f.scenario.exchangeFrom - f.scenario.runsWellFor - crashLead)))
+	exchangeFrom := f.crashFrom.Add(f.scenario.exchangeFrom - f.scenario.runsWellFor - crashLead)
 	for {
 		time.Sleep(exchangeInterval)
 		f.mu.Lock()
@@ -156,13 +158,44 @@
 		if !running {
 			return
 		}
-		if vm != 0 {
+		f.post(vm, exchange.Post(vm == 0))
+		switch {
+		case vm == 0:
+		case time.Now().Before(exchangeFrom):
+			exchange.Failed()
+		default:
 			report, change := exchange.Report()
 			exchange.Delivered(change, retry.Answer(coordinator.Suspicions.Quarantine(), process, report))
 		}
 	}
 }
 
+// post writes what a VM posts to the store, from which all others read it.
+func (f *crashFleet) post(vm int, post retry.Post) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if post.Change == f.posts[vm].Change {
+		return
+	}
+	f.posts[vm] = post
+	postedAt := time.Now()
+	for other := range f.vms {
+		time.AfterFunc(postDelay/3+time.Duration(rand.Int64N(int64(postDelay))), func() {
+			f.mu.Lock()
+			core := f.vms[other]
+			f.mu.Unlock()
+			list := slices.Clone(post.Suspects)
+			for i := range list {
+				list[i].TTL -= time.Since(postedAt)
+			}
+			core.Suspicions.Quarantine().Merge(list)
+		})
+	}
+}
+
+// postDelay is about how long a post takes to reach other VMs.
+const postDelay = 600 * time.Millisecond
+
 // exchangeInterval is the interval of the VMs' load reports.
 const exchangeInterval = 400 * time.Millisecond
 
--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"kumquatcleat/internal/keyspace"
+	"kumquatcleat/internal/retry"
 	"kumquatcleat/internal/rows"
 	"kumquatcleat/internal/wait"
 )
@@ -15,16 +16,45 @@
 // back if a restored store lacks them.
 
 // announceRetry is the interval between attempts to write this VM's row, and between checks
-// that it is still there.
-const announceRetry = time.Second
+// that it is still there. postPause is the least time between writes of what it posts.
+const (
+	announceRetry = time.Second
+	postPause     = 200 * time.Millisecond
+)
 
-// announce keeps this VM's row in the store until the VM stops. A restored store may lack it.
-func (p *peers) announce(ctx context.Context, vms *rows.View) {
-	value, err := json.Marshal(vmRow{PeerAddress: p.settings.PeerListen, FailureDomain: p.settings.FailureDomain, Strength: strength(p.settings), RecordFormat: keyspace.FormatColumns})
+// post changes what this VM's row tells of suspects.
+func (p *peers) post(post retry.Post) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.row != nil && post.Change == p.posted.Change && len(post.Suspects) == len(p.posted.Suspects) {
+		return
+	}
+	row := vmRow{PeerAddress: p.settings.PeerListen, FailureDomain: p.settings.FailureDomain, Strength: strength(p.settings), RecordFormat: keyspace.FormatColumns}
+	if len(post.Suspects) > 0 {
+		row.Suspects = &postedSuspects{AtMS: time.Now().UnixMilli(), List: post.Suspects}
+	}
+	value, err := json.Marshal(row)
 	if err != nil {
 		slog.Error("peers: encode row of this VM failed", "error", err.Error())
 		return
 	}
+	p.posted, p.row = post, value
+	select {
+	case p.changed <- struct{}{}:
+	default:
+	}
+}
+
+// ownRow returns the row that this VM keeps in the store.
+func (p *peers) ownRow() []byte {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.row
+}
+
+// announce keeps this VM's row in the store until the VM stops. A restored store may lack it.
+func (p *peers) announce(ctx context.Context, vms *rows.View) {
+	p.post(retry.Post{})
 	for !vms.Synced() {
 		if !wait.For(ctx, announceRetry/10) {
 			return
@@ -32,11 +62,11 @@
 	}
 	written := uint64(0)
 	for {
-		row := vms.Row(p.settings.VM)
+		row, value := vms.Row(p.settings.VM), p.ownRow()
 		if string(row.Value) != string(value) && vms.Version() >= written && !p.withdrawn.Load() {
 			written = max(p.writeRow(ctx, row, value), written)
 		}
-		if !wait.For(ctx, announceRetry) {
+		if ok, changed := wait.ForSignal(ctx, announceRetry, p.changed); !ok || changed && !wait.For(ctx, postPause) {
 			return
 		}
 	}
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -63,6 +63,8 @@
 	exchange   *retry.Exchange // used only by run
 	process    string
 	sentAt     time.Time // of the last report; used only by run
+	// post keeps in the store what VMs have to know that the coordinator can't tell them.
+	post func(retry.Post)
 
 	vm           string // this VM
 	selfAddress  string // this VM's peer address
@@ -83,7 +85,7 @@
 }
 
 func newLoadReporter(s *Settings, process string, q *retry.MemoryQuarantine, report func(keyspace.Report), times func(string) map[string]balance.Samples) *loadReporter {
-	return &loadReporter{process: process, quarantine: q, exchange: retry.NewExchange(q), vm: s.VM, selfAddress: s.PeerListen, gate: overload.NewGate(), report: report, serviceTimes: times, client: newPeerClient(s.IP, peerDialTimeout), counts: map[string]map[uint32]float64{}}
+	return &loadReporter{post: func(retry.Post) {}, process: process, quarantine: q, exchange: retry.NewExchange(q), vm: s.VM, selfAddress: s.PeerListen, gate: overload.NewGate(), report: report, serviceTimes: times, client: newPeerClient(s.IP, peerDialTimeout), counts: map[string]map[uint32]float64{}}
 }
 
 // count counts a request for a key.
@@ -133,8 +135,11 @@
 		report, coordinator := l.takeReport()
 		suspects, change := l.exchange.Report()
 		idle := len(report.Requests) == 0 && len(report.RateLimits) == 0 && len(suspects.Suspects) == 0
+		l.post(l.exchange.Post(l.isCoordinator()))
 		switch {
-		case coordinator == "" || idle && time.Since(l.sentAt) < idleReportInterval:
+		case coordinator == "":
+			l.exchange.Failed()
+		case idle && time.Since(l.sentAt) < idleReportInterval:
 		case coordinator == l.selfAddress:
 			l.report(report)
 			l.follow(l.response(retry.SuspectsReport{}))
@@ -143,6 +148,8 @@
 			response, accepted := l.send(ctx, coordinator, loadReport{Report: report, Suspects: suspects, Leaving: l.registry.Leaving()})
 			if accepted {
 				l.exchange.Delivered(change, response.Suspects)
+			} else {
+				l.exchange.Failed()
 			}
 			l.recordDelivery(accepted)
 		}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"kumquatcleat/internal/keyspace"
+	"kumquatcleat/internal/retry"
 	"kumquatcleat/internal/rows"
 )
 
@@ -23,6 +24,25 @@
 	Strength float64 `json:"strength"`
 	// RecordFormat is the newest format of owners records that the VM reads.
 	RecordFormat keyspace.RecordFormat `json:"record_format,omitempty"`
+	// Suspects are what this VM tells the others here, see retry.Exchange.
+	Suspects *postedSuspects `json:"suspects,omitempty"`
+}
+
+// postedSuspects are the suspects that a VM posts in the store.
+type postedSuspects struct {
+	AtMS int64           `json:"at_ms"` // when their TTL held, Unix milliseconds
+	List []retry.Suspect `json:"list"`
+}
+
+// current returns the suspects with what is left of their TTL. Clocks of VMs differ by seconds,
+// and losses count for minutes.
+func (p *postedSuspects) current(now time.Time) []retry.Suspect {
+	age := max(0, now.Sub(time.UnixMilli(p.AtMS)))
+	list := slices.Clone(p.List)
+	for i := range list {
+		list[i].TTL -= age
+	}
+	return list
 }
 
 // peer is a VM in the order of a failure domain, possibly this one.
@@ -63,8 +83,15 @@
 	// than this VM.
 	nextSeed int
 
+	posted  retry.Post    // what this VM's row tells of suspects
+	row     []byte        // this VM's row
+	changed chan struct{} // signals that row changed
+
 	withdrawn atomic.Bool // this VM stops, its row is not to be written any more
 
+	// learn is called with the suspects that other VMs posted.
+	learn func([]retry.Suspect)
+
 	// readsStore reports whether this VM reached the store lately. A reader that did not
 	// follows others.
 	readsStore func() bool
@@ -74,7 +101,7 @@
 const peerSkipTime = 3 * time.Second
 
 func newPeers(s *Settings, store rows.Store) *peers {
-	return &peers{settings: s, store: store, startedAt: time.Now(), vms: map[string]vmRow{}, missing: map[string]time.Time{}, skipUntil: map[string]time.Time{}, behindUntil: map[string]time.Time{}, readsStore: func() bool { return true }, nextSeed: rand.IntN(1 + len(s.Seeds))}
+	return &peers{settings: s, store: store, startedAt: time.Now(), changed: make(chan struct{}, 1), learn: func([]retry.Suspect) {}, vms: map[string]vmRow{}, missing: map[string]time.Time{}, skipUntil: map[string]time.Time{}, behindUntil: map[string]time.Time{}, readsStore: func() bool { return true }, nextSeed: rand.IntN(1 + len(s.Seeds))}
 }
 
 // apply updates the known VMs from changed rows.
@@ -98,6 +125,9 @@
 			continue
 		}
 		p.vms[row.Key] = vm
+		if vm.Suspects != nil && row.Key != p.settings.VM {
+			p.learn(vm.Suspects.current(time.Now()))
+		}
 	}
 }
 
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -272,3 +272,40 @@
 		t.Error("the VM did not write its row again")
 	}
 }
+
+// Guards against VMs that learn nothing of requests that crash servers while they can't reach the
+// coordinator: what one of them posts in its row reaches the others, with the age it has then.
+func TestVMsShareSuspectsThroughRows(t *testing.T) {
+	newQuarantine := func() *retry.MemoryQuarantine {
+		return retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now)
+	}
+	request := retry.Fingerprints{Request: 7, Path: 7}
+	reader := newPeers(testSettings("reader", "a"), nil)
+	learned := newQuarantine()
+	reader.learn = learned.Merge
+	for i, name := range []string{"vm-0", "vm-1"} {
+		q := newQuarantine()
+		q.ServerLost("svc", request, fmt.Sprint("s", i))
+		exchange := retry.NewExchange(q)
+		exchange.Failed()
+		p := newPeers(testSettings(name, "a"), nil)
+		p.post(exchange.Post(false))
+		reader.apply([]rows.Row{{Key: name, Version: uint64(i + 1), Value: p.ownRow()}})
+		if !strings.Contains(string(p.ownRow()), "suspects") {
+			t.Errorf("row %s, want the suspects of the VM", p.ownRow())
+		}
+		p.post(retry.Post{})
+		if strings.Contains(string(p.ownRow()), "suspects") {
+			t.Errorf("row %s, want no suspects once the coordinator has them", p.ownRow())
+		}
+	}
+	if learned.Admit("svc", request) == nil {
+		t.Error("the request is admitted by a VM that read what two others lost, want it refused")
+	}
+	old := postedSuspects{AtMS: time.Now().Add(-time.Hour).UnixMilli(), List: learned.Snapshot()}
+	stale := newQuarantine()
+	stale.Merge(old.current(time.Now()))
+	if err := stale.Admit("svc", request); err != nil {
+		t.Errorf("a row of an hour ago: %v", err)
+	}
+}
--- a/internal/gateway/provision.go
+++ b/internal/gateway/provision.go
@@ -93,6 +93,8 @@
 	g.loads.overloads = func() map[string]overload.Signal { return g.coordinator.Overloads() }
 	g.loads.isCoordinator = func() bool { return g.coordinatorLease.Held() }
 	g.loads.suspectCoordinator = func() { g.coordinatorLease.SuspectCoordinator() }
+	g.loads.post = g.peers.post
+	g.peers.learn = g.quarantine.Merge
 	g.keys.OnApply(g.loads.apply)
 	s := rows.FollowerSettings{Wait: g.watchTimeout, Pause: g.watchPause, Retry: g.watchRetryDelay, RecheckInterval: readerRecheckInterval, SettleTime: storeSettleTime, Confirmed: g.confirmViews}
 	g.follower = rows.NewFollower(s, g.adapter.Store, g.views, g.readsFromStore, g.metrics)
--- a/internal/retry/exchange_test.go
+++ b/internal/retry/exchange_test.go
@@ -120,3 +120,35 @@
 		}
 	}
 }
+
+// A VM posts what it could not report, and the coordinator what is refused; a VM whose reports
+// arrive posts nothing.
+func TestPostsHoldWhatReportsDoNotDeliver(t *testing.T) {
+	r := newExchangeRig(2)
+	r.vms[0].ServerLost("swapbay", requestOf(8), "s1")
+	r.round()
+	r.round()
+	r.vms[0].ServerLost("swapbay", crashing, "s1")
+	e := r.exchanges[0]
+	if post := e.Post(false); len(post.Suspects) != 0 {
+		t.Errorf("got %v before a report failed, want nothing", post)
+	}
+	e.Failed()
+	post := e.Post(false)
+	if len(post.Suspects) != 1 || post.Suspects[0].Fingerprint != crashing.Path {
+		t.Errorf("got %v, want the loss that was not reported", post)
+	}
+	r.coordinator.Merge(post.Suspects)
+	coordinator := NewExchange(r.coordinator)
+	if post := coordinator.Post(true); len(post.Suspects) != 0 {
+		t.Errorf("got %v, want nothing while no request is refused", post)
+	}
+	r.coordinator.ServerLost("swapbay", crashing, "s2")
+	if post := coordinator.Post(true); len(post.Suspects) != 2 {
+		t.Errorf("got %v, want both losses of the refused request", post)
+	}
+	r.round()
+	if post := e.Post(false); len(post.Suspects) != 0 {
+		t.Errorf("got %v after a report was delivered, want nothing", post)
+	}
+}
--- a/internal/retry/quarantine.go
+++ b/internal/retry/quarantine.go
@@ -407,13 +407,7 @@
 	if change >= q.changes {
 		return nil, q.changes
 	}
-	var keys []suspectKey
-	for key, s := range q.suspects {
-		if s.changed > change && (s.concernsAll || !onlyForAll) {
-			keys = append(keys, key)
-		}
-	}
-	slices.SortFunc(keys, func(a, b suspectKey) int { return cmp.Compare(q.suspects[a].changed, q.suspects[b].changed) })
+	keys := q.changedSince(change, onlyForAll)
 	next := q.changes
 	if len(keys) > limit {
 		keys = keys[:limit]
@@ -426,6 +420,32 @@
 	return list, next
 }
 
+// changedSince returns the fingerprints that changed after the change with the given number, in the
+// order of their last changes. The caller holds the lock.
+func (q *MemoryQuarantine) changedSince(change uint64, onlyForAll bool) []suspectKey {
+	var keys []suspectKey
+	for key, s := range q.suspects {
+		if s.changed > change && (s.concernsAll || !onlyForAll) {
+			keys = append(keys, key)
+		}
+	}
+	slices.SortFunc(keys, func(a, b suspectKey) int { return cmp.Compare(q.suspects[a].changed, q.suspects[b].changed) })
+	return keys
+}
+
+// post returns the last fingerprints that changed after the change with the given number.
+func (q *MemoryQuarantine) post(change uint64, onlyForAll bool) Post {
+	q.lock.Lock()
+	defer q.lock.Unlock()
+	keys := q.changedSince(change, onlyForAll)
+	var p Post
+	for _, key := range keys[max(0, len(keys)-maxPosted):] {
+		p.Suspects = q.suspects[key].appendTo(p.Suspects, key, q.now())
+		p.Change = q.suspects[key].changed
+	}
+	return p
+}
+
 // appendTo appends what peers have to know of a suspect.
 func (s *suspect) appendTo(list []Suspect, key suspectKey, now time.Time) []Suspect {
 	add := func(expires time.Time, servers []string) {
