A request is not repeated when it would have crashed two servers then

An idempotent request whose server broke the connection went to a second server at once, even if another server was known to have ended under it. A repeat is made only while the servers that broke its connection and those lost under it elsewhere are fewer than two. A run since the loss, or a request that explains it, allows it again.

TestSuspectedRequestIsNotRepeated failed before (2 servers ended instead of 1).

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -82,7 +82,7 @@
 	if r.sends == 0 {
 		return true // nothing reached a server, so this is not a retry
 	}
-	return r.sends < max(r.route.MaxAttempts, 1) && r.core.Budget.TakeRetry(r.service.Name)
+	return r.sends < max(r.route.MaxAttempts, 1) && r.core.Suspicions.MayRepeat(r.service.Name, r.fingerprints, r.broken) && r.core.Budget.TakeRetry(r.service.Name)
 }
 
 // choose returns the server for the next attempt, or a refusal.
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -176,7 +176,7 @@
 	connectFailures  int                 // attempts that reached no server
 	tried            []registry.Instance // servers that the request was sent to, in order
 	attemptLog       []string            // result of each attempt, for the log
-	connectionLost   bool                // a server broke the connection of an attempt
+	broken           []string            // servers that broke the connection of an attempt
 	recordVersion    uint64              // version of the owners record that named the last owner
 	mayHaveRunAnswer *Answer             // of an attempt that ran or may have run
 	// notOwnerAt is when the owner named by the record of version recordVersion
@@ -285,7 +285,7 @@
 	if r.request.HasKey {
 		attrs = append(attrs, slog.Uint64("key", uint64(r.request.Key)), slog.Uint64("record", r.recordVersion))
 	}
-	if r.connectionLost || a.Refusal == fault.Quarantined {
+	if len(r.broken) > 0 || a.Refusal == fault.Quarantined {
 		attrs = append(attrs, slog.String("fingerprint", retry.FormatFingerprint(r.fingerprints.Request)),
 			slog.String("path_fingerprint", retry.FormatFingerprint(r.fingerprints.Path)))
 	}
--- a/internal/dispatch/crashing_request_test.go
+++ b/internal/dispatch/crashing_request_test.go
@@ -448,6 +448,30 @@
 	eachCrashScenario(t, crashPauses, func(c *crashScenario) { c.exchangeFrom = 12 * time.Second })
 }
 
+// Guards against a repeat that crashes another server although one is known to have ended under the
+// same request elsewhere.
+func TestSuspectedRequestIsNotRepeated(t *testing.T) {
+	for _, ranSince := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newCrashFleet(crashScenario{vms: 1, path: "/p/crash"}, 12)
+			time.Sleep(crashLead)
+			suspect := fingerprints(&Request{Method: "GET", Host: "h", Target: "/p/crash"})
+			f.vms[0].Suspicions.Quarantine().ServerLost("plain", suspect, "elsewhere")
+			want := 1
+			if ranSince {
+				time.Sleep(time.Millisecond)
+				f.vms[0].Suspicions.Ran("plain", suspect)
+				want = 2
+			}
+			answer := f.request(t.Context(), "/p/crash")
+			f.finish(&sync.WaitGroup{})
+			if len(f.crashes) != want || answer.Status != http.StatusBadGateway {
+				t.Errorf("ran since the loss %v: got %d servers ended and status %d, want %d and 502", ranSince, len(f.crashes), answer.Status, want)
+			}
+		})
+	}
+}
+
 // Guards against refusing a harmless page because it was at work on servers that ended for other
 // reasons, all at once or one after the other.
 func TestHarmlessPageIsServedWhileServersEnd(t *testing.T) {
--- a/internal/dispatch/results.go
+++ b/internal/dispatch/results.go
@@ -72,7 +72,9 @@
 		return refuse(fault.ConnectFailed, r.honored(unreachedRetryAfter), "%v", failure), !r.service.DividedByKey || r.core.Reach.Isolated()
 	}
 	r.sends++
-	r.connectionLost = r.connectionLost || failure.Reset
+	if failure.Reset {
+		r.broken = append(r.broken, server.ID)
+	}
 	if time.Until(r.deadline) < minAttemptTime {
 		return refuse(fault.ServerTimeout, 0, "%v", failure), false
 	}
--- a/internal/dispatch/suspicions.go
+++ b/internal/dispatch/suspicions.go
@@ -82,6 +82,12 @@
 	s.quarantine.Ran(service, request)
 }
 
+// MayRepeat reports whether a request may go to another server after the given ones broke its
+// connection: not if it would then have crashed too many, as far as this VM knows.
+func (s *Suspicions) MayRepeat(service string, request retry.Fingerprints, broken []string) bool {
+	return len(broken) == 0 || len(broken)+s.quarantine.LostElsewhere(service, request, broken) < retry.RefusalThreshold
+}
+
 // ConnectionLost records a request whose server broke the connection. began is when the attempt
 // did.
 func (s *Suspicions) ConnectionLost(service string, request retry.Fingerprints, server *registry.Server, began time.Time) {
--- a/internal/retry/exchange_test.go
+++ b/internal/retry/exchange_test.go
@@ -109,7 +109,7 @@
 		r.vms[0].ServerLost("swapbay", requestOf(i), "s2")
 	}
 	if report, _ := r.exchanges[0].Report(); len(report.Suspects) > 2*maxSuspects {
-		t.Errorf("got %d suspects in one report, want at most %d of %d losses each", len(report.Suspects), maxSuspects, refusalThreshold)
+		t.Errorf("got %d suspects in one report, want at most %d of %d losses each", len(report.Suspects), maxSuspects, RefusalThreshold)
 	}
 	for range 5 {
 		r.round()
--- a/internal/retry/quarantine.go
+++ b/internal/retry/quarantine.go
@@ -46,10 +46,10 @@
 	return nil
 }
 
-// refusalThreshold is the number of different servers that must be lost while running
+// RefusalThreshold is the number of different servers that must be lost while running
 // a fingerprint before it is refused. With 1, the loss of a server would refuse every
 // request that ran on it.
-const refusalThreshold = 2
+const RefusalThreshold = 2
 
 // maxLosses is how many losses of a fingerprint are kept.
 const maxLosses = 8
@@ -120,12 +120,13 @@
 }
 
 // condemned reports whether enough losses count to refuse the request, now or soon.
-func (s *suspect) condemned() bool { return len(s.counted()) >= refusalThreshold }
+func (s *suspect) condemned() bool { return len(s.counted()) >= RefusalThreshold }
 
-// condemnedBefore reports whether the request was condemned clearly before another one.
+// condemnedBefore reports whether the request was condemned clearly before another one, under which
+// a server counts as lost.
 func (s *suspect) condemnedBefore(other *suspect) bool {
 	a, b := s.counted(), other.counted()
-	return len(a) >= refusalThreshold && b[len(b)-refusalThreshold].expires.Sub(a[len(a)-refusalThreshold].expires) > sameLoss
+	return len(a) >= RefusalThreshold && b[max(0, len(b)-RefusalThreshold)].expires.Sub(a[len(a)-RefusalThreshold].expires) > sameLoss
 }
 
 // expires returns when the last loss no longer counts, or the last run need not be known.
@@ -221,7 +222,7 @@
 		return nil
 	}
 	blamed := q.blamed(key, s)
-	if len(blamed) < refusalThreshold || q.refusedFor(s, blamed) < 0 {
+	if len(blamed) < RefusalThreshold || q.refusedFor(s, blamed) < 0 {
 		return nil
 	}
 	if now.Before(s.expires()) && !q.admitsEarly(s, blamed) {
@@ -237,11 +238,7 @@
 // blamed returns the counted losses but those that a request explains which was condemned before:
 // what crashes servers ends other requests, too, that are at work there.
 func (q *MemoryQuarantine) blamed(key suspectKey, s *suspect) []loss {
-	counted := s.counted()
-	if len(counted) < refusalThreshold {
-		return nil
-	}
-	return slices.DeleteFunc(slices.Clone(counted), func(l loss) bool {
+	return slices.DeleteFunc(slices.Clone(s.counted()), func(l loss) bool {
 		for otherKey, other := range q.condemned {
 			if otherKey != key && otherKey.service == key.service && other.condemnedBefore(s) && other.lost(l.server) {
 				return true
@@ -251,6 +248,23 @@
 	})
 }
 
+// LostElsewhere returns how many servers a request is blamed for, but for the given ones.
+func (q *MemoryQuarantine) LostElsewhere(service string, request Fingerprints, except []string) int {
+	q.lock.Lock()
+	defer q.lock.Unlock()
+	most := 0
+	for _, fingerprint := range request.levels() {
+		key := suspectKey{service, fingerprint}
+		s := q.suspects[key]
+		if s == nil {
+			continue
+		}
+		elsewhere := slices.DeleteFunc(q.blamed(key, s), func(l loss) bool { return slices.Contains(except, l.server) })
+		most = max(most, len(elsewhere))
+	}
+	return most
+}
+
 // lost reports whether a server counts as lost under the request.
 func (s *suspect) lost(server string) bool {
 	return slices.ContainsFunc(s.counted(), func(l loss) bool { return l.server == server })
@@ -259,7 +273,7 @@
 // refusedFor returns how long a request has been refused for the losses it is blamed for, negative
 // if it will be refused later.
 func (q *MemoryQuarantine) refusedFor(s *suspect, blamed []loss) time.Duration {
-	since := q.now().Sub(blamed[len(blamed)-refusalThreshold].expires.Add(-q.settings.Period.Duration()))
+	since := q.now().Sub(blamed[len(blamed)-RefusalThreshold].expires.Add(-q.settings.Period.Duration()))
 	if s.ranRecently(blamed) {
 		since -= runReportDelay
 	}
@@ -273,7 +287,7 @@
 	switch {
 	case s.ranRecently(blamed):
 		pause = max(pause, trialBackoff*blamed[0].expires.Sub(blamed[len(blamed)-1].expires))
-	case len(blamed) > refusalThreshold:
+	case len(blamed) > RefusalThreshold:
 		return false
 	}
 	lost := blamed[0].expires.Add(-q.settings.Period.Duration())
