--- a/internal/dispatch/crashing_request_test.go
+++ b/internal/dispatch/crashing_request_test.go
@@ -448,6 +448,36 @@
 	eachCrashScenario(t, crashPauses, func(c *crashScenario) { c.exchangeFrom = 12 * time.Second })
 }
 
+// Guards against ways of losing count that show only together.
+func TestVMsStopRequestsThatCrashServersInSeveralWays(t *testing.T) {
+	for seed := range uint64(40) {
+		r := rand.New(rand.NewPCG(seed, 0))
+		any := func(limit time.Duration) time.Duration { return time.Duration(r.Int64N(int64(limit))) }
+		c := crashScenario{
+			vms: []int{1, 4, 12, 40, 80}[r.IntN(5)], path: []string{"/p/crash", "/u/crash", "/k/crash"}[r.IntN(3)],
+			popular: []string{"/p/popular", "/u/popular", "/k/popular"}[r.IntN(3)],
+			pause:   50*time.Millisecond + any(2500*time.Millisecond), runsFor: any(200 * time.Millisecond),
+			changingQuery: r.IntN(2) == 0, silent: r.IntN(3) == 0,
+		}
+		if r.IntN(2) == 0 {
+			c.runsWellFor = any(9 * time.Second)
+		}
+		if r.IntN(3) == 0 {
+			c.failedRuns = r.Float64() * 0.7
+		}
+		if r.IntN(4) == 0 {
+			c.callerLeavesAfter = 20*time.Millisecond + any(200*time.Millisecond)
+		}
+		if r.IntN(3) == 0 {
+			c.exchangeFrom = any(16 * time.Second)
+		}
+		t.Run(fmt.Sprintf("seed %d, %v", seed, c), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { testCrashingRequest(t, c) })
+		})
+	}
+}
+
 // Guards against a repeat that crashes another server although one is known to have ended under the
 // same request elsewhere.
 func TestSuspectedRequestIsNotRepeated(t *testing.T) {
@@ -480,10 +510,12 @@
 		servers int           // that end
 		over    time.Duration // within
 		each    time.Duration // repeated
+		drain   time.Duration // how long they say before that they leave
 	}{
-		{"together", 4, 300 * time.Millisecond, 8 * time.Second},
-		{"in sequence", 8, 8 * time.Second, 10 * time.Second},
-		{"slowly in sequence", 3, 9 * time.Second, 10 * time.Second},
+		{"together", 4, 300 * time.Millisecond, 8 * time.Second, 0},
+		{"in sequence", 8, 8 * time.Second, 10 * time.Second, 0},
+		{"slowly in sequence", 3, 9 * time.Second, 10 * time.Second, 0},
+		{"in a release", 8, 8 * time.Second, 10 * time.Second, 2 * time.Second},
 	} {
 		for _, vms := range []int{1, 12, 80} {
 			for _, page := range []string{"/p/popular", "/u/popular", "/k/popular"} {
@@ -496,7 +528,7 @@
 						requests.Go(func() { f.load(float64(30+vms*5), until, &requests) })
 						for time.Now().Before(until) {
 							start := time.Now()
-							f.endServers(page, ends.servers, ends.over)
+							f.endServers(page, ends.servers, ends.over, ends.drain)
 							time.Sleep(time.Until(start.Add(ends.each)))
 						}
 						f.finish(&requests)
@@ -508,8 +540,9 @@
 	}
 }
 
-// endServers ends servers of the service that serves a page, spread over a time.
-func (f *crashFleet) endServers(page string, servers int, over time.Duration) {
+// endServers ends servers of the service that serves a page, spread over a time, each after it has
+// been draining.
+func (f *crashFleet) endServers(page string, servers int, over, drain time.Duration) {
 	service := "plain"
 	if strings.HasPrefix(page, "/k/") {
 		service = "keyed"
@@ -520,10 +553,18 @@
 		if service == "plain" || i > 0 {
 			s = f.servers[fmt.Sprint(service, rand.IntN(len(f.servers)/2))]
 		}
-		if time.Now().After(s.downUntil) {
-			f.crash(s, true)
-		}
+		draining := s.Server
 		f.mu.Unlock()
+		if draining.Draining = drain > 0; draining.Draining {
+			f.eachVM(func(r *registry.Registry) { r.Put(draining) })
+		}
+		time.AfterFunc(drain, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if s.ID == draining.ID && time.Now().After(s.downUntil) {
+				f.crash(s, true)
+			}
+		})
 		time.Sleep(over / time.Duration(servers))
 	}
 }
