Of requests lost at the same servers, the one lost at most of them is found out

In one run of TestVMsStopRequestUnderWhichServersFallSilent (1 VM, plain, a request each 0.1 s) 69 harmless requests were refused beside a request that ends all servers. It did not show again in 225 runs of that case alone; traced by reading: which of two requests was found out first went by the beginnings of their attempts, and a harmless one may have been at work on a server before the one that ended it. Then it explained the losses of the guilty one, and not the other way round.

Whatever crashes servers is lost at each of them, a harmless request at some. So the request lost at more servers explains the losses of the other; the order in time decides only between equals.

TestRequestThatCrashesServersExplainsLossesOfOthers, now also with the page first, failed before. All tests of such requests four times: 988 cases, late sends 0 to 3, at most 3 harmless requests refused. Those two numbers are logged on lines of their own, for harmless pages alone as well.

--- a/internal/dispatch/crashing_request_test.go
+++ b/internal/dispatch/crashing_request_test.go
@@ -603,7 +603,7 @@
 			late++
 		}
 	}
-	t.Logf("%d servers ended, %d of them later than %v after the third; %d harmless requests served, %d refused", len(f.crashes), late, crashSettle, f.served, f.refusedOK)
+	t.Logf("%d servers ended, %d of them later than %v after the third", len(f.crashes), late, crashSettle)
 	if late > crashesAllowed {
 		t.Errorf("the request was sent %d times later than %v after it had crashed the third server, want at most %d", late, crashSettle, crashesAllowed)
 	}
@@ -623,7 +623,8 @@
 // checkRefusals fails the test if more harmless requests were refused than operators allow of
 // requests that are proper.
 func (f *crashFleet) checkRefusals(t *testing.T) {
+	t.Logf("%d harmless requests served, %d refused as if they crashed servers", f.served, f.refusedOK)
 	if f.refusedOK > 5+f.served/500 {
-		t.Errorf("%d harmless requests were refused as if they crashed servers, %d were served", f.refusedOK, f.served)
+		t.Error("more harmless requests were refused than operators allow")
 	}
 }
--- a/internal/retry/quarantine.go
+++ b/internal/retry/quarantine.go
@@ -122,11 +122,14 @@
 // condemned reports whether enough losses count to refuse the request, now or soon.
 func (s *suspect) condemned() bool { return len(s.counted()) >= RefusalThreshold }
 
-// condemnedBefore reports whether the request was condemned clearly before another one, under which
-// a server counts as lost.
-func (s *suspect) condemnedBefore(other *suspect) bool {
+// explains reports whether servers that were lost under both requests need not count against the
+// other one: more were lost under this one, or as many, and two of them clearly earlier.
+func (s *suspect) explains(other *suspect) bool {
 	a, b := s.counted(), other.counted()
-	return len(a) >= RefusalThreshold && b[max(0, len(b)-RefusalThreshold)].expires.Sub(a[len(a)-RefusalThreshold].expires) > sameLoss
+	if len(a) < RefusalThreshold || len(a) != len(b) {
+		return len(a) >= RefusalThreshold && len(a) > len(b)
+	}
+	return b[len(b)-RefusalThreshold].expires.Sub(a[len(a)-RefusalThreshold].expires) > sameLoss
 }
 
 // expires returns when the last loss no longer counts, or the last run need not be known.
@@ -235,12 +238,12 @@
 	return nil
 }
 
-// blamed returns the counted losses but those that a request explains which was condemned before:
-// what crashes servers ends other requests, too, that are at work there.
+// blamed returns the counted losses but those that another request explains: what crashes servers
+// ends harmless requests, too, that are at work there, but not at each of them.
 func (q *MemoryQuarantine) blamed(key suspectKey, s *suspect) []loss {
 	return slices.DeleteFunc(slices.Clone(s.counted()), func(l loss) bool {
 		for otherKey, other := range q.condemned {
-			if otherKey != key && otherKey.service == key.service && other.condemnedBefore(s) && other.lost(l.server) {
+			if otherKey != key && otherKey.service == key.service && other.explains(s) && other.lost(l.server) {
 				return true
 			}
 		}
--- a/internal/retry/quarantine_test.go
+++ b/internal/retry/quarantine_test.go
@@ -248,29 +248,34 @@
 }
 
 // Guards against refusing a popular page because it was at work on servers that another request
-// crashed.
+// crashed, be it there before that request or not.
 func TestRequestThatCrashesServersExplainsLossesOfOthers(t *testing.T) {
-	c := newClock()
-	q := NewQuarantine(DefaultQuarantineSettings(), c.now)
-	page := requestOf(9)
-	for i := range 4 {
-		server := fmt.Sprint("s", i)
-		q.ServerLost("swapbay", crashing, server)
-		if i > 0 {
+	for _, pageFirst := range []bool{false, true} {
+		c := newClock()
+		q := NewQuarantine(DefaultQuarantineSettings(), c.now)
+		page := requestOf(9)
+		for i := range 4 {
+			server, at := fmt.Sprint("s", i), c.now()
+			if i > 0 {
+				if pageFirst {
+					at = at.Add(-time.Second)
+				}
+				q.ServerLostAt(at, "swapbay", page, server)
+			}
+			q.ServerLost("swapbay", crashing, server)
+			c.advance(200 * time.Millisecond)
+		}
+		c.advance(runReportDelay)
+		expectRefused(t, q, true)
+		if err := q.Admit("swapbay", page); err != nil {
+			t.Errorf("the page at work on the same servers, page first %v: %v", pageFirst, err)
+		}
+		for _, server := range []string{"s8", "s9"} { // the other request was not there
 			q.ServerLost("swapbay", page, server)
 		}
-		c.advance(200 * time.Millisecond)
-	}
-	c.advance(runReportDelay)
-	expectRefused(t, q, true)
-	if err := q.Admit("swapbay", page); err != nil {
-		t.Errorf("the page at work on the same servers: %v", err)
-	}
-	for _, server := range []string{"s8", "s9"} { // the other request was not there
-		q.ServerLost("swapbay", page, server)
-	}
-	if q.Admit("swapbay", page) == nil {
-		t.Error("the page is admitted after two servers that nothing else explains")
+		if q.Admit("swapbay", page) == nil {
+			t.Errorf("the page is admitted after two servers that nothing else explains, page first %v", pageFirst)
+		}
 	}
 }
 
