--- a/internal/dispatch/crashing_request_test.go
+++ b/internal/dispatch/crashing_request_test.go
@@ -452,24 +452,24 @@
 func TestVMsStopRequestsThatCrashServersInSeveralWays(t *testing.T) {
 	for seed := range uint64(40) {
 		r := rand.New(rand.NewPCG(seed, 0))
-		any := func(limit time.Duration) time.Duration { return time.Duration(r.Int64N(int64(limit))) }
+		upTo := func(limit time.Duration) time.Duration { return time.Duration(r.Int64N(int64(limit))) }
 		c := crashScenario{
 			vms: []int{1, 4, 12, 40, 80}[r.IntN(5)], path: []string{"/p/crash", "/u/crash", "/k/crash"}[r.IntN(3)],
 			popular: []string{"/p/popular", "/u/popular", "/k/popular"}[r.IntN(3)],
-			pause:   50*time.Millisecond + any(2500*time.Millisecond), runsFor: any(200 * time.Millisecond),
+			pause:   50*time.Millisecond + upTo(2500*time.Millisecond), runsFor: upTo(200 * time.Millisecond),
 			changingQuery: r.IntN(2) == 0, silent: r.IntN(3) == 0,
 		}
 		if r.IntN(2) == 0 {
-			c.runsWellFor = any(9 * time.Second)
+			c.runsWellFor = upTo(9 * time.Second)
 		}
 		if r.IntN(3) == 0 {
 			c.failedRuns = r.Float64() * 0.7
 		}
 		if r.IntN(4) == 0 {
-			c.callerLeavesAfter = 20*time.Millisecond + any(200*time.Millisecond)
+			c.callerLeavesAfter = 20*time.Millisecond + upTo(200*time.Millisecond)
 		}
 		if r.IntN(3) == 0 {
-			c.exchangeFrom = any(16 * time.Second)
+			c.exchangeFrom = upTo(16 * time.Second)
 		}
 		t.Run(fmt.Sprintf("seed %d, %v", seed, c), func(t *testing.T) {
 			t.Parallel()
--- a/internal/dispatch/suspicions.go
+++ b/internal/dispatch/suspicions.go
@@ -17,8 +17,8 @@
 // or its registration shows it. Safe for concurrent use.
 //
 // A lost connection by itself proves nothing, as full servers reset connections, and a refused
-// one neither, as a network fault can refuse the connections to many servers at once. No less may a
-// server end under a request whose caller has left, or without breaking its connections.
+// one neither, as a network fault can refuse the connections to many servers at once. A server may
+// also end after the caller left, or without breaking its connections.
 type Suspicions struct {
 	quarantine *retry.MemoryQuarantine
 	now        func() time.Time
@@ -29,7 +29,7 @@
 
 	mu   sync.Mutex // guards the fields below
 	lost map[registry.Instance]*lostRequests
-	// ended are the servers whose registration has shown their end, with its time.
+	// ended holds when the registrations showed the end of servers, for requests that end later.
 	ended map[registry.Instance]time.Time
 }
 
--- a/internal/retry/quarantine.go
+++ b/internal/retry/quarantine.go
@@ -51,7 +51,8 @@
 // request that ran on it.
 const RefusalThreshold = 2
 
-// maxLosses is how many losses of a fingerprint are kept.
+// maxLosses is how many losses of a fingerprint are kept. Refusing takes RefusalThreshold; more
+// show which of the requests at work on the same servers ended them.
 const maxLosses = 8
 
 // A page that ran shortly before the first loss may be popular and at work on several servers that
@@ -84,7 +85,7 @@
 // loss is a server that was lost while it ran a request.
 type loss struct {
 	server  string
-	expires time.Time // one period after the loss, or at the end of a trial
+	expires time.Time // one period after the attempt began, or at the end of a trial
 }
 
 // suspect is a VM's state of one fingerprint. Losses that expire no later than cleared came
@@ -122,8 +123,8 @@
 // condemned reports whether enough losses count to refuse the request, now or soon.
 func (s *suspect) condemned() bool { return len(s.counted()) >= RefusalThreshold }
 
-// explains reports whether servers that were lost under both requests need not count against the
-// other one: more were lost under this one, or as many, and two of them clearly earlier.
+// explains reports whether a server that was lost under both requests need not count against the
+// other one: this one lost more servers, or as many and the second one clearly earlier.
 func (s *suspect) explains(other *suspect) bool {
 	a, b := s.counted(), other.counted()
 	if len(a) < RefusalThreshold || len(a) != len(b) {
@@ -151,12 +152,12 @@
 
 // MemoryQuarantine implements Quarantine in memory. It is safe for concurrent use.
 //
-// A fingerprint is refused from the loss of the second different server, somewhat later if it ran
-// shortly before the first one, until one period after the last loss. Then one request is admitted as a trial. The trial moves
-// the expiry to its own end, so that peers that receive the report wait too. If the
-// trial request runs, the fingerprint is cleared; if its server is lost, the period
-// restarts. A successful run clears the losses before it, also those that are reported later: a
-// harmless request may happen to run on several lost servers.
+// A fingerprint is refused from the loss of the second different server, somewhat later if it
+// ran shortly before the first one, until one period after the last loss. Then one request is
+// admitted as a trial. The trial moves the expiry to its own end, so that peers that receive the
+// report wait too. If the trial request runs, the fingerprint is cleared; if its server is lost,
+// the period restarts. A successful run clears the losses before it, also those that are reported
+// later: a harmless request may happen to run on several lost servers.
 //
 // Two servers may be lost for a reason that concerns only one of the requests at work on
 // them. So one VM, see TryEarly, admits a trial soon after the second loss, unless a third
@@ -238,8 +239,8 @@
 	return nil
 }
 
-// blamed returns the counted losses but those that another request explains: what crashes servers
-// ends harmless requests, too, that are at work there, but not at each of them.
+// blamed returns the counted losses without those that another request explains. A request that
+// crashes servers is lost at each of them, and harmless requests with it at some of them.
 func (q *MemoryQuarantine) blamed(key suspectKey, s *suspect) []loss {
 	return slices.DeleteFunc(slices.Clone(s.counted()), func(l loss) bool {
 		for otherKey, other := range q.condemned {
@@ -251,7 +252,7 @@
 	})
 }
 
-// LostElsewhere returns how many servers a request is blamed for, but for the given ones.
+// LostElsewhere returns how many servers a request is blamed for, not counting the given ones.
 func (q *MemoryQuarantine) LostElsewhere(service string, request Fingerprints, except []string) int {
 	q.lock.Lock()
 	defer q.lock.Unlock()
@@ -316,7 +317,8 @@
 	q.ServerLostAt(q.now(), service, request, server)
 }
 
-// ServerLostAt is ServerLost for a server that was lost at an earlier time.
+// ServerLostAt is ServerLost for an attempt that began at an earlier time: a run that ended since
+// then clears it.
 func (q *MemoryQuarantine) ServerLostAt(at time.Time, service string, request Fingerprints, server string) {
 	q.lock.Lock()
 	defer q.lock.Unlock()
@@ -392,7 +394,7 @@
 	}
 }
 
-// recordChange gives a changed suspect the next number.
+// recordChange gives a changed suspect the next number and keeps condemned up to date.
 func (q *MemoryQuarantine) recordChange(key suspectKey, s *suspect) {
 	q.changes++
 	s.changed = q.changes
