--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -12,7 +12,6 @@
 	"syscall"
 
 	"github.com/spf13/cobra"
-	"github.com/zeromicro/go-zero/core/proc"
 
 	"kumquatcleat/internal/logging"
 )
@@ -38,8 +37,6 @@
 // the path at which the platform puts the settings file.
 func Main(args []string, defaultPath string, newAdapter func(*Settings) Adapter, stdout, stderr io.Writer) int {
 	signals := hangupSignals()
-	ctx, cancel := terminationContext()
-	defer cancel()
 	code := exitOK
 	var path string
 	var check bool
@@ -58,7 +55,7 @@
 				_, _ = fmt.Fprintln(stdout, "settings are valid")
 				return nil
 			}
-			code = run(ctx, s, path, newAdapter(s), stdout, signals)
+			code = run(s, path, newAdapter(s), stdout, signals)
 			return nil
 		},
 	}
@@ -74,22 +71,8 @@
 	return code
 }
 
-// terminationContext returns a context that ends with SIGTERM or SIGINT. go-zero subscribes to both
-// while the program is loaded, so it alone knows of one that arrives before this call.
-func terminationContext() (context.Context, context.CancelFunc) {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	go func() {
-		select {
-		case <-proc.Done():
-			stop()
-		case <-ctx.Done():
-		}
-	}()
-	return ctx, stop
-}
-
-// run serves until ctx ends.
-func run(ctx context.Context, s *Settings, path string, adapter Adapter, stdout io.Writer, signals <-chan os.Signal) int {
+// run serves until SIGTERM or SIGINT.
+func run(s *Settings, path string, adapter Adapter, stdout io.Writer, signals <-chan os.Signal) int {
 	runtime.GOMAXPROCS(1) // a VM runs only one thread at a time
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(s.MemoryMB * memoryLimitShare * (1 << 20)))
@@ -97,6 +80,8 @@
 	_ = level.UnmarshalText([]byte(s.LogLevel)) // Load has validated it
 	flush := logging.Setup(stdout, level)
 	defer flush()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
 	g := New(s, adapter)
 	go g.watchSettings(ctx, path, signals)
 	if err := g.Run(ctx); err != nil {
