--- /dev/null
+++ b/review/standin-2/link.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"net"
+	"sync"
+)
+
+// link forwards connections to a listener. While it is cut, it forwards nothing in either
+// direction; what was sent meanwhile arrives after the cut, as TCP sends it again.
+type link struct {
+	net.Listener
+	to string
+
+	mu   sync.Mutex // guards open
+	open chan struct{}
+}
+
+func newLink(ip, to string) *link {
+	l := &link{Listener: listen(ip), to: to, open: make(chan struct{})}
+	close(l.open)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go l.forward(c)
+		}
+	}()
+	return l
+}
+
+func (l *link) cut() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open = make(chan struct{})
+}
+
+func (l *link) heal() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	close(l.open)
+}
+
+func (l *link) await() {
+	l.mu.Lock()
+	open := l.open
+	l.mu.Unlock()
+	<-open
+}
+
+func (l *link) forward(c net.Conn) {
+	l.await()
+	out, err := net.Dial("tcp", l.to)
+	if err != nil {
+		_ = c.Close()
+		return
+	}
+	copyTo := func(to, from net.Conn) {
+		defer to.Close()
+		buffer := make([]byte, 32<<10)
+		for {
+			n, err := from.Read(buffer)
+			l.await()
+			if n > 0 {
+				if _, err := to.Write(buffer[:n]); err != nil {
+					return
+				}
+			}
+			if err != nil {
+				return
+			}
+		}
+	}
+	go copyTo(out, c)
+	copyTo(c, out)
+}
