--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -22,6 +22,29 @@
 	file *os.File
 	sent map[string]*sending // by request ID
 	runs []execution
+	// highest and holder are, by key, the highest fence of a grant that was taken and who took it.
+	highest  [65536]uint64
+	holder   [65536]*upstream
+	lowFence int // grants that were taken with a fence that isn't above another upstream's
+}
+
+// granted records a grant that an upstream took.
+func (r *recorder) granted(u *upstream, from, to uint32, fence uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	low := uint64(0)
+	for key := from; key <= to; key++ {
+		if r.holder[key] != nil && r.holder[key] != u && fence <= r.highest[key] {
+			low = max(low, r.highest[key])
+		}
+		if fence > r.highest[key] {
+			r.highest[key], r.holder[key] = fence, u
+		}
+	}
+	if low > 0 {
+		r.lowFence++
+		r.line(time.Now(), "grant    %s takes keys %d to %d with fence %d; another upstream had fence %d", u.id, from, to, fence, low)
+	}
 }
 
 // sending is one request of a client.
--- a/review/standin-2/late.go
+++ b/review/standin-2/late.go
@@ -3,13 +3,35 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"sync"
 	"time"
 )
 
-// late cuts one machine off from the store for 1.4 s while an answer is on its way that holds a
-// heartbeat of an upstream. The upstream leaves during the cut, without reporting that it drains.
+// lateVariant is where and for how long an answer of the store is held up.
+type lateVariant struct {
+	zones  []string      // of the machines
+	held   int           // the machine whose answer is held up
+	length time.Duration // of the trouble
+	leaves time.Duration // when the upstream leaves after the beginning of the trouble
+	what   string
+}
+
+var (
+	// cutVariant: one machine, the only one of its zone, is partitioned from the store.
+	cutVariant = lateVariant{zones: []string{"lk-west-a", "lk-west-b", "lk-west-c"}, held: 2, length: 1400 * time.Millisecond, leaves: 100 * time.Millisecond, what: "partitioned from the store"}
+	// packetVariant: one packet to a machine is lost and sent again after 250 ms. The machine is the
+	// second of its zone, which reads the store and follows the first one.
+	packetVariant = lateVariant{zones: []string{"lk-west-c", "lk-west-c", "lk-west-b"}, held: 1, length: 250 * time.Millisecond, leaves: 10 * time.Millisecond, what: "one packet lost"}
+)
+
+// late holds up one answer of the store that has a heartbeat of an upstream. The upstream leaves
+// meanwhile, without reporting that it drains.
 func late(s *scenario) (bool, error) {
+	v := cutVariant
+	if os.Getenv("VARIANT") == "packet" {
+		v = packetVariant
+	}
 	db := newStore(1000)
 	common := listen("127.0.3.1")
 	defer db.serve(common, nil).Close()
@@ -47,8 +69,8 @@
 		}
 	}()
 	db.put("op", "config", config(7, "modbench"))
-	gateways, err := startGateways(s.temporary, []string{"lk-west-a", "lk-west-b", "lk-west-c"}, 284, func(i int) string {
-		if i == 2 {
+	gateways, err := startGateways(s.temporary, v.zones, 284, func(i int) string {
+		if i == v.held {
 			return toStore.Addr().String()
 		}
 		return common.Addr().String()
@@ -60,12 +82,12 @@
 	if err := awaitReady(gateways, 10*time.Second); err != nil {
 		return false, err
 	}
-	cutOff := gateways[2]
+	cutOff := gateways[v.held]
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	var done, loads sync.WaitGroup
 	for i, g := range gateways {
-		loads.Go(func() { s.recorder.load(ctx, g, swapPost, []float64{5, 5, 15}[i], &done) })
+		loads.Go(func() { s.recorder.load(ctx, g, swapPost, rate(i == v.held), &done) })
 	}
 	time.Sleep(5 * time.Second)
 	mu.Lock()
@@ -74,19 +96,19 @@
 	var cut time.Time
 	select {
 	case cut = <-began:
-	case <-time.After(20 * time.Second):
+	case <-time.After(40 * time.Second):
 		return false, fmt.Errorf("no answer with a heartbeat of %s was on its way", leavingID)
 	}
-	s.say("an answer with a heartbeat of %s is on its way to %s; cut off from the store: %v", leavingID, cutOff.name, s.trouble)
-	time.Sleep(100 * time.Millisecond)
+	s.say("an answer with a heartbeat of %s is on its way to %s; %s: %v", leavingID, cutOff.name, v.what, s.trouble)
+	time.Sleep(v.leaves)
 	removed := leaving.removeEntry()
 	s.say("%s leaves: its entry is removed, acknowledged", leavingID)
-	time.Sleep(time.Until(cut.Add(1400 * time.Millisecond)))
+	time.Sleep(time.Until(cut.Add(v.length)))
 	if s.trouble {
 		toStore.heal()
 	}
 	healed := time.Now()
-	s.say("the cut is over after %d ms", healed.Sub(cut).Milliseconds())
+	s.say("the trouble is over after %d ms", healed.Sub(cut).Milliseconds())
 	time.Sleep(time.Until(removed.Add(10 * time.Second)))
 	leaving.exit()
 	s.say("%s exits, 10 s after its entry was removed", leavingID)
@@ -103,3 +125,11 @@
 	s.say("%s since then: %d sent, %d served, %d without an answer or 502 or 504", swapPost.name, all, good, unclear)
 	return count > 0, nil
 }
+
+// rate returns the requests a second to a machine.
+func rate(held bool) float64 {
+	if held {
+		return 15
+	}
+	return 5
+}
--- a/review/standin-2/link.go
+++ b/review/standin-2/link.go
@@ -3,10 +3,12 @@
 import (
 	"net"
 	"sync"
+	"syscall"
 )
 
 // link forwards connections to a listener. While it is cut, it forwards nothing in either
-// direction; what was sent meanwhile arrives after the cut, as TCP sends it again.
+// direction; what was sent meanwhile arrives after the cut, as TCP sends it again, unless its sender
+// has reset the connection.
 type link struct {
 	net.Listener
 	to string
@@ -62,6 +64,9 @@
 		for {
 			n, err := from.Read(buffer)
 			l.await()
+			if n > 0 && wasReset(from) {
+				return
+			}
 			if n > 0 {
 				if _, err := to.Write(buffer[:n]); err != nil {
 					return
@@ -75,3 +80,18 @@
 	go copyTo(out, c)
 	copyTo(c, out)
 }
+
+// wasReset reports whether the other side has reset a connection.
+func wasReset(c net.Conn) bool {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	reset := false
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		reset = err != nil && err != syscall.EAGAIN
+	})
+	return err != nil || reset
+}
--- a/review/standin-2/upstream.go
+++ b/review/standin-2/upstream.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -33,6 +34,8 @@
 	holds   []hold
 	fences  []hold // the highest fences seen
 	slots   chan struct{}
+	// keysAtWork counts the requests at work by key.
+	keysAtWork map[uint32]int
 }
 
 // hold is a lease on a range of keys.
@@ -50,20 +53,20 @@
 
 func startUpstream(s *store, rec *recorder, id, service, zone string, sharded bool, work time.Duration) *upstream {
 	u := &upstream{id: id, service: service, zone: zone, sharded: sharded, work: work, store: s, recorder: rec, born: time.Now().UnixMilli(),
-		listener: listen("127.0.2.1"), stopBeats: make(chan struct{}), state: "ready", slots: make(chan struct{}, slots)}
+		listener: listen("127.0.2.1"), stopBeats: make(chan struct{}), state: "ready", slots: make(chan struct{}, slots), keysAtWork: map[uint32]int{}}
 	u.server = &http.Server{Handler: http.HandlerFunc(u.handle), IdleTimeout: 10 * time.Second}
 	go func() { _ = u.server.Serve(u.listener) }()
 	u.beat()
 	u.beats.Go(func() {
 		// The first pause differs between upstreams, so that they don't write together.
-		pause := heartbeat/2 + time.Duration(u.born%400)*time.Millisecond
+		pause := time.Duration(rand.Int64N(int64(heartbeat)))
 		for {
 			select {
 			case <-u.stopBeats:
 				return
 			case <-time.After(pause):
 				u.beat()
-				pause = heartbeat
+				pause = heartbeat*9/10 + time.Duration(rand.Int64N(int64(heartbeat/5)))
 			}
 		}
 	})
@@ -151,6 +154,11 @@
 	}
 	if r.URL.Path == "/release" {
 		u.holds = rest
+		for u.worksOn(order.From, order.Target) { // the answer comes when the work on these keys has ended
+			u.mu.Unlock()
+			time.Sleep(2 * time.Millisecond)
+			u.mu.Lock()
+		}
 		w.Header().Set("X-Kumquatcleat-Handover", "h-"+u.id)
 		return
 	}
@@ -160,6 +168,7 @@
 			return
 		}
 	}
+	u.recorder.granted(u, order.From, order.Target, order.Fence)
 	u.fences = append(u.fences, hold{from: order.From, to: order.Target, fence: order.Fence})
 	if len(u.fences) > 5000 {
 		u.fences = u.fences[2500:]
@@ -167,6 +176,16 @@
 	u.holds = append(rest, hold{order.From, order.Target, order.Fence, arrived.Add(time.Duration(order.HoldS * float64(time.Second)))})
 }
 
+// worksOn reports whether a request on some of the keys is at work. The caller holds the lock.
+func (u *upstream) worksOn(from, to uint32) bool {
+	for key, n := range u.keysAtWork {
+		if n > 0 && from <= key && key <= to {
+			return true
+		}
+	}
+	return false
+}
+
 // holdsKey reports whether the upstream holds a key now.
 func (u *upstream) holdsKey(key uint32) bool {
 	u.mu.Lock()
@@ -186,8 +205,9 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	var key uint64
 	if u.sharded {
-		key, err := strconv.ParseUint(r.Header.Get("X-Kumquatcleat-Shard-Key"), 10, 16)
+		key, err = strconv.ParseUint(r.Header.Get("X-Kumquatcleat-Shard-Key"), 10, 16)
 		if err != nil || !u.holdsKey(uint32(key)) {
 			w.Header().Set("X-Kumquatcleat-Not-Executed", "1")
 			w.WriteHeader(http.StatusMisdirectedRequest)
@@ -210,11 +230,13 @@
 	u.mu.Lock()
 	u.waiting--
 	u.running++
+	u.keysAtWork[uint32(key)]++
 	load := fmt.Sprintf("%d,%d,%d", u.running, u.waiting, slots)
 	u.mu.Unlock()
 	defer func() {
 		u.mu.Lock()
 		u.running--
+		u.keysAtWork[uint32(key)]--
 		u.mu.Unlock()
 	}()
 	u.recorder.ran(id, u, len(body))
--- a/review/standin-2/wrap.go
+++ b/review/standin-2/wrap.go
@@ -97,6 +97,7 @@
 		all, good, unclear = s.recorder.tally(c.name, drained, end)
 		s.say("%-14s after the upstream drained: %4d sent, %4d served, %d without an answer or 502 or 504", c.name, all, good, unclear)
 	}
+	s.say("OWNER: %d grants were taken with a fence not above that of another upstream", s.recorder.lowFence)
 	s.say("%s: exit at %.3f", leaving.id, exited.Sub(s.recorder.began).Seconds())
 	return late > 0, nil
 }
