--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -25,7 +25,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin SCENARIO DIR")
 		os.Exit(2)
 	}
-	run := map[string]func(*scenario) (bool, error){"wrap": wrap, "late": late}[os.Args[1]]
+	run := map[string]func(*scenario) (bool, error){"late": late, "start": stopAtStart}[os.Args[1]]
 	if run == nil {
 		fmt.Fprintln(os.Stderr, "no such scenario:", os.Args[1])
 		os.Exit(2)
