--- a/review/standin-2/link.go
+++ b/review/standin-2/link.go
@@ -13,12 +13,15 @@
 	net.Listener
 	to string
 
-	mu   sync.Mutex // guards open
+	mu   sync.Mutex // guards the fields below
 	open chan struct{}
+	// held has, by the link's own address of a connection to the listener, a channel that is closed when
+	// answers on it go on.
+	held map[string]chan struct{}
 }
 
 func newLink(ip, to string) *link {
-	l := &link{Listener: listen(ip), to: to, open: make(chan struct{})}
+	l := &link{Listener: listen(ip), to: to, open: make(chan struct{}), held: map[string]chan struct{}{}}
 	close(l.open)
 	go func() {
 		for {
@@ -44,6 +47,30 @@
 	close(l.open)
 }
 
+// hold holds back the answers on one connection.
+func (l *link) hold(connection string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held[connection] = make(chan struct{})
+}
+
+// letGo ends what hold began.
+func (l *link) letGo(connection string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	close(l.held[connection])
+	delete(l.held, connection)
+}
+
+func (l *link) awaitAnswers(connection string) {
+	l.mu.Lock()
+	held := l.held[connection]
+	l.mu.Unlock()
+	if held != nil {
+		<-held
+	}
+}
+
 func (l *link) await() {
 	l.mu.Lock()
 	open := l.open
@@ -58,12 +85,12 @@
 		_ = c.Close()
 		return
 	}
-	copyTo := func(to, from net.Conn) {
+	copyTo := func(to, from net.Conn, wait func()) {
 		defer to.Close()
 		buffer := make([]byte, 32<<10)
 		for {
 			n, err := from.Read(buffer)
-			l.await()
+			wait()
 			if n > 0 && wasReset(from) {
 				return
 			}
@@ -77,8 +104,11 @@
 			}
 		}
 	}
-	go copyTo(out, c)
-	copyTo(c, out)
+	go copyTo(out, c, l.await)
+	copyTo(c, out, func() {
+		l.await()
+		l.awaitAnswers(out.LocalAddr().String())
+	})
 }
 
 // wasReset reports whether the other side has reset a connection.
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -18,6 +18,7 @@
 	trouble        bool
 	recorder       *recorder
 	gateways       []*gateway
+	rolls          [2]roll
 }
 
 func main() {
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -111,9 +111,9 @@
 	s.changed = make(chan struct{})
 }
 
-// serve answers calls that arrive at a listener. onFeed, if any, is called with the rows of each
+// serve answers calls that arrive at a listener. onFeed, if any, is called with the caller and the rows of each
 // answer of the feed, just before it is sent.
-func (s *store) serve(l net.Listener, onFeed func(table string, rows []wireRow)) *http.Server {
+func (s *store) serve(l net.Listener, onFeed func(caller, table string, rows []wireRow)) *http.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /rows-tx", s.transaction)
 	mux.HandleFunc("GET /rows-get", s.get)
@@ -205,7 +205,7 @@
 	s.answer(w, http.StatusOK, a)
 }
 
-func (s *store) feed(w http.ResponseWriter, r *http.Request, onFeed func(string, []wireRow)) {
+func (s *store) feed(w http.ResponseWriter, r *http.Request, onFeed func(string, string, []wireRow)) {
 	q := r.URL.Query()
 	after, err1 := strconv.ParseUint(q.Get("after"), 10, 64)
 	waitMS, err2 := strconv.Atoi(q.Get("waitMs"))
@@ -225,7 +225,7 @@
 		case len(a.Rows) > 0 || !waiting:
 			time.Sleep(answerDelay)
 			if onFeed != nil {
-				onFeed(q.Get("table"), a.Rows)
+				onFeed(r.RemoteAddr, q.Get("table"), a.Rows)
 			}
 			s.answer(w, http.StatusOK, a)
 			return
