Log and count answers that are written and not delivered

Of the hypotheses on LOST around planned stops, nothing could show the second one: an answer counts as given once the kernel has taken it. Each connection now remembers its last answers. When it ends, by a failed write, after lingering, or with the process, a line names the requests whose answers the caller's host has not acknowledged, with the cause, and answers_undelivered counts them.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -104,12 +104,19 @@
 	}
 	b.WriteString("\r\n")
 	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
+	size := b.Len() + len(body)
+	var n int64
+	var err error
 	if len(body) > maxCopiedBytes {
-		_, err := (&net.Buffers{b.Bytes(), body}).WriteTo(c.Conn)
-		return err
+		n, err = (&net.Buffers{b.Bytes(), body}).WriteTo(c.Conn)
+	} else {
+		b.Write(body)
+		n, err = b.WriteTo(c.Conn)
+	}
+	c.delivery.add(p.requestID(), int(n), size)
+	if err != nil {
+		c.reportUndelivered(err.Error())
 	}
-	b.Write(body)
-	_, err := c.Conn.Write(b.Bytes())
 	return err
 }
 
@@ -138,7 +145,12 @@
 		return
 	}
 	_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
-	_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, maxLingerBytes))
+	_, err := io.Copy(io.Discard, io.LimitReader(c.Conn, maxLingerBytes))
+	cause := "the caller closed the connection"
+	if err != nil {
+		cause = err.Error()
+	}
+	c.reportUndelivered(cause)
 }
 
 // maxLingerBytes bounds how much linger reads.
--- a/internal/entry/conn.go
+++ b/internal/entry/conn.go
@@ -42,6 +42,7 @@
 	pending    chan *pendingAnswer // in order of arrival
 	accepted   time.Time
 	unanswered atomic.Int32 // requests admitted but not answered yet
+	delivery   delivery
 
 	// mu serializes admitting and starting requests with deciding to close, and guards the
 	// fields below.
@@ -70,6 +71,14 @@
 	}
 }
 
+// requestID returns the ID of the request, "" if it was refused before it was known.
+func (p *pendingAnswer) requestID() string {
+	if p.request == nil {
+		return ""
+	}
+	return p.request.ID
+}
+
 // serve handles the connection until it is closed.
 func (c *callerConn) serve() {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -98,7 +98,7 @@
 	})
 	s := NewServer(Settings{
 		Limits: limits, MaxBodyBytes: 1 << 20, BodyTimeout: 200 * time.Millisecond,
-		RequestMemory: membudget.New(testBodiesBytes), AnswerMemory: membudget.New(testBodiesBytes),
+		RequestMemory: membudget.New(testBodiesBytes), AnswerMemory: membudget.New(testBodiesBytes), Metrics: metricsRegistry,
 	}, core, table, testDialect, decisions)
 	if err := s.Listen("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -15,6 +15,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"kumquatcleat/internal/dialect"
 	"kumquatcleat/internal/dispatch"
 	"kumquatcleat/internal/logging"
@@ -32,6 +34,7 @@
 	// RequestMemory and AnswerMemory bound the bodies that requests and answers hold in
 	// memory together.
 	RequestMemory, AnswerMemory *membudget.Budget
+	Metrics                     metrics.Registry // nil: the default registry
 	// BodyTimeout is the maximum time from the end of a request's head to the end of
 	// its body.
 	BodyTimeout time.Duration
@@ -45,7 +48,9 @@
 	dialect   *dialect.Dialect
 	decisions *logging.Decisions
 	closing   atomic.Bool // shutting down: answers close their connections
-	readUntil time.Time   // when requests must be whole in a shutdown; set before closing
+	// undelivered counts answers that were written and did not reach their callers.
+	undelivered metrics.Counter
+	readUntil   time.Time // when requests must be whole in a shutdown; set before closing
 
 	mu       sync.Mutex // guards the fields below
 	listener net.Listener
@@ -54,7 +59,10 @@
 
 // NewServer returns a Server that does not listen yet.
 func NewServer(s Settings, core *dispatch.Core, tables dispatch.Tables, d *dialect.Dialect, decisions *logging.Decisions) *Server {
-	return &Server{settings: s, core: core, tables: tables, dialect: d, decisions: decisions, conns: map[*callerConn]bool{}}
+	return &Server{
+		settings: s, core: core, tables: tables, dialect: d, decisions: decisions, conns: map[*callerConn]bool{},
+		undelivered: metrics.GetOrRegisterCounter("answers_undelivered", s.Metrics),
+	}
 }
 
 // Listen opens the address. Serve accepts the connections.
--- a/internal/gateway/provision.go
+++ b/internal/gateway/provision.go
@@ -201,7 +201,7 @@
 	})
 	g.entry = entry.NewServer(entry.Settings{
 		Limits: initialLimits, MaxBodyBytes: maxCallerBodyBytes, BodyTimeout: bodyTimeout,
-		RequestMemory: requestMemory, AnswerMemory: answerMemory,
+		RequestMemory: requestMemory, AnswerMemory: answerMemory, Metrics: g.metrics,
 	}, g.core, g, g.adapter.Dialect, g.decisions)
 	g.relays.serve = g.core.Serve
 	g.relays.version = func() uint64 {
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -49,5 +49,6 @@
 		}
 		wait.For(background, stopPoll)
 	}
+	g.entry.ReportUndelivered()
 	slog.Info("gateway: stopped", "in_flight", g.core.InFlight(), "connections", g.entry.ConnectionCount())
 }
