A closing connection stays open until its caller's host has received the answers

What callers saw: around a planned stop, requests that a server ran ended with a closed connection and without an answer.

Cause: a connection that closes was read for 1 s after its last answer had been given to the kernel, or for 1 MB, and then closed. A socket that is closed with unread bytes, or gets some afterwards, is reset, and the kernel drops what the other side has not acknowledged. Callers that pipeline send on until they read that the connection closes; callers that read slowly read that later than 1 s after it was written. Class of fault: the end of a connection is decided by a clock that starts when bytes are written, not by what the other side has received.

Evidence: lines 'entry: answers not delivered' with cause i/o timeout 1 s after the sending side was closed, and nothing in flight at the end of the process.

linger.Close waits until the peer closes, or has acknowledged everything and had 1 s to close; it gives up on a peer that acknowledges nothing for 5 s, as writes do. After 1 MB it stops reading instead of closing, so that flow control holds the peer back. In a stop the end of the process bounds the wait, as before.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -4,13 +4,13 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"time"
 
 	"kumquatcleat/internal/dispatch"
+	"kumquatcleat/internal/linger"
 	"kumquatcleat/internal/serverconn"
 )
 
@@ -115,7 +115,7 @@
 	}
 	c.delivery.add(p.requestID(), int(n), size)
 	if err != nil {
-		c.reportUndelivered(err.Error())
+		c.reportUndelivered(c.unacknowledged(), err)
 	}
 	return err
 }
@@ -136,22 +136,13 @@
 	return []byte(string(a.Refusal) + "\n")
 }
 
-// linger closes the sending side, then reads and discards what the caller still
-// sends, before it closes the connection.
+// linger closes the connection once its caller has received the last answer.
 func (c *callerConn) linger() {
-	defer func() { _ = c.Conn.Close() }()
 	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok || tcp.CloseWrite() != nil {
+	if !ok {
+		_ = c.Conn.Close()
 		return
 	}
-	_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
-	_, err := io.Copy(io.Discard, io.LimitReader(c.Conn, maxLingerBytes))
-	cause := "the caller closed the connection"
-	if err != nil {
-		cause = err.Error()
-	}
-	c.reportUndelivered(cause)
+	unacknowledged, reason := linger.Close(tcp)
+	c.reportUndelivered(unacknowledged, reason)
 }
-
-// maxLingerBytes bounds how much linger reads.
-const maxLingerBytes = 1 << 20
--- a/internal/entry/conn.go
+++ b/internal/entry/conn.go
@@ -23,9 +23,6 @@
 	// maxPipelined is how many requests of one connection are served at once. The
 	// reader pauses at this limit and so detects a disconnect late.
 	maxPipelined = 32
-	// lingerTimeout is how long a closing connection is still read, so that bytes in
-	// flight don't reset it before the caller has read the last answer.
-	lingerTimeout = time.Second
 	// writeTimeout closes connections whose caller does not read the answers.
 	writeTimeout = 5 * time.Second
 	// initialReaderBytes is the initial size of a connection's reader. It grows when a
--- a/internal/entry/delivery.go
+++ b/internal/entry/delivery.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"errors"
 	"log/slog"
 	"net"
 	"slices"
@@ -58,29 +59,34 @@
 	return requests
 }
 
-// reportUndelivered logs the answers that are lost because the connection ends now, if any.
-func (c *callerConn) reportUndelivered(cause string) {
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return
+// unacknowledged returns how many bytes of answers the caller's host has not acknowledged.
+func (c *callerConn) unacknowledged() int {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return linger.Unacknowledged(tcp)
 	}
-	unacknowledged := linger.Unacknowledged(tcp)
+	return 0
+}
+
+// reportUndelivered logs the answers that are lost because the connection ends now, if any.
+func (c *callerConn) reportUndelivered(unacknowledged int, cause error) {
 	requests := c.delivery.undelivered(unacknowledged)
 	if len(requests) == 0 {
 		return
 	}
 	c.server.undelivered.Inc(int64(len(requests)))
 	c.server.decisions.Log("entry: answers not delivered",
-		slog.String("from", c.RemoteAddr().String()), slog.String("cause", cause), slog.Int("unacknowledged_bytes", unacknowledged),
+		slog.String("from", c.RemoteAddr().String()), slog.String("cause", cause.Error()), slog.Int("unacknowledged_bytes", unacknowledged),
 		slog.Int("answers", len(requests)), slog.Any("requests", requests),
 		slog.Int64("connection_age_ms", time.Since(c.accepted).Milliseconds()))
 }
 
+var errProcessEnds = errors.New("the process ends")
+
 // ReportUndelivered logs, for each open connection, the answers that are lost if the process ends now.
 func (s *Server) ReportUndelivered() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		c.reportUndelivered("the process ends")
+		c.reportUndelivered(c.unacknowledged(), errProcessEnds)
 	}
 }
--- /dev/null
+++ b/internal/linger/linger_test.go
@@ -0,0 +1,154 @@
+package linger
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// connect returns both sides of a connection. The client's receive buffer is small, so that most of
+// what the server writes waits in the server's kernel.
+func connect(t *testing.T) (client, server *net.TCPConn) {
+	t.Helper()
+	listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	dialer := net.Dialer{Control: func(_, _ string, c syscall.RawConn) (err error) {
+		controlErr := c.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10)
+		})
+		return errors.Join(controlErr, err)
+	}}
+	conn, err := dialer.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	client = conn.(*net.TCPConn)
+	server, err = listener.AcceptTCP()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _, _ = client.Close(), server.Close() })
+	_ = client.SetDeadline(time.Now().Add(20 * time.Second))
+	return client, server
+}
+
+type result struct {
+	unacknowledged int
+	reason         error
+}
+
+func closeInBackground(conn *net.TCPConn) <-chan result {
+	results := make(chan result, 1)
+	go func() {
+		unacknowledged, reason := Close(conn)
+		results <- result{unacknowledged, reason}
+	}()
+	return results
+}
+
+// Guards against a reset that drops what was written, because the peer goes on sending: by time,
+// and by more bytes than Close discards.
+func TestCloseDeliversToSlowPeer(t *testing.T) {
+	answers := bytes.Repeat([]byte("answer "), 30_000)
+	for name, sent := range map[string]int{"few bytes": 20, "more than is discarded": maxDiscardedBytes + 1<<20} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			client, server := connect(t)
+			if _, err := server.Write(answers); err != nil {
+				t.Fatal(err)
+			}
+			results := closeInBackground(server)
+			stop := make(chan struct{})
+			go func() {
+				for {
+					select {
+					case <-stop:
+						return
+					case <-time.After(100 * time.Millisecond):
+						_, _ = client.Write(make([]byte, sent/10))
+					}
+				}
+			}()
+			time.Sleep(2 * closeTimeout)
+			got, err := io.ReadAll(client)
+			close(stop)
+			if err != nil || !bytes.Equal(got, answers) {
+				t.Fatalf("got %d bytes and error %v, want all %d", len(got), err, len(answers))
+			}
+			_ = client.Close()
+			if r := <-results; r.unacknowledged != 0 {
+				t.Errorf("got %d bytes that are not acknowledged, %v; want none", r.unacknowledged, r.reason)
+			}
+		})
+	}
+}
+
+func TestCloseReportsPeerThatLeft(t *testing.T) {
+	client, server := connect(t)
+	if _, err := server.Write(make([]byte, 200_000)); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	_ = client.Close() // with unread bytes, so the connection is reset
+	r := <-closeInBackground(server)
+	if r.reason == nil || errors.Is(r.reason, ErrStalled) || errors.Is(r.reason, ErrPeerLingers) {
+		t.Errorf("got reason %v, want that of the peer's reset", r.reason)
+	}
+}
+
+func TestCloseEndsOnceThePeerClosed(t *testing.T) {
+	client, server := connect(t)
+	results := closeInBackground(server)
+	if _, err := io.ReadAll(client); err != nil {
+		t.Fatal(err)
+	}
+	_ = client.Close()
+	if r := <-results; r.unacknowledged != 0 || !errors.Is(r.reason, ErrPeerClosed) {
+		t.Errorf("got %d bytes that are not acknowledged, reason %v; want none, %v", r.unacknowledged, r.reason, ErrPeerClosed)
+	}
+}
+
+// A peer that acknowledges something now and then is waited for, one that has stalled is not.
+func TestWaitEnds(t *testing.T) {
+	start := time.Unix(0, 0)
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	for name, c := range map[string]struct {
+		progress map[time.Duration]int // unacknowledged bytes, from a time on
+		end      time.Duration
+	}{
+		"acknowledged at once":     {nil, closeTimeout},
+		"stalled":                  {map[time.Duration]int{0: 500}, stallTimeout},
+		"slow":                     {map[time.Duration]int{0: 500, 4 * time.Second: 400, 8 * time.Second: 300}, 8*time.Second + stallTimeout},
+		"acknowledged in the end":  {map[time.Duration]int{0: 500, 4 * time.Second: 400, 8 * time.Second: 0}, 8*time.Second + closeTimeout},
+		"acknowledged, then quiet": {map[time.Duration]int{0: 1, time.Second: 0}, time.Second + closeTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := wait{unacknowledged: c.progress[0], progressAt: start}
+			for now := start; ; {
+				for since, unacknowledged := range c.progress {
+					if !now.Before(at(since)) {
+						w.observe(now, unacknowledged)
+					}
+				}
+				next, done := w.next(now)
+				if done {
+					if got := now.Sub(start); got != c.end {
+						t.Errorf("the wait ends after %v, want %v", got, c.end)
+					}
+					return
+				}
+				if !next.After(now) {
+					t.Fatalf("next look at %v is not after %v", next.Sub(start), now.Sub(start))
+				}
+				now = next
+			}
+		})
+	}
+}
