--- a/internal/linger/linger.go
+++ b/internal/linger/linger.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"os"
 	"time"
@@ -44,7 +45,7 @@
 	if err := conn.CloseWrite(); err != nil {
 		return Unacknowledged(conn), err
 	}
-	w := wait{unacknowledged: Unacknowledged(conn), progressAt: time.Now()}
+	w := wait{unacknowledged: math.MaxInt, progressAt: time.Now()}
 	for discarded := int64(0); ; {
 		now := time.Now()
 		w.observe(now, Unacknowledged(conn))
@@ -65,7 +66,8 @@
 		case err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
 			return w.unacknowledged, err
 		case err == nil && discarded < maxDiscardedBytes:
-			return Unacknowledged(conn), ErrPeerClosed
+			w.observe(now, Unacknowledged(conn))
+			return w.unacknowledged, ErrPeerClosed
 		}
 	}
 }
