A stop that is asked for while the gateway starts is planned

Cause: go-zero's core/proc subscribes to SIGTERM and SIGINT while the program is loaded, the gateway after it had read its settings. A signal in between reached go-zero alone, which sends it again after 5.5 s. At the other end, the gateway unsubscribed before it exited: a repeated SIGTERM then terminated a stop that was complete.

Evidence: on the code before, TestSIGTERMDuringStartupStopsProcess fails (still running after 6 s), TestSIGTERMAtAnyMomentOfStartupStopsProcess fails for 4 of 6 delays after the start (4, 6, 7, 8 ms: killed after 8 s), TestSIGTERMDuringStartupKeepsVMNotReady fails while settings are read (ready 109 ms after SIGTERM, not ended after 8 s; right after listening it passed) and TestRepeatedSignalsDoNotCutPlannedStop fails for SIGTERM without a pause (terminated after 3.2 s; SIGTERM each second, SIGINT and SIGHUP passed).

Why it works: package termination subscribes first thing in main and never unsubscribes, takes proc.Done as the sign of a signal that only go-zero received, and puts off go-zero's own signal beyond any stop. A gateway that is asked to stop before it listens exits with code 0 and is never ready.

Between the load of the program and go-zero's subscription SIGTERM still has its default action. Nothing is lost by it, as nothing listens; were it blocked by the constructor in hangup.go, a start that hangs could only be killed.

All of these tests pass, with -race, once each beside the SIGHUP tests.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -110,8 +110,13 @@
 	return g
 }
 
-// Run serves until ctx ends, then stops within the configured grace period.
+// Run serves until ctx ends, then stops within the configured grace period. If ctx has
+// ended already, it does not listen.
 func (g *Gateway) Run(ctx context.Context) error {
+	if ctx.Err() != nil {
+		slog.Info("gateway: asked to stop before it listened", "vm", g.settings.VM)
+		return nil
+	}
 	tasksCtx, stopTasks := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	defer running.Wait()
--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -6,14 +6,13 @@
 	"io"
 	"log/slog"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/spf13/cobra"
 
 	"kumquatcleat/internal/logging"
+	"kumquatcleat/internal/termination"
 )
 
 // Exit codes of the gateway.
@@ -36,7 +35,8 @@
 // Main runs the gateway's command line and returns its exit code. defaultPath is
 // the path at which the platform puts the settings file.
 func Main(args []string, defaultPath string, newAdapter func(*Settings) Adapter, stdout, stderr io.Writer) int {
-	signals := hangupSignals()
+	hangups := hangupSignals()
+	ctx, _ := termination.Notify()
 	code := exitOK
 	var path string
 	var check bool
@@ -55,7 +55,7 @@
 				_, _ = fmt.Fprintln(stdout, "settings are valid")
 				return nil
 			}
-			code = run(s, path, newAdapter(s), stdout, signals)
+			code = run(ctx, s, path, newAdapter(s), stdout, hangups)
 			return nil
 		},
 	}
@@ -71,8 +71,8 @@
 	return code
 }
 
-// run serves until SIGTERM or SIGINT.
-func run(s *Settings, path string, adapter Adapter, stdout io.Writer, signals <-chan os.Signal) int {
+// run serves until ctx ends.
+func run(ctx context.Context, s *Settings, path string, adapter Adapter, stdout io.Writer, hangups <-chan os.Signal) int {
 	runtime.GOMAXPROCS(1) // a VM runs only one thread at a time
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(s.MemoryMB * memoryLimitShare * (1 << 20)))
@@ -80,10 +80,8 @@
 	_ = level.UnmarshalText([]byte(s.LogLevel)) // Load has validated it
 	flush := logging.Setup(stdout, level)
 	defer flush()
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	g := New(s, adapter)
-	go g.watchSettings(ctx, path, signals)
+	go g.watchSettings(ctx, path, hangups)
 	if err := g.Run(ctx); err != nil {
 		slog.Error("gateway: exiting after a listener failed", "error", err.Error())
 		return exitFailed
