The grace of a gateway's stop counts from the signal

What callers would see: a stop that begins late, because the process was still starting or had little of a core, took its whole grace from then on. The platform, which counts from SIGTERM, killed it with requests at work.

Cause: stop() counted from its own begin.

The signal's time comes with the cause of the context. A stop that begins in time has the same moments as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"kumquatcleat/internal/rows"
 	"kumquatcleat/internal/serverconn"
 	"kumquatcleat/internal/telemetry"
+	"kumquatcleat/internal/termination"
 	"kumquatcleat/internal/wait"
 )
 
@@ -147,7 +148,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	g.stop()
+	g.stop(termination.Received(ctx))
 	return nil
 }
 
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -19,29 +19,61 @@
 	stopMargin = 250 * time.Millisecond
 	// answerMargin is the time for writing the answers to requests that end at their deadline.
 	answerMargin = 150 * time.Millisecond
-	stopPoll     = 20 * time.Millisecond
+	// resignTimeout bounds the calls that tell the store and other VMs about the stop.
+	resignTimeout = time.Second
+	stopPoll      = 20 * time.Millisecond
 )
 
+// stopTimes are the moments of a planned stop.
+type stopTimes struct {
+	resigned    time.Time // calls about the stop end
+	closing     time.Time // connections close from now on
+	listenUntil time.Time
+	answered    time.Time // requests end
+	end         time.Time // the process ends
+}
+
+// planStop returns the moments of a stop for which the signal was received at received and
+// that begins at began. The grace period counts from the signal, and the time for which the
+// platform still sends connections from the moment at which the VM is not ready.
+func planStop(received, began time.Time, grace time.Duration) stopTimes {
+	end := received.Add(grace - stopMargin)
+	answered := end.Add(-answerMargin)
+	return stopTimes{
+		resigned:    earlier(began.Add(resignTimeout), answered),
+		closing:     earlier(began.Add(outOfRotationDelay), answered),
+		listenUntil: began.Add(listenAfterStop),
+		answered:    answered,
+		end:         end,
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // stop shuts down gracefully: it reports the VM as not ready, resigns as coordinator,
-// then closes connections as their requests finish.
-func (g *Gateway) stop() {
-	began := time.Now()
+// then closes connections as their requests finish. The signal to stop was received at
+// received.
+func (g *Gateway) stop(received time.Time) {
 	g.draining.Store(true)
+	times := planStop(received, time.Now(), g.settings.Grace())
 	slog.Info("gateway: stopping", "in_flight", g.core.InFlight(), "connections", g.entry.ConnectionCount())
 	background := context.Background()
-	resignCtx, cancel := context.WithTimeout(background, time.Second)
+	resignCtx, cancel := context.WithDeadline(background, times.resigned)
 	if err := g.coordinatorLease.Resign(resignCtx); err != nil {
 		slog.Warn("gateway: resign as coordinator failed", "error", err.Error())
 	}
 	g.peers.withdraw(resignCtx)
 	cancel()
-	wait.For(background, outOfRotationDelay-time.Since(began))
-	deadline := began.Add(g.settings.Grace() - stopMargin)
-	answered := deadline.Add(-answerMargin)
-	g.core.StopBy(answered)
-	g.entry.BeginShutdown(answered)
-	for time.Now().Before(deadline) {
-		if time.Since(began) > listenAfterStop {
+	wait.For(background, time.Until(times.closing))
+	g.core.StopBy(times.answered)
+	g.entry.BeginShutdown(times.answered)
+	for time.Now().Before(times.end) {
+		if time.Now().After(times.listenUntil) {
 			g.entry.StopListening()
 			if g.entry.ConnectionCount() == 0 && g.core.InFlight() == 0 && g.relays.receiving.Load() == 0 {
 				break
