A stop that is asked for while the daemon starts is planned

What callers would see: a VM that got SIGTERM while it read its settings served on for as long as it was left running, and was killed with requests at work.

TestSIGTERMDuringStartupStopsDaemon fails on the code before (still running at the end of its grace of 4 s), passes now, 3 of 3 runs. The daemon uses package termination, which also sets go-zero's time to force quit. A signal that go-zero received too counts once: a second one ends the process at once, as documented. One that arrives after the shutdown no longer changes the exit code (TestSignalAfterShutdownDoesNotInterruptExit, of a function that is new; by reading, not seen in a run).

internal/daemon passes with -race, 1 of 1 run.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
-	"github.com/zeromicro/go-zero/core/proc"
 
 	"kumquatcleat/internal/backend"
 	"kumquatcleat/internal/config"
@@ -42,9 +41,6 @@
 	readHeaderTimeout = 10 * time.Second
 	// maxHeadBytes bounds the head of a request from a caller or another VM.
 	maxHeadBytes = 64 << 10
-	// forceQuitTimeout is longer than any planned stop. By default, go-zero kills
-	// the process 5.5 s after a signal.
-	forceQuitTimeout = 24 * time.Hour
 )
 
 // Daemon is the process kumquatcleatd, the router of one entry VM. A keeper and a standby
@@ -75,7 +71,6 @@
 
 // New creates a daemon from its settings. It starts nothing; call Run.
 func New(s *settings.Settings) (*Daemon, error) {
-	proc.SetTimeToForceQuit(forceQuitTimeout)
 	host, _, err := net.SplitHostPort(s.PeerListen)
 	if err != nil {
 		return nil, fmt.Errorf("daemon: peer_listen %q: %w", s.PeerListen, err)
@@ -174,8 +169,13 @@
 
 // Run serves until ctx is done. It then shuts down and waits for requests in flight,
 // up to the grace period of the settings. It returns an error if a listener fails or
-// if requests are still in flight at the end of the grace period.
+// if requests are still in flight at the end of the grace period. If ctx is done already,
+// Run does not listen.
 func (d *Daemon) Run(ctx context.Context) error {
+	if ctx.Err() != nil {
+		slog.Info("daemon: asked to stop before it listened", "vm", d.self.String())
+		return nil
+	}
 	background, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	var decisionLog sync.WaitGroup
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -6,14 +6,14 @@
 	"io"
 	"log/slog"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
+	"sync"
 
 	"github.com/spf13/cobra"
 
 	"kumquatcleat/internal/logging"
 	"kumquatcleat/internal/settings"
+	"kumquatcleat/internal/termination"
 )
 
 // Exit codes of the daemon.
@@ -30,8 +30,9 @@
 
 // Main runs the daemon's command line and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
+	ctx, repeated := termination.Notify()
 	code := exitOK
-	command := newCommand(stdout, stderr, &code)
+	command := newCommand(stdout, func(s *settings.Settings) { code = run(ctx, repeated, s, stdout, stderr) })
 	command.SetArgs(args)
 	command.SetOut(stdout)
 	command.SetErr(stderr)
@@ -42,7 +43,7 @@
 	return code
 }
 
-func newCommand(stdout, stderr io.Writer, code *int) *cobra.Command {
+func newCommand(stdout io.Writer, run func(*settings.Settings)) *cobra.Command {
 	var file string
 	var check bool
 	command := &cobra.Command{
@@ -61,7 +62,7 @@
 				_, _ = fmt.Fprintln(stdout, "settings are valid")
 				return nil
 			}
-			*code = run(s, stdout, stderr)
+			run(s)
 			return nil
 		},
 	}
@@ -77,9 +78,9 @@
 	return settings.Load(file)
 }
 
-// run serves until SIGTERM or SIGINT, then shuts down without cutting off requests. A
-// second signal exits immediately.
-func run(s *settings.Settings, stdout, stderr io.Writer) int {
+// run serves until told ends, then shuts down without cutting off requests. A repeated
+// signal during the shutdown exits immediately.
+func run(told context.Context, repeated <-chan os.Signal, s *settings.Settings, stdout, stderr io.Writer) int {
 	var level slog.Level
 	_ = level.UnmarshalText([]byte(s.LogLevel)) // validated with the settings
 	// With a small heap, the default GC percentage collects too often. The memory
@@ -101,14 +102,12 @@
 		_, _ = fmt.Fprintln(stderr, "kumquatcleatd:", err)
 		return exitFailed
 	}
-	running, stop := context.WithCancel(ctx)
-	defer stop()
-	go stopOnSignals(stop, func(name string) {
-		slog.Error("daemon: terminated immediately by a second signal", "signal", name, "requests_cut", d.InFlight())
+	err = interruptible(func() error { return d.Run(told) }, repeated, func(sig os.Signal) {
+		slog.Error("daemon: terminated immediately by a second signal", "signal", sig.String(), "requests_cut", d.InFlight())
 		flush()
 		os.Exit(exitFailed)
 	})
-	if err := d.Run(running); err != nil {
+	if err != nil {
 		slog.Error("daemon: stopped with an error", "error", err.Error())
 		flush()
 		_, _ = fmt.Fprintln(stderr, "kumquatcleatd:", err)
@@ -117,10 +116,22 @@
 	return exitOK
 }
 
-func stopOnSignals(first func(), second func(name string)) {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	<-signals
-	first()
-	second((<-signals).String())
+// interruptible calls serve, and interrupt with a signal that arrives before serve returns.
+// A later one must not change the exit code of a stop that is complete.
+func interruptible(serve func() error, repeated <-chan os.Signal, interrupt func(os.Signal)) error {
+	var mu sync.Mutex // guards returned
+	returned := false
+	go func() {
+		sig := <-repeated
+		mu.Lock()
+		defer mu.Unlock()
+		if !returned {
+			interrupt(sig)
+		}
+	}()
+	err := serve()
+	mu.Lock()
+	defer mu.Unlock()
+	returned = true
+	return err
 }
--- /dev/null
+++ b/internal/daemon/main_test.go
@@ -0,0 +1,93 @@
+package daemon
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// startupProcess starts kumquatcleatd and returns it while it waits for the text of its settings,
+// and a function that writes them.
+func startupProcess(t *testing.T, graceMS int) (command *exec.Cmd, proceed func()) {
+	t.Helper()
+	folder := t.TempDir()
+	binary, file := filepath.Join(folder, "kumquatcleatd"), filepath.Join(folder, "settings")
+	if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/kumquatcleatd").CombinedOutput(); err != nil {
+		t.Fatalf("build kumquatcleatd: %v\n%s", err, out)
+	}
+	if err := syscall.Mkfifo(file, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	command = exec.Command(binary, "--settings", file)
+	if err := command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = command.Process.Kill() })
+	// Opening for writing returns once the process reads its settings.
+	pipe, err := os.OpenFile(file, os.O_WRONLY, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return command, func() {
+		_, err := fmt.Fprintf(pipe, `{"id":"vm-1","failure_domain":"a","listen":%q,"peer_listen":%q,"platform":%q,"shutdown_grace_ms":%d}`,
+			freeAddress(t), freeAddress(t), freeAddress(t), graceMS)
+		if err := errors.Join(err, pipe.Close()); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// Guards against a stop that is forgotten because it was asked for while the process still read its
+// settings: it would serve on until it is killed, with requests at work.
+func TestSIGTERMDuringStartupStopsDaemon(t *testing.T) {
+	const graceMS = 4000
+	command, proceed := startupProcess(t, graceMS)
+	told := time.Now()
+	if err := command.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(200 * time.Millisecond)
+	proceed()
+	exited := make(chan error, 1)
+	go func() { exited <- command.Wait() }()
+	select {
+	case err := <-exited:
+		if err != nil {
+			t.Errorf("process exited with %v, want exit code 0", err)
+		}
+	case <-time.After(time.Until(told.Add(graceMS * time.Millisecond))):
+		t.Error("the process still runs at the end of its grace")
+		_ = command.Process.Kill()
+		<-exited
+	}
+}
+
+// Guards against a repeated signal that changes the exit code of a stop that is complete.
+func TestSignalAfterShutdownDoesNotInterruptExit(t *testing.T) {
+	repeated, interrupted := make(chan os.Signal), make(chan os.Signal, 1)
+	interrupt := func(s os.Signal) { interrupted <- s }
+	if err := interruptible(func() error { return nil }, repeated, interrupt); err != nil {
+		t.Fatal(err)
+	}
+	repeated <- syscall.SIGTERM
+	select {
+	case s := <-interrupted:
+		t.Errorf("%v after the shutdown interrupted the process", s)
+	case <-time.After(100 * time.Millisecond):
+	}
+	during := func() error {
+		repeated <- syscall.SIGINT
+		if s := <-interrupted; s != syscall.SIGINT {
+			t.Errorf("got %v, want %v", s, syscall.SIGINT)
+		}
+		return nil
+	}
+	if err := interruptible(during, repeated, interrupt); err != nil {
+		t.Fatal(err)
+	}
+}
