--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"kumquatcleat/internal/rows"
 	"kumquatcleat/internal/serverconn"
 	"kumquatcleat/internal/telemetry"
+	"kumquatcleat/internal/termination"
 	"kumquatcleat/internal/wait"
 )
 
@@ -110,8 +111,13 @@
 	return g
 }
 
-// Run serves until ctx ends, then stops within the configured grace period.
+// Run serves until ctx ends, then stops within the configured grace period. If ctx has
+// ended already, it does not listen.
 func (g *Gateway) Run(ctx context.Context) error {
+	if ctx.Err() != nil {
+		slog.Info("gateway: asked to stop before it listened", "vm", g.settings.VM)
+		return nil
+	}
 	tasksCtx, stopTasks := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	defer running.Wait()
@@ -142,7 +148,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	g.stop()
+	g.stop(termination.Received(ctx))
 	return nil
 }
 
