Ignore changes that a view includes already, also of deleted rows

Cause: an answer of the store's feed with a heartbeat of the server was held up; the VM learnt from another VM that the registration was gone; then the answer arrived. A view compares versions of rows that it has, and kept none of those that were deleted, so the older row passed for news and was there for good. It also went to the VMs that follow this one, out of order. All tables that VMs follow had this.

A view includes all changes up to its version, and a page begins at a version that the view had. So a row of a page that is not above the view's version is known, whether it is there or was deleted since, and is ignored. Nothing is remembered of deleted rows. Versions hold the era: rows that a restored store has again are above all that was seen. A list that is not older than the view is taken as before. Messages are the same.

go test -race ./internal/gateway ends in a failed check of the race detector itself (tsan_rtl.cpp), in 2 of 2 runs of the code before as well; without -race it passes.

--- a/internal/rows/view.go
+++ b/internal/rows/view.go
@@ -8,8 +8,9 @@
 	"time"
 )
 
-// View is a local copy of one table. A row is never replaced by an older version,
-// whatever a source returns. Safe for concurrent use.
+// View is a local copy of one table. It includes all changes up to its version: a change up
+// to there that arrives later, in whatever order, adds nothing. That makes up for the versions
+// of deleted rows, which a view does not keep. Safe for concurrent use.
 type View struct {
 	table  string
 	window int // maximum number of changes kept for peers
@@ -67,10 +68,14 @@
 	return Row{Key: key}
 }
 
-// Apply merges changed rows into the view; the newest version of a row wins.
+// Apply merges changed rows into the view: all changes from a version that the view had up to
+// the page's. The newest version of a row wins.
 func (v *View) Apply(page Page) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if v.synced {
+		page.Rows = slices.DeleteFunc(slices.Clone(page.Rows), func(row Row) bool { return row.Version <= v.version })
+	}
 	v.apply(page)
 }
 
