Views pass on whole what they can't tell as changes

A VM that follows another one could keep rows that are gone, or lack rows, until the row changes again: of a server, requests would go to it after its end. Found by the random order of TestViewEndsWithRowsOfStoreInAnyOrder, not seen in a run of the product.

Cause: the changes that a view keeps for others pass for all changes after a version, and were only those that it saw. Four ways: - a view that lists the table again (history gone, store restored) does not see what came and went in between, which a VM that is ahead, or gets ahead before the answer arrives, has from another source; - the deletion of a row that the view never had was not kept; - rows that changed while a list was read were in the view, above its version, and not kept when the next page had them again; - such rows stood out of order, so that a cut for changes that are too young left out others.

After a list, others get the whole table; a mark says whether missing rows may reappear, as the deletions did before. Restored stores change every row anyway, and other lists are rare. It waits for the list to age as changes do. Rows above a page's version are left out: they follow. All deletions in a page are kept. Messages are the same; VMs of the build before read them, and go on sending what they sent.

--- a/internal/rows/view.go
+++ b/internal/rows/view.go
@@ -21,8 +21,12 @@
 	floor   uint64   // log holds the changes after this version
 	log     []change // ascending by version
 	synced  bool     // the table was read at least once
-	onApply []func(changed []Row)
-	notify  func()
+	// listedAt is when the last list arrived. unsettled is the version of the last one that lacks
+	// rows that may reappear.
+	listedAt  time.Time
+	unsettled uint64
+	onApply   []func(changed []Row)
+	notify    func()
 }
 
 // change is a changed row with the time at which this VM received it.
@@ -73,10 +77,11 @@
 func (v *View) Apply(page Page) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	fresh := v.upTo(page, func(row Row) bool { return !v.synced || row.Version > v.version })
 	if v.synced {
-		page.Rows = slices.DeleteFunc(slices.Clone(page.Rows), func(row Row) bool { return row.Version <= v.version })
+		v.appendLog(fresh) // also deletions of rows that are not known here: a peer may know them
 	}
-	v.apply(page)
+	v.merge(fresh, page.Version)
 }
 
 // Replace merges a list of the whole table into the view. Rows missing from the list are
@@ -88,41 +93,59 @@
 	if v.synced && page.Version < v.version {
 		return
 	}
+	fresh := v.upTo(page, func(row Row) bool { return row.Version > v.rows[row.Key].Version })
 	listed := make(map[string]bool, len(page.Rows))
 	for _, row := range page.Rows {
 		listed[row.Key] = true
 	}
-	for key, row := range v.rows {
-		if !listed[key] && row.Version <= page.Version {
-			page.Rows = append(page.Rows, Row{Key: key, Version: page.Version, Deleted: true, Unsettled: page.Unsettled})
+	for key := range v.rows {
+		if !listed[key] {
+			fresh = append(fresh, Row{Key: key, Version: page.Version, Deleted: true, Unsettled: page.Unsettled})
 		}
 	}
-	v.apply(page)
+	if page.Version > v.version {
+		// A peer may have rows that came and went unseen here: it needs the list too.
+		v.floor, v.log, v.listedAt = page.Version, nil, time.Now()
+	}
+	if page.Unsettled {
+		v.unsettled = page.Version
+	}
+	v.merge(fresh, page.Version)
 }
 
-func (v *View) apply(page Page) {
-	var changed []Row
+// upTo returns the rows of a page, in the order of versions, that meet a condition. It leaves
+// out those that changed after the version of the page, as while a list was read: they follow.
+func (v *View) upTo(page Page, meets func(Row) bool) []Row {
+	fresh := make([]Row, 0, len(page.Rows))
 	for _, row := range page.Rows {
-		known, ok := v.rows[row.Key]
-		if (ok && row.Version <= known.Version && !row.Deleted) || (ok && row.Version < known.Version) || (!ok && row.Deleted) {
-			continue
+		if row.Version <= page.Version && meets(row) {
+			fresh = append(fresh, row)
 		}
-		if row.Deleted {
-			delete(v.rows, row.Key)
-		} else {
+	}
+	slices.SortStableFunc(fresh, func(a, b Row) int { return cmp.Compare(a.Version, b.Version) })
+	return fresh
+}
+
+// merge stores changed rows, with which the view includes all changes up to a version.
+func (v *View) merge(fresh []Row, version uint64) {
+	var changed []Row
+	for _, row := range fresh {
+		_, known := v.rows[row.Key]
+		switch {
+		case !row.Deleted:
 			v.rows[row.Key] = row
+		case known:
+			delete(v.rows, row.Key)
+		default:
+			continue
 		}
 		changed = append(changed, row)
 	}
-	if v.synced {
-		// A list is ordered by key. Peers continue from a version.
-		slices.SortStableFunc(changed, func(a, b Row) int { return cmp.Compare(a.Version, b.Version) })
-		v.appendLog(changed)
-	} else {
-		v.floor = page.Version
-	}
 	first := !v.synced
-	v.version, v.synced = max(v.version, page.Version), true
+	if first {
+		v.floor = version
+	}
+	v.version, v.synced = max(v.version, version), true
 	if len(changed) == 0 && !first {
 		return
 	}
@@ -145,22 +168,25 @@
 }
 
 // Since returns the changes after a version that this VM received at least minAge ago,
-// or the whole table if these changes are no longer kept.
+// or the whole table if these changes are not known or no longer kept.
 func (v *View) Since(after uint64, minAge time.Duration) (page Page, whole bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if !v.synced {
 		return Page{}, false
 	}
+	newest := time.Now().Add(-minAge)
+	if after < v.floor && after > 0 && v.listedAt.After(newest) {
+		return Page{Version: after}, false // the peer requests the list again
+	}
 	if after < v.floor || after == 0 {
-		page.Version = v.version
+		page.Version, page.Unsettled = v.version, after < v.unsettled
 		for _, row := range v.rows {
 			page.Rows = append(page.Rows, row)
 		}
 		return page, true
 	}
 	page.Version = max(v.version, after)
-	newest := time.Now().Add(-minAge)
 	for _, c := range v.log {
 		if c.row.Version <= after {
 			continue
--- a/internal/rows/view_order_test.go
+++ b/internal/rows/view_order_test.go
@@ -13,17 +13,24 @@
 	"github.com/rcrowley/go-metrics"
 )
 
-// modelStore is a store in memory.
+// modelStore is a store in memory that may be restored from an older copy.
 type modelStore struct {
 	era, number uint64
 	rows        map[string]Row
 	changes     []Row // of this era, ascending by version
+	copies      []modelCopy
+}
+
+type modelCopy struct {
+	number uint64
+	rows   map[string]Row
 }
 
 func (s *modelStore) write(key string, deleted bool) {
 	if _, ok := s.rows[key]; deleted && !ok {
 		return
 	}
+	s.copies = append(s.copies, modelCopy{s.number, maps.Clone(s.rows)})
 	s.number++
 	r := Row{Key: key, Version: VersionIn(s.era, s.number), Deleted: deleted}
 	if deleted {
@@ -34,6 +41,15 @@
 	s.changes = append(s.changes, r)
 }
 
+func (s *modelStore) restore(c modelCopy) {
+	s.era++
+	s.number, s.rows, s.changes, s.copies = c.number, map[string]Row{}, nil, nil
+	for key, r := range c.rows {
+		r.Version = VersionIn(s.era, Number(r.Version))
+		s.rows[key] = r
+	}
+}
+
 // watch returns the changes after a version, or false if that is of another era.
 func (s *modelStore) watch(after uint64) (Page, bool) {
 	page := Page{Version: VersionIn(s.era, s.number)}
@@ -57,8 +73,10 @@
 
 // troubles are what a store does beside what it usually does.
 type troubles struct {
-	lists bool // views that were read before list the table again
-	parts bool // lists come in two parts, between which the store may change
+	lists    bool // views that were read before list the table again
+	parts    bool // lists come in two parts, between which the store may change
+	compacts bool // pages lack changes that later ones replace
+	restores bool // the store is restored from older copies
 }
 
 // orderTest is a store with views that read it and follow each other.
@@ -93,6 +111,11 @@
 // read asks the store as a Follower does.
 func (o *orderTest) read(v *View) {
 	page, ok := o.store.watch(v.Version())
+	if o.compacts {
+		page.Rows = slices.DeleteFunc(slices.Clone(page.Rows), func(r Row) bool {
+			return slices.ContainsFunc(page.Rows, func(other Row) bool { return other.Key == r.Key && other.Version > r.Version })
+		})
+	}
 	if v.Synced() && ok && (!o.lists || o.random.IntN(8) > 0) {
 		o.pending = append(o.pending, func() { v.Apply(page) })
 		return
@@ -142,6 +165,9 @@
 		o.store.write(key, false)
 	case n < 30:
 		o.store.write(key, true)
+	case n < 31 && o.restores && len(o.store.copies) > 0:
+		recent := o.store.copies[max(0, len(o.store.copies)-8):]
+		o.store.restore(recent[o.random.IntN(len(recent))])
 	case n < 45:
 		o.read(v)
 	case n < 65:
@@ -196,9 +222,12 @@
 // and other views' changes arrive, a view ends with the rows of the store.
 func TestViewEndsWithRowsOfStoreInAnyOrder(t *testing.T) {
 	for name, tr := range map[string]troubles{
-		"calm":  {},
-		"lists": {lists: true},
-		"parts": {lists: true, parts: true},
+		"calm":     {},
+		"compacts": {compacts: true},
+		"lists":    {lists: true},
+		"parts":    {lists: true, parts: true},
+		"restores": {restores: true},
+		"all":      {lists: true, parts: true, compacts: true, restores: true},
 	} {
 		for seed := range uint64(500) {
 			t.Run(fmt.Sprintf("%s/seed_%d", name, seed), func(t *testing.T) {
@@ -284,3 +313,91 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against views that follow another one and miss what that one did not see, or saw
+// out of order: both have to end with the same rows.
+func TestFollowingViewMissesNoChange(t *testing.T) {
+	deleted := func(key string, version uint64) Row { return Row{Key: key, Version: version, Deleted: true} }
+	for name, test := range map[string]struct {
+		source   func(v *View)
+		follower func(v *View)
+		late     bool // the follower gets on while the source's answer is on its way
+		unread   bool // the source has not read the table before
+	}{
+		"page without the row that it deletes": {
+			source:   func(v *View) { v.Apply(Page{Version: 20, Rows: []Row{deleted("b", 15)}}) },
+			follower: func(v *View) { v.Apply(Page{Version: 12, Rows: []Row{row("b", 12)}}) },
+		},
+		"list after a row came and went": {
+			source:   func(v *View) { v.Replace(Page{Version: 20, Rows: []Row{row("a", 9), row("c", 18)}}) },
+			follower: func(v *View) { v.Apply(Page{Version: 12, Rows: []Row{row("b", 12)}}) },
+		},
+		"list, answered before the follower saw the row": {
+			source:   func(v *View) { v.Replace(Page{Version: 20, Rows: []Row{row("a", 9), row("c", 18)}}) },
+			follower: func(v *View) { v.Apply(Page{Version: 12, Rows: []Row{row("b", 12)}}) },
+			late:     true,
+		},
+		"list that changes while it is read": {
+			source: func(v *View) {
+				v.Replace(Page{Version: 11, Rows: []Row{row("a", 9), row("b", 13)}})
+				v.Apply(Page{Version: 13, Rows: []Row{row("c", 12), row("b", 13)}})
+				v.Apply(Page{Version: 14, Rows: []Row{row("d", 14)}})
+			},
+			follower: func(v *View) { v.Apply(Page{Version: 12, Rows: []Row{row("c", 12)}}) },
+			unread:   true,
+		},
+		"restored store": {
+			source: func(v *View) {
+				v.Replace(Page{Version: VersionIn(1, 9), Rows: []Row{row("a", VersionIn(1, 9))}, Unsettled: true})
+			},
+			follower: func(v *View) { v.Apply(Page{Version: 12, Rows: []Row{row("b", 12)}}) },
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			source, v := newTestView(100)
+			follower, w := newTestView(100)
+			first := Page{Version: 10, Rows: []Row{row("a", 9)}}
+			if !test.unread {
+				v.Replace(first)
+			}
+			w.Replace(first)
+			if test.late {
+				test.source(v)
+				answer := source.Updates(t.Context(), follower.Versions(), 0, 0)
+				test.follower(w)
+				follower.Apply(answer)
+			} else {
+				test.follower(w)
+				test.source(v)
+			}
+			follower.Apply(source.Updates(t.Context(), follower.Versions(), 0, 0))
+			want, _ := v.Since(0, 0)
+			got, _ := w.Since(0, 0)
+			if !maps.Equal(versions(got.Rows), versions(want.Rows)) {
+				t.Errorf("got versions %v at the follower, want %v", versions(got.Rows), versions(want.Rows))
+			}
+		})
+	}
+}
+
+// Guards against a list that is passed on without word that the rows missing from it may
+// reappear: a server is kept in use then.
+func TestFollowingViewLearnsThatRowsMayReappear(t *testing.T) {
+	for name, version := range map[string]uint64{"outage": 20, "restored store": VersionIn(1, 9)} {
+		t.Run(name, func(t *testing.T) {
+			source, v := newTestView(100)
+			follower, w := newTestView(100)
+			for _, view := range []*View{v, w} {
+				view.Replace(Page{Version: 10, Rows: []Row{row("a", 9), row("b", 10)}})
+			}
+			var reported []Row
+			w.OnApply(func(changed []Row) { reported = append(reported, changed...) })
+			v.Replace(Page{Version: version, Rows: []Row{row("a", version)}, Unsettled: true})
+			follower.Apply(source.Updates(t.Context(), follower.Versions(), 0, 0))
+			i := slices.IndexFunc(reported, func(r Row) bool { return r.Key == "b" })
+			if i < 0 || !reported[i].Deleted || !reported[i].Unsettled {
+				t.Errorf("got reported rows %+v, want row b deleted and unsettled", reported)
+			}
+		})
+	}
+}
