Keep timers of the fleet tests from crashing the race detector

Cause: a call between the VMs of viewFleet waited for time.After(0) unless its target was frozen. A timer of a synctest bubble that has already expired runs on the goroutine that selects on it (runtime.maybeRunChan), and all timers of a bubble share one race context without a lock. Calls of several VMs at the same simulated moment, or a call beside the root goroutine firing timers, use that context on two threads at once and corrupt it.

The stack of a crash by SIGSEGV runs through maybeRunChan in the select of fleetTransport.RoundTrip.

A call now waits only if its target is frozen, and the first of the repeated freezes, an AfterFunc of zero, which runs in the same way, is made directly. By reading, all other waits in these tests are longer than zero, so their timers fire on the root goroutine alone. Assertions, sizes, bounds and simulated times are unchanged.

--- a/internal/gateway/view_fleet_test.go
+++ b/internal/gateway/view_fleet_test.go
@@ -274,10 +274,14 @@
 	to.mu.Lock()
 	frozen, handler, process := time.Until(to.frozen), to.gateway.viewSync.mux(), to.ctx
 	to.mu.Unlock()
-	select {
-	case <-time.After(max(frozen, 0)):
-	case <-r.Context().Done():
-		return nil, r.Context().Err()
+	// A timer that has already expired runs on the goroutine that waits for it, in the race
+	// context that all timers of a synctest bubble share. Two at a time crash the race detector.
+	if frozen > 0 {
+		select {
+		case <-time.After(frozen):
+		case <-r.Context().Done():
+			return nil, r.Context().Err()
+		}
 	}
 	if process.Err() != nil {
 		return nil, errNoVM
@@ -388,10 +392,12 @@
 		},
 		"the first reader answers late, the second is cut off from the store": func(f *viewFleet) func(*fleetVM) bool {
 			readers := f.readers("b")
-			for i := range 40 {
-				time.AfterFunc(time.Duration(i)*850*time.Millisecond, func() {
-					readers[0].set(func(v *fleetVM) { v.frozen = time.Now().Add(840 * time.Millisecond) })
-				})
+			freeze := func() {
+				readers[0].set(func(v *fleetVM) { v.frozen = time.Now().Add(840 * time.Millisecond) })
+			}
+			freeze()
+			for i := 1; i < 40; i++ {
+				time.AfterFunc(time.Duration(i)*850*time.Millisecond, freeze)
 			}
 			readers[1].set(func(v *fleetVM) { v.path = storeSilent })
 			return func(v *fleetVM) bool { return v != readers[0] }
