A closing connection stays open while its caller still sends

What callers saw: behind a forwarder of TCP connections, callers that pipeline and read slowly were still reset in a planned stop, and lost answers to requests that a server ran. The users' platform forwards connections to VMs.

Cause: a forwarder acknowledges what it still holds for its caller, so the VM closed 1 s after that, and the caller's next request made the kernel reset the forwarder's connection, which can only be passed on. An acknowledgement says what the other host has received, not what the caller has read; that the caller goes on sending says that it has not read yet that the connection closes.

linger.Close now closes once everything is acknowledged and nothing has arrived for 1 s, 5 s after the last acknowledgement at the latest. Callers that close when they read it cost no time.

--- a/internal/linger/linger.go
+++ b/internal/linger/linger.go
@@ -17,11 +17,11 @@
 )
 
 const (
-	// closeTimeout is how long the other side, once it has acknowledged everything, may take to
-	// close its side. Bytes in flight would still reset the connection, and some systems
-	// then drop what their application has not read.
-	closeTimeout = time.Second
-	// stallTimeout ends the wait for a peer that acknowledges nothing.
+	// quietTimeout ends the wait for a peer that has acknowledged everything and sends nothing.
+	// One that goes on sending has not read yet that the connection closes: a forwarder
+	// acknowledges what it still holds for the application, and passes a reset on.
+	quietTimeout = time.Second
+	// stallTimeout ends the wait for a peer that acknowledges nothing more.
 	stallTimeout = 5 * time.Second
 	// maxDiscardedBytes bounds how much is read. Beyond it, flow control holds the peer back.
 	maxDiscardedBytes = 1 << 20
@@ -34,12 +34,12 @@
 	ErrStalled    = fmt.Errorf("the peer acknowledged nothing for %v", stallTimeout)
 	ErrPeerClosed = errors.New("the peer closed the connection")
 	// ErrPeerLingers says that the peer has acknowledged everything and not closed its side.
-	ErrPeerLingers = fmt.Errorf("the peer did not close the connection within %v", closeTimeout)
+	ErrPeerLingers = errors.New("the peer did not close the connection")
 )
 
 // Close closes the sending side of a connection, then reads and discards until the peer closes
-// its side, or has acknowledged everything and had closeTimeout to do so. It returns the number of
-// bytes that the peer has not acknowledged, and why the connection ended.
+// its side, or has acknowledged everything and sends nothing more. It returns the number of bytes
+// that the peer has not acknowledged, and why the connection ended.
 func Close(conn *net.TCPConn) (unacknowledged int, reason error) {
 	defer func() { _ = conn.Close() }()
 	if err := conn.CloseWrite(); err != nil {
@@ -56,12 +56,15 @@
 		case done:
 			return 0, ErrPeerLingers
 		case discarded == maxDiscardedBytes:
+			w.received(next)
 			time.Sleep(next.Sub(now))
 			continue
 		}
 		_ = conn.SetReadDeadline(next)
 		n, err := io.Copy(io.Discard, io.LimitReader(conn, maxDiscardedBytes-discarded))
-		discarded += n
+		if discarded += n; n > 0 {
+			w.received(time.Now())
+		}
 		switch {
 		case err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
 			return w.unacknowledged, err
@@ -76,6 +79,7 @@
 type wait struct {
 	unacknowledged int       // bytes
 	progressAt     time.Time // when the peer acknowledged something last
+	receivedAt     time.Time // when it sent something last
 }
 
 func (w *wait) observe(now time.Time, unacknowledged int) {
@@ -84,16 +88,30 @@
 	}
 }
 
+func (w *wait) received(now time.Time) { w.receivedAt = now }
+
 // next returns when to look again, or that the wait is over.
 func (w *wait) next(now time.Time) (at time.Time, done bool) {
-	end, at := w.progressAt.Add(closeTimeout), now.Add(closeTimeout)
+	end := w.progressAt.Add(stallTimeout)
 	if w.unacknowledged > 0 {
-		end, at = w.progressAt.Add(stallTimeout), now.Add(pollInterval)
+		return earlier(end, now.Add(pollInterval)), !now.Before(end)
 	}
-	if end.Before(at) {
-		at = end
+	end = earlier(end, later(w.progressAt, w.receivedAt).Add(quietTimeout))
+	return end, !now.Before(end)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	return at, !now.Before(end)
+	return b
 }
 
 // Unacknowledged returns how many bytes that were written to the connection its peer has not
--- a/internal/linger/linger_test.go
+++ b/internal/linger/linger_test.go
@@ -76,7 +76,7 @@
 					}
 				}
 			}()
-			time.Sleep(2 * closeTimeout)
+			time.Sleep(2 * quietTimeout)
 			got, err := io.ReadAll(client)
 			close(stop)
 			if err != nil || !bytes.Equal(got, answers) {
@@ -115,25 +115,50 @@
 	}
 }
 
-// A peer that acknowledges something now and then is waited for, one that has stalled is not.
+// Guards against a reset of a peer that has acknowledged everything for an application that has not
+// read it yet: the application goes on sending.
+func TestCloseWaitsForPeerThatStillSends(t *testing.T) {
+	client, server := connect(t)
+	if _, err := server.Write([]byte("answer")); err != nil {
+		t.Fatal(err)
+	}
+	results := closeInBackground(server)
+	if got, err := io.ReadAll(client); err != nil || string(got) != "answer" {
+		t.Fatalf("got %q and error %v, want the answer", got, err)
+	}
+	for end := time.Now().Add(3 * quietTimeout); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		if _, err := io.WriteString(client, "request"); err != nil {
+			t.Fatalf("send further request: %v", err)
+		}
+	}
+	_ = client.Close()
+	if r := <-results; r.unacknowledged != 0 || !errors.Is(r.reason, ErrPeerClosed) {
+		t.Errorf("got %d bytes that are not acknowledged, reason %v; want none, %v", r.unacknowledged, r.reason, ErrPeerClosed)
+	}
+}
+
+// A peer that acknowledges or sends something now and then is waited for, but not for ever.
 func TestWaitEnds(t *testing.T) {
 	start := time.Unix(0, 0)
-	at := func(d time.Duration) time.Time { return start.Add(d) }
 	for name, c := range map[string]struct {
 		progress map[time.Duration]int // unacknowledged bytes, from a time on
+		sends    time.Duration         // the peer sends each 0.1 s until then
 		end      time.Duration
 	}{
-		"acknowledged at once":     {nil, closeTimeout},
-		"stalled":                  {map[time.Duration]int{0: 500}, stallTimeout},
-		"slow":                     {map[time.Duration]int{0: 500, 4 * time.Second: 400, 8 * time.Second: 300}, 8*time.Second + stallTimeout},
-		"acknowledged in the end":  {map[time.Duration]int{0: 500, 4 * time.Second: 400, 8 * time.Second: 0}, 8*time.Second + closeTimeout},
-		"acknowledged, then quiet": {map[time.Duration]int{0: 1, time.Second: 0}, time.Second + closeTimeout},
+		"acknowledged at once":      {nil, 0, quietTimeout},
+		"stalled":                   {map[time.Duration]int{0: 500}, 0, stallTimeout},
+		"stalled, sends on":         {map[time.Duration]int{0: 500}, time.Hour, stallTimeout},
+		"slow":                      {map[time.Duration]int{0: 500, 4 * time.Second: 400, 8 * time.Second: 300}, 0, 8*time.Second + stallTimeout},
+		"acknowledged in the end":   {map[time.Duration]int{0: 500, 4 * time.Second: 400, 8 * time.Second: 0}, 0, 8*time.Second + quietTimeout},
+		"acknowledged, then quiet":  {map[time.Duration]int{0: 1, time.Second: 0}, 0, time.Second + quietTimeout},
+		"acknowledged, sends on":    {nil, 3 * time.Second, 3*time.Second + quietTimeout},
+		"acknowledged, never quiet": {map[time.Duration]int{0: 1, time.Second: 0}, time.Hour, time.Second + stallTimeout},
 	} {
 		t.Run(name, func(t *testing.T) {
 			w := wait{unacknowledged: c.progress[0], progressAt: start}
-			for now := start; ; {
+			for now := start; ; now = now.Add(pollInterval) {
 				for since, unacknowledged := range c.progress {
-					if !now.Before(at(since)) {
+					if now.Sub(start) >= since {
 						w.observe(now, unacknowledged)
 					}
 				}
@@ -147,7 +172,9 @@
 				if !next.After(now) {
 					t.Fatalf("next look at %v is not after %v", next.Sub(start), now.Sub(start))
 				}
-				now = next
+				if now.Sub(start) <= c.sends {
+					w.received(now)
+				}
 			}
 		})
 	}
