No second attempt under a request that has ended a server

Callers see nothing of it; operators saw a request that crashes silent servers reach up to 8 servers later than 3 s after the third one. A request that is overdue is sent to a second server while the first one may answer yet. A server that ends silently makes each such request overdue, so each send ended two servers, also when one was known to be lost under the same request: MayRepeat was asked with the servers that broke a connection, and a silent one breaks none.

Now the overdue server counts as possibly lost: with one server known to be lost under the request, there is no second attempt.

TestSuspectedRequestIsNotHedged on the old code: 2 servers ended, want 1.

--- a/internal/dispatch/crashing_request_test.go
+++ b/internal/dispatch/crashing_request_test.go
@@ -502,6 +502,27 @@
 	}
 }
 
+// Guards against a second attempt, while the first one is overdue, that crashes another server
+// although one is known to have ended under the same request.
+func TestSuspectedRequestIsNotHedged(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newCrashFleet(crashScenario{vms: 1, path: "/p/crash", silent: true}, 12)
+			time.Sleep(crashLead)
+			want := 2
+			if lost {
+				f.vms[0].Suspicions.Quarantine().ServerLost("plain", fingerprints(&Request{Method: "GET", Host: "h", Target: "/p/crash"}), "elsewhere")
+				want = 1
+			}
+			f.request(t.Context(), "/p/crash")
+			f.finish(&sync.WaitGroup{})
+			if len(f.crashes) != want {
+				t.Errorf("a server was lost elsewhere %v: got %d servers ended, want %d", lost, len(f.crashes), want)
+			}
+		})
+	}
+}
+
 // Guards against refusing a harmless page because it was at work on servers that ended for other
 // reasons, all at once or one after the other.
 func TestHarmlessPageIsServedWhileServersEnd(t *testing.T) {
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"time"
 
@@ -45,7 +46,7 @@
 		select {
 		case <-overdue:
 			overdue = nil
-			if target, ok := r.chooseHedge(); ok {
+			if target, ok := r.chooseHedge(choice.Server); ok {
 				running++
 				r.startAttempt(ctx, target, results)
 			}
@@ -69,15 +70,16 @@
 )
 
 // chooseHedge returns the server for a second attempt, if one is allowed and
-// expected to answer before the deadline.
-func (r *requestState) chooseHedge() (balance.Choice, bool) {
+// expected to answer before the deadline. The server of the first attempt may have ended under it.
+func (r *requestState) chooseHedge(first *registry.Server) (balance.Choice, bool) {
 	r.sends++ // count the first attempt, which is in flight
 	defer func() { r.sends-- }()
 	choice, ok := r.untried()
 	if !ok || choice.Full || choice.Expected >= time.Until(r.deadline) {
 		return choice, false
 	}
-	return choice, r.mayRetry()
+	suspected := append(slices.Clone(r.broken), first.ID)
+	return choice, r.core.Suspicions.MayRepeat(r.service.Name, r.fingerprints, suspected) && r.mayRetry()
 }
 
 // errAnswered ends the attempt that is still running when another one was answered.
