VMs tell the coordinator of unanswered requests before their servers' end shows

Until then only the VM that sent the request knows that it was not answered. The coordinator's own observations end with it, and so do single losses that only it counts.

Now load reports hold the requests that a VM got no answer to, once each, and the coordinator tells each one to the next VM that reports. Whoever sees the registration go counts the server; a number of the attempt and the server's ID keep one loss from counting twice.

TestLostServersAreKnownAfterTheirVMEnds on the old code: the coordinator knows of 0 lost servers, 2 ended, for a VM and for the coordinator. TestUnansweredRequestIsKnownWhenItsVMEnds runs it over HTTP.

--- a/internal/dispatch/crashing_request_test.go
+++ b/internal/dispatch/crashing_request_test.go
@@ -149,6 +149,7 @@
 	f.mu.Lock()
 	f.running[core] = f.processes
 	f.mu.Unlock()
+	unanswered := NewUnansweredReports(core.Suspicions)
 	exchangeFrom := f.crashFrom.Add(f.scenario.exchangeFrom - f.scenario.runsWellFor - crashLead)
 	for {
 		time.Sleep(exchangeInterval)
@@ -164,6 +165,9 @@
 		case time.Now().Before(exchangeFrom):
 			exchange.Failed()
 		default:
+			lost, number := unanswered.Next()
+			core.Suspicions.Learn(coordinator.Suspicions.Exchange(lost))
+			unanswered.Delivered(process, number)
 			report, change := exchange.Report()
 			exchange.Delivered(change, retry.Answer(coordinator.Suspicions.Quarantine(), process, report))
 		}
@@ -351,6 +355,10 @@
 	f.mu.Lock()
 	vm := f.vms[rand.IntN(len(f.vms))]
 	f.mu.Unlock()
+	return serveCrashRequest(ctx, vm, target)
+}
+
+func serveCrashRequest(ctx context.Context, vm *Core, target string) *Answer {
 	path, _, _ := strings.Cut(target, "?")
 	return vm.Serve(ctx, &Request{ID: "id", Method: "GET", Target: target, Path: path, Host: "h", Key: 7, HasKey: true, Arrived: time.Now(), Timeout: 800 * time.Millisecond})
 }
@@ -523,6 +531,28 @@
 	}
 }
 
+// Guards against forgetting the servers that ended under a request because the VM that sent it, or
+// the coordinator (VM 0), ends before their registrations show it.
+func TestLostServersAreKnownAfterTheirVMEnds(t *testing.T) {
+	for sender := range 2 {
+		t.Run(fmt.Sprint("VM ", sender), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newCrashFleet(crashScenario{vms: 3, path: "/p/crash", silent: true}, 12)
+				time.Sleep(crashLead)
+				serveCrashRequest(t.Context(), f.vms[sender], "/p/crash")
+				time.Sleep(2 * exchangeInterval)
+				f.addVM(sender, 3)
+				time.Sleep(silentRemoval + 2*exchangeInterval)
+				suspect := fingerprints(&Request{Method: "GET", Host: "h", Target: "/p/crash"})
+				if known := f.vms[0].Suspicions.Quarantine().LostElsewhere("plain", suspect, nil); known != len(f.crashes) || known == 0 {
+					t.Errorf("the coordinator knows of %d lost servers, %d ended", known, len(f.crashes))
+				}
+				f.finish(&sync.WaitGroup{})
+			})
+		})
+	}
+}
+
 // Guards against refusing a harmless page because it was at work on servers that ended for other
 // reasons, all at once or one after the other.
 func TestHarmlessPageIsServedWhileServersEnd(t *testing.T) {
--- a/internal/dispatch/suspicions.go
+++ b/internal/dispatch/suspicions.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -30,7 +31,9 @@
 	mu   sync.Mutex // guards the fields below
 	lost map[registry.Instance]*lostRequests
 	// ended holds when the registrations showed the end of servers, for requests that end later.
-	ended map[registry.Instance]time.Time
+	ended      map[registry.Instance]time.Time
+	lastNumber uint64 // of the lost requests, in the order in which this VM learned of them
+	told       uint64 // number of the last lost request that Exchange has returned
 }
 
 // lostRequests are the requests that one incarnation of a server did not answer.
@@ -44,6 +47,8 @@
 
 // lostRequest is a request without an answer.
 type lostRequest struct {
+	attempt uint64 // random number by which VMs know the attempt
+	number  uint64
 	service string
 	request retry.Fingerprints
 	began   time.Time // the attempt
@@ -93,8 +98,8 @@
 func (s *Suspicions) ConnectionLost(service string, request retry.Fingerprints, server *registry.Server, began time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := s.record(lostRequest{service, request, began, s.now()}, server)
-	if s.probe != nil && s.now().Sub(l.probed) >= probePause {
+	l := s.recordOwn(service, request, server, began)
+	if l != nil && s.probe != nil && s.now().Sub(l.probed) >= probePause {
 		l.probed = s.now()
 		go s.runProbe(server)
 	}
@@ -105,27 +110,38 @@
 func (s *Suspicions) Unanswered(service string, request retry.Fingerprints, server *registry.Server, began time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.record(lostRequest{service, request, began, s.now()}, server)
+	s.recordOwn(service, request, server, began)
 }
 
-// record remembers a lost request, and blames it if the end of its server is known. The caller holds
-// the lock.
-func (s *Suspicions) record(request lostRequest, server *registry.Server) *lostRequests {
-	s.forget(request.at)
-	instance := server.Instance()
+func (s *Suspicions) recordOwn(service string, request retry.Fingerprints, server *registry.Server, began time.Time) *lostRequests {
+	return s.record(lostRequest{attempt: rand.Uint64(), service: service, request: request, began: began, at: s.now()}, server.Instance(), server.FailureDomain)
+}
+
+// record remembers a lost request, and blames it if the end of its server is known. It returns nil
+// if the server's registration has shown the end. The caller holds the lock.
+func (s *Suspicions) record(request lostRequest, instance registry.Instance, domain string) *lostRequests {
+	s.forget(s.now())
+	if ended, ok := s.ended[instance]; ok {
+		s.blame(instance, []lostRequest{request}, ended, endWindow, "its registration has shown its end")
+		return nil
+	}
 	l := s.lost[instance]
 	if l == nil {
-		l = &lostRequests{domain: server.FailureDomain}
+		l = &lostRequests{domain: domain}
 		s.lost[instance] = l
 	}
+	if slices.ContainsFunc(l.requests, func(known lostRequest) bool { return known.attempt == request.attempt }) {
+		return l
+	}
+	s.lastNumber++
+	request.number = s.lastNumber
 	if len(l.requests) >= maxLostRequests {
 		l.requests = slices.Delete(l.requests, 0, 1)
 	}
-	l.requests = append(l.requests, request)
-	if ended, ok := s.ended[instance]; ok {
-		s.blame(instance, l.requests[len(l.requests)-1:], ended, endWindow, "its registration has shown its end")
-	} else if !l.refused.IsZero() && !l.waiting {
-		s.blame(instance, l.requests[len(l.requests)-1:], l.refused, refusalWindow, reasonRefuses)
+	i, _ := slices.BinarySearchFunc(l.requests, request.at, func(known lostRequest, at time.Time) int { return known.at.Compare(at) })
+	l.requests = slices.Insert(l.requests, i, request)
+	if !l.refused.IsZero() && !l.waiting {
+		s.blame(instance, []lostRequest{request}, l.refused, refusalWindow, reasonRefuses)
 	}
 	return l
 }
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -36,12 +36,21 @@
 	f.Add([]byte(`{"requests":{"s":{"1":2,"65535":1e300,"4294967295":3,"7":-1}},"times":{"a":{"count":-1,"seconds":1e308}}}`))
 	f.Add([]byte(`{"rate_limits":[{"server":"s","incarnation":1,"rate":1e308,"age_ms":-1},{"server":"s","lifted":true,"age_ms":9e18}]}`))
 	f.Add([]byte(`{"suspects":{"suspects":[{"service":"s","fingerprint":18446744073709551615,"servers":["a","b"],"ttl_ns":9223372036854775807},{"ttl_ns":-1}],"known":{"process":"p","change":18446744073709551615}}}`))
+	f.Add([]byte(`{"unanswered":[{"attempt":1,"service":"s","request":2,"path":2,"server":{"id":"i","incarnation":-1},"began_ago_ns":9223372036854775807,"lost_ago_ns":1},{"began_ago_ns":-1,"lost_ago_ns":-9223372036854775808}]}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var report loadReport
 		if json.Unmarshal(data, &report) != nil {
 			return
 		}
-		q := retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now)
+		suspicions := newTestSuspicions()
+		q := suspicions.Quarantine()
+		suspicions.Exchange(report.Unanswered)
+		for _, u := range suspicions.Exchange(nil) {
+			if u.BeganAgo < u.LostAgo || u.LostAgo < 0 {
+				t.Fatalf("got %+v, lost before it began", u)
+			}
+			suspicions.Ended(u.Server, "its entry is gone")
+		}
 		if answer := retry.Answer(q, "p", report.Suspects); len(answer.Suspects) > 0 && len(report.Suspects.Suspects) == 0 {
 			t.Fatal("got suspects that nobody reported")
 		}
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"kumquatcleat/internal/balance"
+	"kumquatcleat/internal/dispatch"
 	"kumquatcleat/internal/keyspace"
 	"kumquatcleat/internal/overload"
 	"kumquatcleat/internal/ratelimit"
@@ -26,6 +27,8 @@
 type loadReport struct {
 	keyspace.Report
 	Suspects retry.SuspectsReport `json:"suspects,omitzero"`
+	// Unanswered are requests whose servers may have ended under them.
+	Unanswered []dispatch.Unanswered `json:"unanswered,omitempty"`
 	// Leaving are the servers that said in an answer that they leave.
 	Leaving []registry.Instance `json:"leaving,omitempty"`
 }
@@ -38,6 +41,7 @@
 	// recently.
 	RateLimits []ratelimit.Statement `json:"rate_limits,omitempty"`
 	Suspects   retry.SuspectsAnswer  `json:"suspects,omitzero"`
+	Unanswered []dispatch.Unanswered `json:"unanswered,omitempty"`
 	Leaving    []registry.Instance   `json:"leaving,omitempty"`
 }
 
@@ -61,6 +65,8 @@
 	// identifies this run of the process.
 	quarantine *retry.MemoryQuarantine
 	exchange   *retry.Exchange // used only by run
+	suspicions *dispatch.Suspicions
+	unanswered *dispatch.UnansweredReports // used only by run
 	process    string
 	sentAt     time.Time // of the last report; used only by run
 	// post keeps in the store what VMs have to know that the coordinator can't tell them.
@@ -84,8 +90,9 @@
 	coordinator string                        // peer address
 }
 
-func newLoadReporter(s *Settings, process string, q *retry.MemoryQuarantine, report func(keyspace.Report), times func(string) map[string]balance.Samples) *loadReporter {
-	return &loadReporter{post: func(retry.Post) {}, process: process, quarantine: q, exchange: retry.NewExchange(q), vm: s.VM, selfAddress: s.PeerListen, gate: overload.NewGate(), report: report, serviceTimes: times, client: newPeerClient(s.IP, peerDialTimeout), counts: map[string]map[uint32]float64{}}
+func newLoadReporter(s *Settings, process string, suspicions *dispatch.Suspicions, report func(keyspace.Report), times func(string) map[string]balance.Samples) *loadReporter {
+	q := suspicions.Quarantine()
+	return &loadReporter{post: func(retry.Post) {}, process: process, quarantine: q, exchange: retry.NewExchange(q), suspicions: suspicions, unanswered: dispatch.NewUnansweredReports(suspicions), vm: s.VM, selfAddress: s.PeerListen, gate: overload.NewGate(), report: report, serviceTimes: times, client: newPeerClient(s.IP, peerDialTimeout), counts: map[string]map[uint32]float64{}}
 }
 
 // count counts a request for a key.
@@ -134,7 +141,8 @@
 	for wait.For(ctx, reportInterval) {
 		report, coordinator := l.takeReport()
 		suspects, change := l.exchange.Report()
-		idle := len(report.Requests) == 0 && len(report.RateLimits) == 0 && len(suspects.Suspects) == 0
+		unanswered, lastUnanswered := l.unanswered.Next()
+		idle := len(report.Requests) == 0 && len(report.RateLimits) == 0 && len(suspects.Suspects) == 0 && len(unanswered) == 0
 		l.post(l.exchange.Post(l.isCoordinator()))
 		switch {
 		case coordinator == "":
@@ -145,8 +153,10 @@
 			l.follow(l.response(retry.SuspectsReport{}))
 		default:
 			l.sentAt = time.Now()
-			response, accepted := l.send(ctx, coordinator, loadReport{Report: report, Suspects: suspects, Leaving: l.registry.Leaving()})
+			response, accepted := l.send(ctx, coordinator, loadReport{Report: report, Suspects: suspects, Unanswered: unanswered, Leaving: l.registry.Leaving()})
 			if accepted {
+				l.suspicions.Learn(response.Unanswered)
+				l.unanswered.Delivered(response.Suspects.Known.Process, lastUnanswered)
 				l.exchange.Delivered(change, response.Suspects)
 			} else {
 				l.exchange.Failed()
@@ -216,7 +226,9 @@
 	}
 	l.report(report.Report)
 	l.markLeaving(report.Leaving)
-	if err := json.NewEncoder(w).Encode(l.response(report.Suspects)); err != nil {
+	response := l.response(report.Suspects)
+	response.Unanswered = l.suspicions.Exchange(report.Unanswered)
+	if err := json.NewEncoder(w).Encode(response); err != nil {
 		slog.Debug("loads: response to a report not sent", "error", err.Error())
 	}
 }
--- a/internal/gateway/loads_test.go
+++ b/internal/gateway/loads_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"kumquatcleat/internal/dispatch"
 	"kumquatcleat/internal/keyspace"
 	"kumquatcleat/internal/overload"
 	"kumquatcleat/internal/ratelimit"
@@ -15,11 +16,15 @@
 	"kumquatcleat/internal/retry"
 )
 
+func newTestSuspicions() *dispatch.Suspicions {
+	return dispatch.NewSuspicions(retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now), time.Now, nil)
+}
+
 // A VM that is no longer the coordinator refuses load reports. After two consecutive
 // reports that are not accepted, the reporting VM has to suspect the coordinator.
 func TestCoordinatorIsSuspectedAfterTwoRefusedReports(t *testing.T) {
 	accepted := 0
-	coordinator := newLoadReporter(testSettings("c", "a"), "p", retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now), func(keyspace.Report) { accepted++ }, nil)
+	coordinator := newLoadReporter(testSettings("c", "a"), "p", newTestSuspicions(), func(keyspace.Report) { accepted++ }, nil)
 	coordinator.overloads = func() map[string]overload.Signal { return map[string]overload.Signal{"s": {Admit: 0}} }
 	coordinator.registry = registry.New()
 	coordinating := true
@@ -30,7 +35,7 @@
 	defer server.Close()
 	to := strings.TrimPrefix(server.URL, "http://")
 	suspicions := 0
-	vm := newLoadReporter(testSettings("vm", "a"), "q", retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now), nil, nil)
+	vm := newLoadReporter(testSettings("vm", "a"), "q", newTestSuspicions(), nil, nil)
 	vm.rateLimits = ratelimit.New(func(string) float64 { return 0.01 }, metrics.NewRegistry())
 	vm.suspectCoordinator = func() { suspicions++ }
 	vm.registry = registry.New()
@@ -56,25 +61,27 @@
 	}
 }
 
+// newTestReporter returns the reporter of a VM; the one called "coordinator" coordinates.
+func newTestReporter(vm string) *loadReporter {
+	l := newLoadReporter(testSettings(vm, "a"), vm, newTestSuspicions(), func(keyspace.Report) {}, nil)
+	l.overloads = func() map[string]overload.Signal { return nil }
+	l.rateLimits = ratelimit.New(func(string) float64 { return 1 }, metrics.NewRegistry())
+	l.rateLimitChanges = func() []ratelimit.Statement { return nil }
+	l.isCoordinator = func() bool { return vm == "coordinator" }
+	l.suspectCoordinator = func() {}
+	l.registry = registry.New()
+	return l
+}
+
 // Guards against VMs that each count the servers which end under a request: the losses that two
 // VMs saw reach a third one through the coordinator.
 func TestVMsShareSuspectsThroughCoordinator(t *testing.T) {
-	newReporter := func(vm string) *loadReporter {
-		l := newLoadReporter(testSettings(vm, "a"), vm, retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now), func(keyspace.Report) {}, nil)
-		l.overloads = func() map[string]overload.Signal { return nil }
-		l.rateLimits = ratelimit.New(func(string) float64 { return 1 }, metrics.NewRegistry())
-		l.rateLimitChanges = func() []ratelimit.Statement { return nil }
-		l.isCoordinator = func() bool { return vm == "coordinator" }
-		l.suspectCoordinator = func() {}
-		l.registry = registry.New()
-		return l
-	}
-	coordinator := newReporter("coordinator")
+	coordinator := newTestReporter("coordinator")
 	server := httptest.NewServer((&viewSync{loads: coordinator}).mux())
 	defer server.Close()
 	var vms []*loadReporter
 	for _, name := range []string{"vm-1", "vm-2", "vm-3"} {
-		vm := newReporter(name)
+		vm := newTestReporter(name)
 		vm.coordinator = strings.TrimPrefix(server.URL, "http://")
 		vms = append(vms, vm)
 		go vm.run(t.Context())
@@ -90,3 +97,26 @@
 		return true
 	})
 }
+
+// Guards against forgetting a request that ended a server because the VM that sent it, or the
+// coordinator, ends before the registration of the server shows it.
+func TestUnansweredRequestIsKnownWhenItsVMEnds(t *testing.T) {
+	request, server := retry.Fingerprints{Request: 7, Path: 7}, &registry.Server{ID: "s1", Incarnation: 1}
+	for _, sender := range []string{"coordinator", "vm-1"} {
+		coordinator := newTestReporter("coordinator")
+		to := httptest.NewServer((&viewSync{loads: coordinator}).mux())
+		defer to.Close()
+		vms := map[string]*loadReporter{"coordinator": coordinator, "vm-1": newTestReporter("vm-1")}
+		vms[sender].suspicions.Unanswered("svc", request, server, time.Now())
+		vms["vm-1"].coordinator = strings.TrimPrefix(to.URL, "http://")
+		go vms["vm-1"].run(t.Context())
+		other := vms["vm-1"]
+		if sender == "vm-1" {
+			other = coordinator
+		}
+		eventually(t, "the loss to be counted by another VM than "+sender, func() bool {
+			other.suspicions.Ended(server.Instance(), "its entry is gone")
+			return other.quarantine.LostElsewhere("svc", request, nil) == 1
+		})
+	}
+}
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -117,7 +117,7 @@
 	config := set.Add("config", 10)
 	set.Add("keys", 10)
 	s := testSettings("vm-0", "a")
-	e := newViewSync(newPeers(s, nil), set, newLoadReporter(s, "p", retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now), func(keyspace.Report) {}, nil), newFreshness(), "config")
+	e := newViewSync(newPeers(s, nil), set, newLoadReporter(s, "p", newTestSuspicions(), func(keyspace.Report) {}, nil), newFreshness(), "config")
 	e.isCoordinator = func() bool { return false }
 	e.coordinatorAddress = func() string { return "" }
 	return e, config
--- a/internal/gateway/provision.go
+++ b/internal/gateway/provision.go
@@ -83,7 +83,10 @@
 	g.keys.OnApply(g.owners.Apply)
 	g.quarantine = retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now)
 	g.quarantine.TryEarly(func() bool { return g.coordinatorLease.Held() })
-	g.loads = newLoadReporter(g.settings, g.startID, g.quarantine, func(r keyspace.Report) { g.coordinator.Report(r) }, g.serviceTimes)
+	g.suspicions = dispatch.NewSuspicions(g.quarantine, time.Now, func(ctx context.Context, server *registry.Server) bool {
+		return serverconn.Refused(g.requestPool.OpenIdle(ctx, server))
+	})
+	g.loads = newLoadReporter(g.settings, g.startID, g.suspicions, func(r keyspace.Report) { g.coordinator.Report(r) }, g.serviceTimes)
 	g.loads.inFlight = func(service string) map[string]int { return g.balancer.InFlight(g.registry.Usable(service)) }
 	g.rateLimits = ratelimit.New(g.rateLimitShare, g.metrics)
 	g.pauses = dispatch.NewPauses(g.metrics)
@@ -181,9 +184,6 @@
 	g.budget = dispatch.NewBudget(dispatch.BudgetSettings{
 		Ratio: g.settings.RetryRatio, Slack: g.settings.RetrySlack, Window: seconds(g.settings.RetryWindow), Share: retryBudgetShare,
 	}, g.peers.count, time.Now)
-	g.suspicions = dispatch.NewSuspicions(g.quarantine, time.Now, func(ctx context.Context, server *registry.Server) bool {
-		return serverconn.Refused(g.requestPool.OpenIdle(ctx, server))
-	})
 	g.registry.OnEnded(g.suspicions.Ended)
 	requestMemory, answerMemory := membudget.New(g.settings.memoryShare(requestBodiesShare)), membudget.New(g.settings.memoryShare(answerBodiesShare))
 	g.relays = newRelays(g.peers, requestMemory, answerMemory, g.settings.memoryShare(answerBodyShare))
