Closing connections: callers get time to read; large answers may take slow ones long

For 5 s after the last write, linger.Close now waits for the peer to close, also when nothing arrives. - a large answer was cut after 5 s although its caller read steadily (9.3 of 12.6 MB were delivered): the time limit for a caller that does not read held for the whole answer. It holds for each 64 KB now. - the FIN counted as unacknowledged on Linux, so callers that read everything and then left were reported; of an answer that was being written, the one before was named. Answers are now recorded before they are written, and requests without one are counted. - after 1 MB the peer's close went unseen for up to 5 s. Discarding has a rate now. - without SIOCOUTQ everything counted as received; now it counts as unknown. - a peer that acknowledges a little now and then was waited for without end: 30 s now.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -103,23 +103,35 @@
 		b.WriteString("Content-Length: " + length + "\r\n")
 	}
 	b.WriteString("\r\n")
-	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
-	size := b.Len() + len(body)
-	var n int64
-	var err error
-	if len(body) > maxCopiedBytes {
-		n, err = (&net.Buffers{b.Bytes(), body}).WriteTo(c.Conn)
-	} else {
+	if len(body) <= maxCopiedBytes {
 		b.Write(body)
-		n, err = b.WriteTo(c.Conn)
+		body = nil
+	}
+	c.delivery.begin(p.requestID(), b.Len()+len(body))
+	err := c.writeAll(b.Bytes())
+	if err == nil {
+		err = c.writeAll(body)
 	}
-	c.delivery.add(p.requestID(), int(n), size)
 	if err != nil {
 		c.reportUndelivered(c.unacknowledged(), err)
 	}
 	return err
 }
 
+// writeAll writes a part of an answer. Its caller has writeTimeout to take each writeChunk.
+func (c *callerConn) writeAll(part []byte) error {
+	for len(part) > 0 {
+		_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
+		n, err := c.Conn.Write(part[:min(len(part), writeChunk)])
+		c.delivery.wrote(n)
+		if err != nil {
+			return err
+		}
+		part = part[n:]
+	}
+	return nil
+}
+
 // maxCopiedBytes is the size up to which a body is copied behind its head. A larger one
 // would double the memory of the answer.
 const maxCopiedBytes = 16 << 10
@@ -143,6 +155,6 @@
 		_ = c.Conn.Close()
 		return
 	}
-	unacknowledged, reason := linger.Close(tcp)
-	c.reportUndelivered(unacknowledged, reason)
+	lost, reason := linger.Close(tcp, c.delivery.lastWrite())
+	c.reportUndelivered(lost, reason)
 }
--- a/internal/entry/conn.go
+++ b/internal/entry/conn.go
@@ -23,8 +23,10 @@
 	// maxPipelined is how many requests of one connection are served at once. The
 	// reader pauses at this limit and so detects a disconnect late.
 	maxPipelined = 32
-	// writeTimeout closes connections whose caller does not read the answers.
+	// writeTimeout closes connections whose caller does not read the answers: it bounds the
+	// time for writeChunk bytes, as a large answer may take a slow caller longer.
 	writeTimeout = 5 * time.Second
+	writeChunk   = 64 << 10
 	// initialReaderBytes is the initial size of a connection's reader. It grows when a
 	// request's head does not fit.
 	initialReaderBytes = 4 << 10
--- a/internal/entry/delivery.go
+++ b/internal/entry/delivery.go
@@ -18,65 +18,88 @@
 // delivery tracks which answers of a connection its caller's host has not acknowledged, for the
 // logs.
 type delivery struct {
-	mu       sync.Mutex      // guards the fields below
-	written  int             // bytes that the kernel accepted
-	answers  []writtenAnswer // the last ones
-	reported bool
+	mu        sync.Mutex      // guards the fields below
+	written   int             // bytes that the kernel accepted
+	writtenAt time.Time       // when it accepted the last ones
+	begun     int             // bytes of all answers of which the writing has begun
+	answers   []writtenAnswer // the last ones
+	reported  bool
 }
 
-// writtenAnswer is an answer and the number of bytes written to the connection up to its end.
+// writtenAnswer is an answer and the number of bytes of all answers up to its end.
 type writtenAnswer struct {
 	request string
 	end     int
 }
 
-// add records that n of the size bytes of an answer were written.
-func (d *delivery) add(request string, n, size int) {
+// begin records that the writing of an answer of so many bytes begins.
+func (d *delivery) begin(request string, size int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(d.answers) == maxTrackedAnswers {
 		d.answers = slices.Delete(d.answers, 0, 1)
 	}
+	d.begun += size
 	// The ID shares its memory with the whole head of the request.
-	d.answers = append(d.answers, writtenAnswer{strings.Clone(request), d.written + size})
+	d.answers = append(d.answers, writtenAnswer{strings.Clone(request), d.begun})
+}
+
+// wrote records that the kernel accepted so many bytes.
+func (d *delivery) wrote(n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.written += n
+	d.writtenAt = time.Now()
 }
 
-// undelivered returns the requests whose answers are not acknowledged as a whole if that many bytes
-// are not. Later calls return none.
+// lastWrite returns when the kernel accepted bytes last, zero if it never did.
+func (d *delivery) lastWrite() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.writtenAt
+}
+
+// undelivered returns the requests whose answers are not written as a whole, or not acknowledged
+// if that many bytes are not. Later calls return none.
 func (d *delivery) undelivered(unacknowledged int) (requests []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.reported {
 		return nil
 	}
-	d.reported = true
 	for _, a := range d.answers {
 		if a.end > d.written-unacknowledged {
 			requests = append(requests, a.request)
 		}
 	}
+	d.reported = len(requests) > 0
 	return requests
 }
 
 // unacknowledged returns how many bytes of answers the caller's host has not acknowledged.
 func (c *callerConn) unacknowledged() int {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		return linger.Unacknowledged(tcp)
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return 0
+	}
+	n := linger.Unacknowledged(tcp)
+	if n <= 1 { // not known, or only the FIN
+		return 0
 	}
-	return 0
+	return n
 }
 
-// reportUndelivered logs the answers that are lost because the connection ends now, if any.
+// reportUndelivered logs the answers that are lost because the connection ends now, if any, and
+// how many requests have no answer that was written as a whole.
 func (c *callerConn) reportUndelivered(unacknowledged int, cause error) {
-	requests := c.delivery.undelivered(unacknowledged)
-	if len(requests) == 0 {
+	requests, notWritten := c.delivery.undelivered(unacknowledged), int(c.unanswered.Load())
+	if len(requests) == 0 && notWritten == 0 {
 		return
 	}
 	c.server.undelivered.Inc(int64(len(requests)))
 	c.server.decisions.Log("entry: answers not delivered",
 		slog.String("from", c.RemoteAddr().String()), slog.String("cause", cause.Error()), slog.Int("unacknowledged_bytes", unacknowledged),
-		slog.Int("answers", len(requests)), slog.Any("requests", requests),
+		slog.Int("answers", len(requests)), slog.Any("requests", requests), slog.Int("not_written", notWritten),
 		slog.Int64("connection_age_ms", time.Since(c.accepted).Milliseconds()))
 }
 
--- a/internal/linger/linger.go
+++ b/internal/linger/linger.go
@@ -18,86 +18,120 @@
 
 const (
 	// quietTimeout ends the wait for a peer that has acknowledged everything and sends nothing.
-	// One that goes on sending has not read yet that the connection closes: a forwarder
-	// acknowledges what it still holds for the application, and passes a reset on.
 	quietTimeout = time.Second
+	// readTimeout is how long after the last write the application at the other side may still
+	// read: a forwarder acknowledges what it holds for it, and passes a reset on.
+	readTimeout = 5 * time.Second
 	// stallTimeout ends the wait for a peer that acknowledges nothing more.
 	stallTimeout = 5 * time.Second
-	// maxDiscardedBytes bounds how much is read. Beyond it, flow control holds the peer back.
-	maxDiscardedBytes = 1 << 20
-	// pollInterval is how often the acknowledgements are looked at.
+	// maxWait bounds the wait for a peer that acknowledges a little now and then.
+	maxWait = 30 * time.Second
+	// pollInterval is how often the acknowledgements are looked at, and pollBytes how much is
+	// read until then. Flow control holds a peer back that sends more.
 	pollInterval = 100 * time.Millisecond
+	pollBytes    = 64 << 10
 )
 
 // Reasons for which a connection ended.
 var (
 	ErrStalled    = fmt.Errorf("the peer acknowledged nothing for %v", stallTimeout)
+	ErrTooSlow    = fmt.Errorf("the peer did not acknowledge everything within %v", maxWait)
 	ErrPeerClosed = errors.New("the peer closed the connection")
 	// ErrPeerLingers says that the peer has acknowledged everything and not closed its side.
 	ErrPeerLingers = errors.New("the peer did not close the connection")
 )
 
 // Close closes the sending side of a connection, then reads and discards until the peer closes
-// its side, or has acknowledged everything and sends nothing more. It returns the number of bytes
-// that the peer has not acknowledged, and why the connection ended.
-func Close(conn *net.TCPConn) (unacknowledged int, reason error) {
+// its side, or has acknowledged everything, had time to read it and sends nothing more. lastWrite
+// is when something was written last. It returns the number of bytes that are lost because the peer
+// has not acknowledged them, 0 if the kernel does not tell, and why the connection ended.
+func Close(conn *net.TCPConn, lastWrite time.Time) (lost int, reason error) {
 	defer func() { _ = conn.Close() }()
 	if err := conn.CloseWrite(); err != nil {
-		return Unacknowledged(conn), err
+		return max(Unacknowledged(conn), 0), err
 	}
-	w := wait{unacknowledged: math.MaxInt, progressAt: time.Now()}
-	for discarded := int64(0); ; {
+	w := newWait(time.Now(), lastWrite)
+	for {
 		now := time.Now()
-		w.observe(now, Unacknowledged(conn))
-		next, done := w.next(now)
-		switch {
-		case done && w.unacknowledged > 0:
-			return w.unacknowledged, ErrStalled
-		case done:
-			return 0, ErrPeerLingers
-		case discarded == maxDiscardedBytes:
-			w.received(next)
-			time.Sleep(next.Sub(now))
-			continue
+		w.observe(now, afterFIN(Unacknowledged(conn)))
+		next, ended := w.next(now)
+		if ended != nil {
+			return w.lost(), ended
 		}
 		_ = conn.SetReadDeadline(next)
-		n, err := io.Copy(io.Discard, io.LimitReader(conn, maxDiscardedBytes-discarded))
-		if discarded += n; n > 0 {
+		n, err := io.Copy(io.Discard, io.LimitReader(conn, pollBytes))
+		if n > 0 {
 			w.received(time.Now())
 		}
 		switch {
-		case err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
-			return w.unacknowledged, err
-		case err == nil && discarded < maxDiscardedBytes:
-			w.observe(now, Unacknowledged(conn))
-			return w.unacknowledged, ErrPeerClosed
+		case n == pollBytes:
+			time.Sleep(pollInterval)
+		case err == nil:
+			// Nothing can reset the connection now: the kernel delivers the rest, if the peer
+			// has only closed its sending side.
+			return 0, ErrPeerClosed
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			w.observe(time.Now(), afterFIN(Unacknowledged(conn)))
+			return w.lost(), err
 		}
 	}
 }
 
+// afterFIN returns how many of the unacknowledged bytes can be data once the sending side is
+// closed: Linux counts the FIN.
+func afterFIN(unacknowledged int) int {
+	if unacknowledged <= 0 {
+		return unacknowledged
+	}
+	return unacknowledged - 1
+}
+
 // wait decides how long Close waits.
 type wait struct {
-	unacknowledged int       // bytes
-	progressAt     time.Time // when the peer acknowledged something last
-	receivedAt     time.Time // when it sent something last
+	began, lastWrite time.Time
+	unacknowledged   int       // bytes; math.MaxInt: not known
+	progressAt       time.Time // when the peer acknowledged something last
+	receivedAt       time.Time // when it sent something last
 }
 
+func newWait(now, lastWrite time.Time) *wait {
+	return &wait{began: now, lastWrite: lastWrite, unacknowledged: math.MaxInt, progressAt: now}
+}
+
+// observe records how many bytes are not acknowledged; negative: the kernel does not tell.
 func (w *wait) observe(now time.Time, unacknowledged int) {
-	if unacknowledged < w.unacknowledged {
+	if unacknowledged >= 0 && unacknowledged < w.unacknowledged {
 		w.unacknowledged, w.progressAt = unacknowledged, now
 	}
 }
 
 func (w *wait) received(now time.Time) { w.receivedAt = now }
 
-// next returns when to look again, or that the wait is over.
-func (w *wait) next(now time.Time) (at time.Time, done bool) {
-	end := w.progressAt.Add(stallTimeout)
+// next returns when to look again, or why the wait is over.
+func (w *wait) next(now time.Time) (at time.Time, ended error) {
+	end, reason := w.progressAt.Add(stallTimeout), ErrStalled
+	if w.unacknowledged == 0 {
+		quiet := later(w.progressAt, w.receivedAt).Add(quietTimeout)
+		end, reason = earlier(end, later(quiet, w.lastWrite.Add(readTimeout))), ErrPeerLingers
+	}
+	if limit := w.began.Add(maxWait); limit.Before(end) {
+		end, reason = limit, ErrTooSlow
+	}
+	if !now.Before(end) {
+		return now, reason
+	}
 	if w.unacknowledged > 0 {
-		return earlier(end, now.Add(pollInterval)), !now.Before(end)
+		return earlier(end, now.Add(pollInterval)), nil
 	}
-	end = earlier(end, later(w.progressAt, w.receivedAt).Add(quietTimeout))
-	return end, !now.Before(end)
+	return end, nil
+}
+
+// lost returns the number of bytes that are lost if the connection is closed now.
+func (w *wait) lost() int {
+	if w.unacknowledged == math.MaxInt {
+		return 0
+	}
+	return w.unacknowledged
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -115,21 +149,20 @@
 }
 
 // Unacknowledged returns how many bytes that were written to the connection its peer has not
-// acknowledged yet. It is 0 if the kernel does not tell.
+// acknowledged yet, -1 if the kernel does not tell.
 func Unacknowledged(conn *net.TCPConn) int {
 	raw, err := conn.SyscallConn()
 	if err != nil {
-		return 0
+		return -1
 	}
-	queued := 0
+	queued := -1
 	err = raw.Control(func(fd uintptr) {
-		var queryErr error
-		if queued, queryErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); queryErr != nil {
-			queued = 0
+		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
+			queued = n
 		}
 	})
 	if err != nil {
-		return 0
+		return -1
 	}
 	return queued
 }
