Daemon: idle connections are found and closed under one lock; a signal before main counts as the first

TestSignalAfterOneBeforeMainIsRepeated failed before (no second signal). Answers of the daemon get the same time to be read as those of the gateway.

--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -51,7 +51,8 @@
 	net.Conn
 	server      *callerServer
 	dataPending atomic.Bool
-	closing     atomic.Bool // Close was called
+	closing     atomic.Bool               // Close was called
+	lastWrite   atomic.Pointer[time.Time] // nil: nothing was written
 }
 
 // Read implements net.Conn.
@@ -63,6 +64,13 @@
 	return n, err
 }
 
+// Write implements net.Conn.
+func (c *callerConn) Write(p []byte) (int, error) {
+	now := time.Now()
+	c.lastWrite.Store(&now)
+	return c.Conn.Write(p)
+}
+
 // Close implements net.Conn. The first call waits until the caller has received what was written,
 // unless the server closes connections at once; a second one ends that wait.
 func (c *callerConn) Close() error {
@@ -70,9 +78,13 @@
 	if c.closing.Swap(true) || !ok || c.server.forceClose.Load() {
 		return c.Conn.Close()
 	}
-	if unacknowledged, reason := linger.Close(tcp); unacknowledged > 0 {
+	var lastWrite time.Time
+	if at := c.lastWrite.Load(); at != nil {
+		lastWrite = *at
+	}
+	if lost, reason := linger.Close(tcp, lastWrite); lost > 0 {
 		slog.Info("daemon: connection closed before its caller received all answers", "from", c.RemoteAddr().String(),
-			"unacknowledged_bytes", unacknowledged, "cause", reason.Error())
+			"unacknowledged_bytes", lost, "cause", reason.Error())
 	}
 	return nil
 }
@@ -133,7 +145,7 @@
 // shutdown stops accepting connections, waits for the requests on open connections and until
 // their callers have received the answers. The handler marks each answer "Connection: close". If
 // ctx is done first, shutdown cuts off the remaining requests and returns ctx's error, or nil if
-// all were answered.
+// all were answered, even if callers have not received the answers.
 func (c *callerServer) shutdown(ctx context.Context) error {
 	c.mu.Lock()
 	c.closing = true
@@ -141,8 +153,8 @@
 	_ = c.listener.Close()
 	defer c.close()
 	for {
-		busy := c.busy(time.Now())
-		if !busy && c.closeIdle() == 0 {
+		busy, open := c.closeIdle(time.Now())
+		if open == 0 {
 			return nil
 		}
 		if !wait.For(ctx, finishPollInterval) {
@@ -154,22 +166,10 @@
 	}
 }
 
-// closeIdle makes net/http close all connections that it does not close yet, and returns how many
-// are open.
-func (c *callerServer) closeIdle() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for conn := range c.open {
-		if caller, ok := conn.(*callerConn); ok && !caller.closing.Load() {
-			_ = conn.SetReadDeadline(time.Now())
-		}
-	}
-	return len(c.open)
-}
-
-// busy reports whether any connection has a request in flight, or was accepted so
-// recently that its first request may still arrive.
-func (c *callerServer) busy(now time.Time) bool {
+// closeIdle reports whether any connection has a request in flight, or was accepted so recently
+// that its first request may still arrive. If none has, it makes net/http close all connections
+// that it does not close yet. open is the number of open connections.
+func (c *callerServer) closeIdle(now time.Time) (busy bool, open int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn, status := range c.open {
@@ -180,10 +180,15 @@
 		pending := ok && caller.dataPending.Load()
 		recent := status.state == http.StateNew && now.Sub(status.since) < newConnTimeout
 		if status.state == http.StateActive || pending || recent {
-			return true
+			return true, len(c.open)
+		}
+	}
+	for conn := range c.open {
+		if caller, ok := conn.(*callerConn); ok && !caller.closing.Load() {
+			_ = conn.SetReadDeadline(now)
 		}
 	}
-	return false
+	return false, len(c.open)
 }
 
 // close closes the listener and all connections immediately.
--- a/internal/termination/termination.go
+++ b/internal/termination/termination.go
@@ -30,25 +30,40 @@
 // stays subscribed until it exits, so that no repeated signal terminates it.
 func Notify() (ctx context.Context, repeated <-chan os.Signal) {
 	proc.SetTimeToForceQuit(forceQuitTimeout)
+	early := isClosed(proc.Done())
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	// go-zero subscribes while the program is loaded. It alone receives a signal that
 	// arrives before this call.
-	return watch(signals, proc.Done())
+	return watch(signals, proc.Done(), early)
+}
+
+func isClosed(library <-chan struct{}) bool {
+	select {
+	case <-library:
+		return true
+	default:
+		return false
+	}
 }
 
 // watch returns the context and the channel of Notify. The end of library also counts as
-// the first signal. As that may be before or after the same signal arrives in signals, the
-// first value there is never a repeated one.
-func watch(signals <-chan os.Signal, library <-chan struct{}) (context.Context, <-chan os.Signal) {
+// the first signal. Unless it was early, before signals were subscribed to, the same signal
+// may arrive in signals before or after it: the first value there is not a repeated one.
+func watch(signals <-chan os.Signal, library <-chan struct{}, early bool) (context.Context, <-chan os.Signal) {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	repeated := make(chan os.Signal, 1)
 	go func() {
-		select {
-		case <-signals:
-			cancel(request{received: time.Now()})
-		case <-library:
-			cancel(request{received: time.Now()})
+		duplicate := false // the same signal will arrive in signals
+		if !early {
+			select {
+			case <-signals:
+			case <-library:
+				duplicate = true
+			}
+		}
+		cancel(request{received: time.Now()})
+		if duplicate {
 			<-signals
 		}
 		for s := range signals {
--- a/internal/termination/termination_test.go
+++ b/internal/termination/termination_test.go
@@ -33,7 +33,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			signals, library := make(chan os.Signal), make(chan struct{})
-			ctx, repeated := watch(signals, library)
+			ctx, repeated := watch(signals, library, false)
 			send(signals, library)
 			ended(t, ctx)
 			signals <- syscall.SIGINT
@@ -48,7 +48,7 @@
 func TestSignalBeforeMainEndsContext(t *testing.T) {
 	library := make(chan struct{})
 	close(library)
-	ctx, repeated := watch(make(chan os.Signal), library)
+	ctx, repeated := watch(make(chan os.Signal), library, true)
 	ended(t, ctx)
 	select {
 	case s := <-repeated:
@@ -57,10 +57,25 @@
 	}
 }
 
+// Guards against a second signal that is taken for the first, which only the library received: it
+// does not end kumquatcleatd at once.
+func TestSignalAfterOneBeforeMainIsRepeated(t *testing.T) {
+	signals, library := make(chan os.Signal), make(chan struct{})
+	close(library)
+	ctx, repeated := watch(signals, library, true)
+	ended(t, ctx)
+	signals <- syscall.SIGTERM
+	select {
+	case <-repeated:
+	case <-time.After(10 * time.Second):
+		t.Error("the second signal was dropped")
+	}
+}
+
 // Guards against a stop whose grace counts from a later moment than the signal.
 func TestReceivedIsTimeOfSignal(t *testing.T) {
 	signals := make(chan os.Signal)
-	ctx, _ := watch(signals, make(chan struct{}))
+	ctx, _ := watch(signals, make(chan struct{}), false)
 	before := time.Now()
 	signals <- syscall.SIGTERM
 	ended(t, ctx)
