VMs that stop and processes that start use no more than their share of the retry budget

A VM that is told to stop removes its row and goes on serving, so the others, and it, divide by fewer. A process that starts knows no row and divides by one. And it begins with an empty window although the process that it replaces has used its share.

Now a VM counts on for a window and the grace after its row is gone, and a process has none of the slack in its first window, nor while it knows no VM. The ratio of its own requests stays.

--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -37,8 +37,8 @@
 	retries  [budgetBuckets + 1]float64
 }
 
-// NewBudget returns a budget without any counted requests. vms returns the current
-// number of VMs.
+// NewBudget returns a budget without any counted requests. vms returns the number of
+// VMs that share the slack, 0 if this VM has no share.
 func NewBudget(s BudgetSettings, vms func() int, now func() time.Time) *Budget {
 	return &Budget{settings: s, vms: vms, now: now, services: map[string]*budgetWindow{}}
 }
@@ -56,7 +56,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(service)
-	allowed := b.settings.Share * (b.settings.Ratio*sum(w.requests[:]) + b.settings.Slack/float64(max(b.vms(), 1)))
+	allowed := b.settings.Ratio * sum(w.requests[:])
+	if vms := b.vms(); vms > 0 {
+		allowed += b.settings.Slack / float64(vms)
+	}
+	allowed *= b.settings.Share
 	if sum(w.retries[:])+1 > allowed {
 		return false
 	}
--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -119,7 +119,7 @@
 		defer p.mu.Unlock()
 		if p.missing[vm] == since {
 			delete(p.missing, vm)
-			delete(p.vms, vm)
+			p.forget(vm)
 			p.ordered = nil
 		}
 	})
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -74,6 +74,7 @@
 	mu        sync.Mutex // guards the fields below
 	vms       map[string]vmRow
 	missing   map[string]time.Time // VMs whose row disappeared, and may be back, by name
+	left      map[string]time.Time // VMs whose row is gone, by name
 	ordered   map[string][]peer    // vms by failure domain, in order; nil: to be computed
 	skipUntil map[string]time.Time // by address: no requests are sent to it before
 	// behindUntil holds, by address, until when a VM counts as behind the store, because it
@@ -101,7 +102,7 @@
 const peerSkipTime = 3 * time.Second
 
 func newPeers(s *Settings, store rows.Store) *peers {
-	return &peers{settings: s, store: store, startedAt: time.Now(), changed: make(chan struct{}, 1), learn: func([]retry.Suspect) {}, vms: map[string]vmRow{}, missing: map[string]time.Time{}, skipUntil: map[string]time.Time{}, behindUntil: map[string]time.Time{}, readsStore: func() bool { return true }, nextSeed: rand.IntN(1 + len(s.Seeds))}
+	return &peers{settings: s, store: store, startedAt: time.Now(), changed: make(chan struct{}, 1), learn: func([]retry.Suspect) {}, vms: map[string]vmRow{}, missing: map[string]time.Time{}, left: map[string]time.Time{}, skipUntil: map[string]time.Time{}, behindUntil: map[string]time.Time{}, readsStore: func() bool { return true }, nextSeed: rand.IntN(1 + len(s.Seeds))}
 }
 
 // apply updates the known VMs from changed rows.
@@ -116,7 +117,7 @@
 		}
 		delete(p.missing, row.Key)
 		if row.Deleted {
-			delete(p.vms, row.Key)
+			p.forget(row.Key)
 			continue
 		}
 		var vm vmRow
@@ -138,6 +139,28 @@
 	return max(len(p.vms), 1)
 }
 
+// forget removes a VM. The caller holds the lock.
+func (p *peers) forget(vm string) {
+	delete(p.vms, vm)
+	p.left[vm] = time.Now()
+}
+
+// countRecent returns the number of VMs that may have run within a time before now, 0 if they are
+// not known yet. A VM that is told to stop removes its row and runs on for up to its grace.
+func (p *peers) countRecent(within time.Duration) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.vms)
+	for vm, at := range p.left {
+		if _, back := p.vms[vm]; back || time.Since(at) > within+p.settings.Grace() {
+			delete(p.left, vm)
+			continue
+		}
+		n++
+	}
+	return n
+}
+
 // countIn returns the numbers of VMs in a failure domain and in all, 0 if none are known yet.
 func (p *peers) countIn(domain string) (inDomain, all int) {
 	p.mu.Lock()
--- a/internal/gateway/provision.go
+++ b/internal/gateway/provision.go
@@ -181,9 +181,9 @@
 		DialTimeout: dialTimeout, IdlePerServer: g.idlePerServer, LocalIP: g.settings.IP, Dialed: g.reach.Dialed,
 	}, g.metrics)
 	g.sender = serverconn.NewSender(g.requestPool, g.adapter.Dialect, g.settings.memoryShare(answerBodyShare))
-	g.budget = dispatch.NewBudget(dispatch.BudgetSettings{
+	g.budget = newRetryBudget(dispatch.BudgetSettings{
 		Ratio: g.settings.RetryRatio, Slack: g.settings.RetrySlack, Window: seconds(g.settings.RetryWindow), Share: retryBudgetShare,
-	}, g.peers.count, time.Now)
+	}, g.peers)
 	g.registry.OnEnded(g.suspicions.Ended)
 	requestMemory, answerMemory := membudget.New(g.settings.memoryShare(requestBodiesShare)), membudget.New(g.settings.memoryShare(answerBodiesShare))
 	g.relays = newRelays(g.peers, requestMemory, answerMemory, g.settings.memoryShare(answerBodyShare))
@@ -213,6 +213,18 @@
 	g.relays.ready = func() bool { return g.notReadyReason() == "" }
 }
 
+// newRetryBudget returns the retry budget of this VM. All VMs that may have sent retries in the same
+// window share the slack. A process has none in its first window: the one that it replaces may have
+// used it.
+func newRetryBudget(s dispatch.BudgetSettings, p *peers) *dispatch.Budget {
+	return dispatch.NewBudget(s, func() int {
+		if time.Since(p.startedAt) < s.Window {
+			return 0
+		}
+		return p.countRecent(s.Window)
+	}, time.Now)
+}
+
 // probeServer opens a connection to a server to find out whether this VM reaches it.
 func (g *Gateway) probeServer(ctx context.Context, server *registry.Server) error {
 	ctx, cancel := context.WithTimeout(ctx, 2*dialTimeout)
