--- a/internal/entry/conn.go
+++ b/internal/entry/conn.go
@@ -17,6 +17,7 @@
 	"kumquatcleat/internal/fault"
 	"kumquatcleat/internal/membudget"
 	"kumquatcleat/internal/routetable"
+	"kumquatcleat/internal/wait"
 )
 
 const (
@@ -234,7 +235,7 @@
 	case !c.server.closing.Load():
 		_ = c.SetReadDeadline(time.Now().Add(c.limits().IdleTimeout))
 	case c.admitted == 0: // a new connection, whose first request is on its way
-		_ = c.SetReadDeadline(earlier(c.accepted.Add(c.limits().HeaderTimeout), c.server.readUntil))
+		_ = c.SetReadDeadline(wait.Earlier(c.accepted.Add(c.limits().HeaderTimeout), c.server.readUntil))
 	default:
 		_ = c.SetReadDeadline(time.Now())
 	}
@@ -247,7 +248,7 @@
 	defer c.mu.Unlock()
 	c.readUntil = time.Now().Add(timeout)
 	if c.server.closing.Load() {
-		c.readUntil = earlier(c.readUntil, c.server.readUntil)
+		c.readUntil = wait.Earlier(c.readUntil, c.server.readUntil)
 	}
 	if !c.closing {
 		_ = c.SetReadDeadline(c.readUntil)
@@ -262,17 +263,10 @@
 		c.applyIdleDeadline()
 		return
 	}
-	c.readUntil = earlier(c.readUntil, c.server.readUntil)
+	c.readUntil = wait.Earlier(c.readUntil, c.server.readUntil)
 	_ = c.SetReadDeadline(c.readUntil)
 }
 
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
-
 // limits returns the configured limits, or those of the settings before a
 // configuration is loaded.
 func (c *callerConn) limits() routetable.Limits {
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -40,21 +40,14 @@
 	end := received.Add(grace - stopMargin)
 	answered := end.Add(-answerMargin)
 	return stopTimes{
-		resigned:    earlier(began.Add(resignTimeout), answered),
-		closing:     earlier(began.Add(outOfRotationDelay), answered),
+		resigned:    wait.Earlier(began.Add(resignTimeout), answered),
+		closing:     wait.Earlier(began.Add(outOfRotationDelay), answered),
 		listenUntil: began.Add(listenAfterStop),
 		answered:    answered,
 		end:         end,
 	}
 }
 
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
-
 // stop shuts down gracefully: it reports the VM as not ready, resigns as coordinator,
 // then closes connections as their requests finish. The signal to stop was received at
 // received.
--- a/internal/linger/linger.go
+++ b/internal/linger/linger.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"kumquatcleat/internal/wait"
 )
 
 const (
@@ -50,18 +52,18 @@
 	if err := conn.CloseWrite(); err != nil {
 		return max(Unacknowledged(conn), 0), err
 	}
-	w := newWait(time.Now(), lastWrite)
+	p := newPatience(time.Now(), lastWrite)
 	for {
 		now := time.Now()
-		w.observe(now, afterFIN(Unacknowledged(conn)))
-		next, ended := w.next(now)
+		p.observe(now, afterFIN(Unacknowledged(conn)))
+		next, ended := p.next(now)
 		if ended != nil {
-			return w.lost(), ended
+			return p.lost(), ended
 		}
 		_ = conn.SetReadDeadline(next)
 		n, err := io.Copy(io.Discard, io.LimitReader(conn, pollBytes))
 		if n > 0 {
-			w.received(time.Now())
+			p.received(time.Now())
 		}
 		switch {
 		case n == pollBytes:
@@ -71,8 +73,8 @@
 			// has only closed its sending side.
 			return 0, ErrPeerClosed
 		case !errors.Is(err, os.ErrDeadlineExceeded):
-			w.observe(time.Now(), afterFIN(Unacknowledged(conn)))
-			return w.lost(), err
+			p.observe(time.Now(), afterFIN(Unacknowledged(conn)))
+			return p.lost(), err
 		}
 	}
 }
@@ -86,66 +88,52 @@
 	return unacknowledged - 1
 }
 
-// wait decides how long Close waits.
-type wait struct {
+// patience decides how long Close waits.
+type patience struct {
 	began, lastWrite time.Time
 	unacknowledged   int       // bytes; math.MaxInt: not known
 	progressAt       time.Time // when the peer acknowledged something last
 	receivedAt       time.Time // when it sent something last
 }
 
-func newWait(now, lastWrite time.Time) *wait {
-	return &wait{began: now, lastWrite: lastWrite, unacknowledged: math.MaxInt, progressAt: now}
+func newPatience(now, lastWrite time.Time) *patience {
+	return &patience{began: now, lastWrite: lastWrite, unacknowledged: math.MaxInt, progressAt: now}
 }
 
 // observe records how many bytes are not acknowledged; negative: the kernel does not tell.
-func (w *wait) observe(now time.Time, unacknowledged int) {
-	if unacknowledged >= 0 && unacknowledged < w.unacknowledged {
-		w.unacknowledged, w.progressAt = unacknowledged, now
+func (p *patience) observe(now time.Time, unacknowledged int) {
+	if unacknowledged >= 0 && unacknowledged < p.unacknowledged {
+		p.unacknowledged, p.progressAt = unacknowledged, now
 	}
 }
 
-func (w *wait) received(now time.Time) { w.receivedAt = now }
+func (p *patience) received(now time.Time) { p.receivedAt = now }
 
 // next returns when to look again, or why the wait is over.
-func (w *wait) next(now time.Time) (at time.Time, ended error) {
-	end, reason := w.progressAt.Add(stallTimeout), ErrStalled
-	if w.unacknowledged == 0 {
-		quiet := later(w.progressAt, w.receivedAt).Add(quietTimeout)
-		end, reason = earlier(end, later(quiet, w.lastWrite.Add(readTimeout))), ErrPeerLingers
+func (p *patience) next(now time.Time) (at time.Time, ended error) {
+	end, reason := p.progressAt.Add(stallTimeout), ErrStalled
+	if p.unacknowledged == 0 {
+		quiet := wait.Later(p.progressAt, p.receivedAt).Add(quietTimeout)
+		end, reason = wait.Earlier(end, wait.Later(quiet, p.lastWrite.Add(readTimeout))), ErrPeerLingers
 	}
-	if limit := w.began.Add(maxWait); limit.Before(end) {
+	if limit := p.began.Add(maxWait); limit.Before(end) {
 		end, reason = limit, ErrTooSlow
 	}
 	if !now.Before(end) {
 		return now, reason
 	}
-	if w.unacknowledged > 0 {
-		return earlier(end, now.Add(pollInterval)), nil
+	if p.unacknowledged > 0 {
+		return wait.Earlier(end, now.Add(pollInterval)), nil
 	}
 	return end, nil
 }
 
 // lost returns the number of bytes that are lost if the connection is closed now.
-func (w *wait) lost() int {
-	if w.unacknowledged == math.MaxInt {
+func (p *patience) lost() int {
+	if p.unacknowledged == math.MaxInt {
 		return 0
 	}
-	return w.unacknowledged
-}
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
+	return p.unacknowledged
 }
 
 // Unacknowledged returns how many bytes that were written to the connection its peer has not
--- a/internal/linger/linger_test.go
+++ b/internal/linger/linger_test.go
@@ -207,14 +207,14 @@
 		"acknowledges a little by turn": {trickle, 0, 0, maxWait, ErrTooSlow},
 	} {
 		t.Run(name, func(t *testing.T) {
-			w := newWait(start, start.Add(-c.written))
+			p := newPatience(start, start.Add(-c.written))
 			for now := start; ; now = now.Add(pollInterval) {
 				for since, unacknowledged := range c.progress {
 					if now.Sub(start) >= since {
-						w.observe(now, unacknowledged)
+						p.observe(now, unacknowledged)
 					}
 				}
-				next, ended := w.next(now)
+				next, ended := p.next(now)
 				if ended != nil {
 					if got := now.Sub(start); got != c.end || ended != c.reason {
 						t.Errorf("the wait ends after %v, %v; want %v, %v", got, ended, c.end, c.reason)
@@ -225,7 +225,7 @@
 					t.Fatalf("next look at %v is not after %v", next.Sub(start), now.Sub(start))
 				}
 				if now.Sub(start) <= c.sends {
-					w.received(now)
+					p.received(now)
 				}
 			}
 		})
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -1,4 +1,5 @@
-// Package wait blocks a goroutine until a duration has elapsed or its context is done.
+// Package wait blocks a goroutine until a duration has elapsed or its context is done, and
+// compares the moments until which to wait.
 package wait
 
 import (
@@ -41,3 +42,19 @@
 	default:
 	}
 }
+
+// Earlier returns the earlier one of two moments.
+func Earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// Later returns the later one of two moments.
+func Later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
