--- a/internal/linger/linger_test.go
+++ b/internal/linger/linger_test.go
@@ -153,7 +153,7 @@
 // Guards against a reset of a peer that has acknowledged everything for an application that has not
 // read it yet, as forwarders do: the application goes on sending, also after a pause.
 func TestCloseWaitsForPeerThatStillSends(t *testing.T) {
-	for _, pause := range []time.Duration{quietTimeout / 10, quietTimeout * 13 / 10} {
+	for _, pause := range []time.Duration{quietTimeout / 10, quietTimeout * 13 / 10, quietTimeout * 23 / 10} {
 		t.Run(pause.String(), func(t *testing.T) {
 			t.Parallel()
 			client, server := connect(t)
