FuzzLoadReport: suspects from unanswered requests are not those of suspect reports

Since the target feeds unanswered requests, ends their servers, and then looked for suspects in the same quarantine: two servers lost under one fingerprint are rightly a suspect, and somebody reported them. The check was wrong, not the product. It has a quarantine of its own again, as before, and suspects from unanswered requests have a check too: none from fewer than two.

--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -43,7 +43,6 @@
 			return
 		}
 		suspicions := newTestSuspicions()
-		q := suspicions.Quarantine()
 		suspicions.Exchange(report.Unanswered)
 		for _, u := range suspicions.Exchange(nil) {
 			if u.BeganAgo < u.LostAgo || u.LostAgo < 0 {
@@ -51,6 +50,10 @@
 			}
 			suspicions.Ended(u.Server, "its entry is gone")
 		}
+		if found, _ := suspicions.Quarantine().Since(0, len(report.Unanswered)+1, true); len(report.Unanswered) < 2 && len(found) > 0 {
+			t.Fatalf("got %d suspects of %d unanswered requests, want two servers lost under each", len(found), len(report.Unanswered))
+		}
+		q := retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now)
 		if answer := retry.Answer(q, "p", report.Suspects); len(answer.Suspects) > 0 && len(report.Suspects.Suspects) == 0 {
 			t.Fatal("got suspects that nobody reported")
 		}
