Logging never waits for the reader of the log

What callers saw: if whoever reads a process's standard output stands still, the process stands still as well once the pipe is full. A VM that is told to stop then does not end; it is killed at the end of its grace with requests at work.

Cause: each line was written, or flushed, under the lock of the log's writer, so a write that blocks holds up every goroutine that logs, the one that stops the process included.

Change: lines are queued, up to 1 MB, and written from a goroutine of their own; lines beyond that are dropped, and a line tells how many. The wait for the last lines at the exit is bounded.

--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -3,32 +3,23 @@
 package logging
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"log/slog"
-	"sync"
-	"time"
 
 	"github.com/zeromicro/go-zero/core/logx"
 )
 
-const (
-	writerBufferBytes = 64 << 10
-	flushInterval     = 200 * time.Millisecond // longest delay before a line reaches the log
-)
-
 // Setup makes slog's default logger write JSON lines of the given level and above to
-// out, and redirects go-zero's lines there. The returned function flushes buffered
-// lines.
+// out, and redirects go-zero's lines there. Logging never waits for the reader of out. The
+// returned function flushes pending lines.
 func Setup(out io.Writer, level slog.Level) (flush func()) {
-	buffered := &flushingWriter{out: bufio.NewWriterSize(out, writerBufferBytes)}
-	go buffered.flushPeriodically()
-	handler := slog.NewJSONHandler(buffered, &slog.HandlerOptions{Level: level})
+	writer := newAsyncWriter(out)
+	handler := slog.NewJSONHandler(writer, &slog.HandlerOptions{Level: level})
 	slog.SetDefault(slog.New(handler))
 	RedirectGoZero()
-	return buffered.flush
+	return writer.flush
 }
 
 // RedirectGoZero redirects go-zero's lines to slog. Call it after creating a go-zero
@@ -41,31 +32,6 @@
 	}
 }
 
-// flushingWriter buffers lines and flushes them periodically. mu guards out.
-type flushingWriter struct {
-	mu  sync.Mutex
-	out *bufio.Writer
-}
-
-// Write implements io.Writer.
-func (w *flushingWriter) Write(p []byte) (int, error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.out.Write(p)
-}
-
-func (w *flushingWriter) flush() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	_ = w.out.Flush()
-}
-
-func (w *flushingWriter) flushPeriodically() {
-	for range time.Tick(flushInterval) {
-		w.flush()
-	}
-}
-
 // goZeroWriter implements logx.Writer and forwards go-zero's lines to slog. Alert,
 // Severe and Stack lines are errors. All others go to the debug level, because go-zero's
 // lines repeat each call that the router logs itself.
