Platform: the HTTP client is a package of its own

Packages that need only the platform's types, among them those of kumquatcleat-gateway, no longer import go-zero's HTTP client, and with it a library that handles signals on its own. No logic changed.

--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -14,6 +14,7 @@
 
 	"kumquatcleat/internal/config"
 	"kumquatcleat/internal/platform"
+	"kumquatcleat/internal/platformclient"
 	"kumquatcleat/internal/standin"
 )
 
@@ -148,7 +149,7 @@
 			return err
 		}
 	}
-	acceptor := config.Acceptor{Table: platform.NewClient(c.Platform)}
+	acceptor := config.Acceptor{Table: platformclient.New(c.Platform)}
 	for _, service := range c.Services {
 		data, err := config.Encode(service)
 		if err != nil {
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -15,6 +15,7 @@
 	"kumquatcleat/internal/config"
 	"kumquatcleat/internal/operator"
 	"kumquatcleat/internal/platform"
+	"kumquatcleat/internal/platformclient"
 	"kumquatcleat/internal/standin"
 )
 
@@ -165,7 +166,7 @@
 	s := sampleRecord(1)
 	s.Rules = []config.Rule{{Timeout: 500}}
 	run("", "apply", writeRecordFile(t, s), "--platform", addr).want(t, ExitUsage, "vm-old")
-	if err := config.PublishSchemaSupport(context.Background(), platform.NewClient(addr), "vm-old", "i1"); err != nil {
+	if err := config.PublishSchemaSupport(context.Background(), platformclient.New(addr), "vm-old", "i1"); err != nil {
 		t.Fatal(err)
 	}
 	run("", "apply", writeRecordFile(t, s), "--platform", addr).want(t, ExitOK, "accepted")
--- a/internal/cli/deferred_test.go
+++ b/internal/cli/deferred_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"kumquatcleat/internal/platform"
+	"kumquatcleat/internal/platformclient"
 	"kumquatcleat/internal/retry"
 	"kumquatcleat/internal/standin"
 )
@@ -22,7 +23,7 @@
 		t.Fatal(err)
 	}
 	write := platform.Write{Key: retry.DeferredKey("swapbay", ticket), Value: value}
-	if _, err := platform.NewClient(addr).Commit(context.Background(), []platform.Write{write}); err != nil {
+	if _, err := platformclient.New(addr).Commit(context.Background(), []platform.Write{write}); err != nil {
 		t.Fatal(err)
 	}
 }
--- a/internal/cli/options.go
+++ b/internal/cli/options.go
@@ -13,7 +13,7 @@
 	"github.com/zeromicro/go-zero/core/logx"
 
 	"kumquatcleat/internal/config"
-	"kumquatcleat/internal/platform"
+	"kumquatcleat/internal/platformclient"
 	"kumquatcleat/internal/settings"
 )
 
@@ -55,12 +55,12 @@
 
 // platformClient returns a client for the platform, or a usage error if --platform is
 // not a valid address.
-func (o *options) platformClient() (*platform.Client, error) {
+func (o *options) platformClient() (*platformclient.Client, error) {
 	if err := checkAddress("--platform", o.platform); err != nil {
 		return nil, err
 	}
 	disableGoZeroLog()
-	return platform.NewClient(o.platform), nil
+	return platformclient.New(o.platform), nil
 }
 
 // acceptor returns the Acceptor that validates changes and commits them to the table.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,7 +22,7 @@
 	"kumquatcleat/internal/membership"
 	"kumquatcleat/internal/ownership"
 	"kumquatcleat/internal/peer"
-	"kumquatcleat/internal/platform"
+	"kumquatcleat/internal/platformclient"
 	"kumquatcleat/internal/retry"
 	"kumquatcleat/internal/routing"
 	"kumquatcleat/internal/settings"
@@ -51,7 +51,7 @@
 	self         ownership.VMRef
 	metrics      metrics.Registry
 	decisions    *logging.Decisions
-	platform     *platform.Client
+	platform     *platformclient.Client
 	store        *config.Store
 	syncer       *config.Syncer
 	clients      *peer.Clients
@@ -80,7 +80,7 @@
 		localIP:  host,
 		self:     ownership.VMRef{ID: s.ID, Incarnation: newIncarnation(s.Incarnation)},
 		metrics:  metrics.NewRegistry(),
-		platform: platform.NewClientFrom(host, s.Platform),
+		platform: platformclient.NewFrom(host, s.Platform),
 		store:    config.NewStore(),
 	}
 	d.decisions = logging.NewDecisions(d.metrics)
--- a/internal/daemon/embedded.go
+++ b/internal/daemon/embedded.go
@@ -9,6 +9,7 @@
 
 	"kumquatcleat/internal/config"
 	"kumquatcleat/internal/platform"
+	"kumquatcleat/internal/platformclient"
 	"kumquatcleat/internal/settings"
 	"kumquatcleat/internal/standin"
 )
@@ -53,7 +54,7 @@
 	if err != nil {
 		return err
 	}
-	client := platform.NewClient(s.Platform)
+	client := platformclient.New(s.Platform)
 	acceptor := &config.Acceptor{Table: client}
 	if _, err := acceptor.Apply(ctx, data, 0); err != nil {
 		return fmt.Errorf("apply embedded record: %w", err)
--- a/internal/daemon/testcluster_test.go
+++ b/internal/daemon/testcluster_test.go
@@ -20,6 +20,7 @@
 	"kumquatcleat/internal/logging"
 	"kumquatcleat/internal/ownership"
 	"kumquatcleat/internal/platform"
+	"kumquatcleat/internal/platformclient"
 	"kumquatcleat/internal/routing"
 	"kumquatcleat/internal/settings"
 	"kumquatcleat/internal/standin"
@@ -128,7 +129,7 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	acceptor := &config.Acceptor{Table: platform.NewClient(c.address)}
+	acceptor := &config.Acceptor{Table: platformclient.New(c.address)}
 	if _, err := acceptor.Apply(context.Background(), data, expect); err != nil {
 		c.t.Fatal(err)
 	}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -1,6 +1,6 @@
-// Package platform defines the interfaces to the platform's services: the
-// transactional table, the object store and the VM list. It also provides an HTTP
-// client that implements them.
+// Package platform defines the interfaces to the platform's services, the transactional table,
+// the object store and the VM list, and the messages of its HTTP interface. Package
+// platformclient implements them.
 package platform
 
 import (
--- a/internal/platform/http.go
+++ b/internal/platformclient/client.go
@@ -1,4 +1,6 @@
-package platform
+// Package platformclient is the HTTP client of the platform's services. It is apart from package
+// platform because go-zero's HTTP client installs signal handlers in each program that imports it.
+package platformclient
 
 import (
 	"bytes"
@@ -15,33 +17,9 @@
 
 	"kumquatcleat/internal/dial"
 	"kumquatcleat/internal/membudget"
+	"kumquatcleat/internal/platform"
 )
 
-// Paths of the platform's HTTP interface.
-const (
-	PathRow    = "/v1/table/row"    // GET ?key= : Row, 404
-	PathRows   = "/v1/table/rows"   // GET ?prefix= : []Row
-	PathCommit = "/v1/table/commit" // POST CommitRequest : CommitAnswer, 409
-	PathObject = "/v1/objects/"     // GET, PUT; followed by the object's name
-	PathVMs    = "/v1/vms"          // GET : VMsAnswer
-)
-
-// CommitRequest is the body of a commit.
-type CommitRequest struct {
-	Writes []Write `json:"writes"`
-}
-
-// CommitAnswer is the answer to a commit that was applied.
-type CommitAnswer struct {
-	Versions []uint64 `json:"versions"`
-}
-
-// VMsAnswer is the answer to a read of the VM list.
-type VMsAnswer struct {
-	AgeMS int64 `json:"age_ms"`
-	VMs   []VM  `json:"vms"`
-}
-
 const (
 	callTimeout    = 2 * time.Second
 	maxRowBytes    = 8 << 20  // answer with one row
@@ -57,12 +35,12 @@
 	service httpc.Service
 }
 
-// NewClient returns a client for the platform at address, host:port.
-func NewClient(address string) *Client { return NewClientFrom("", address) }
+// New returns a client for the platform at address, host:port.
+func New(address string) *Client { return NewFrom("", address) }
 
-// NewClientFrom returns a client for the platform at address, host:port, that dials
+// NewFrom returns a client for the platform at address, host:port, that dials
 // from the given local IP address. If localIP is empty, the system chooses one.
-func NewClientFrom(localIP, address string) *Client {
+func NewFrom(localIP, address string) *Client {
 	// The circuit breaker of httpc would reject calls at random after an outage.
 	// Callers of this client bound their own retries.
 	breaker.NoBreakerFor(breakerName)
@@ -78,30 +56,30 @@
 }
 
 // Get implements Table.
-func (c *Client) Get(ctx context.Context, key string) (Row, error) {
-	var row Row
-	err := c.readJSON(ctx, PathRow+"?key="+url.QueryEscape(key), &row)
+func (c *Client) Get(ctx context.Context, key string) (platform.Row, error) {
+	var row platform.Row
+	err := c.readJSON(ctx, platform.PathRow+"?key="+url.QueryEscape(key), &row)
 	return row, err
 }
 
 // List implements Table.
-func (c *Client) List(ctx context.Context, prefix string) ([]Row, error) {
-	var rows []Row
-	err := c.readJSON(ctx, PathRows+"?prefix="+url.QueryEscape(prefix), &rows)
+func (c *Client) List(ctx context.Context, prefix string) ([]platform.Row, error) {
+	var rows []platform.Row
+	err := c.readJSON(ctx, platform.PathRows+"?prefix="+url.QueryEscape(prefix), &rows)
 	return rows, err
 }
 
 // Commit implements Table.
-func (c *Client) Commit(ctx context.Context, writes []Write) ([]uint64, error) {
-	body, err := json.Marshal(CommitRequest{Writes: writes})
+func (c *Client) Commit(ctx context.Context, writes []platform.Write) ([]uint64, error) {
+	body, err := json.Marshal(platform.CommitRequest{Writes: writes})
 	if err != nil {
 		return nil, fmt.Errorf("platform: encode commit: %w", err)
 	}
-	data, err := c.call(ctx, http.MethodPost, PathCommit, body)
+	data, err := c.call(ctx, http.MethodPost, platform.PathCommit, body)
 	if err != nil {
 		return nil, err
 	}
-	var answer CommitAnswer
+	var answer platform.CommitAnswer
 	if err := json.Unmarshal(data, &answer); err != nil {
 		return nil, fmt.Errorf("platform: commit answer: %w", err)
 	}
@@ -109,28 +87,28 @@
 }
 
 // VMs implements VMLister.
-func (c *Client) VMs(ctx context.Context) ([]VM, time.Duration, error) {
-	var answer VMsAnswer
-	if err := c.readJSON(ctx, PathVMs, &answer); err != nil {
+func (c *Client) VMs(ctx context.Context) ([]platform.VM, time.Duration, error) {
+	var answer platform.VMsAnswer
+	if err := c.readJSON(ctx, platform.PathVMs, &answer); err != nil {
 		return nil, 0, err
 	}
 	return answer.VMs, time.Duration(answer.AgeMS) * time.Millisecond, nil
 }
 
 // Objects returns the client's ObjectStore.
-func (c *Client) Objects() ObjectStore { return objectClient{c} }
+func (c *Client) Objects() platform.ObjectStore { return objectClient{c} }
 
 type objectClient struct{ client *Client }
 
 // Put implements ObjectStore.
 func (o objectClient) Put(ctx context.Context, name string, data []byte) error {
-	_, err := o.client.call(ctx, http.MethodPut, PathObject+url.PathEscape(name), data)
+	_, err := o.client.call(ctx, http.MethodPut, platform.PathObject+url.PathEscape(name), data)
 	return err
 }
 
 // Get implements ObjectStore.
 func (o objectClient) Get(ctx context.Context, name string) ([]byte, error) {
-	return o.client.call(ctx, http.MethodGet, PathObject+url.PathEscape(name), nil)
+	return o.client.call(ctx, http.MethodGet, platform.PathObject+url.PathEscape(name), nil)
 }
 
 func (c *Client) readJSON(ctx context.Context, path string, into any) error {
@@ -145,7 +123,7 @@
 }
 
 // call sends a request and returns the body of a 200 response. Statuses 404 and 409
-// become ErrNotFound and ErrConflict. After any other error, the outcome of a write
+// become platform.ErrNotFound and platform.ErrConflict. After any other error, the outcome of a write
 // is unknown.
 func (c *Client) call(ctx context.Context, method, path string, body []byte) ([]byte, error) {
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
@@ -161,7 +139,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	limit := int64(maxAnswerBytes)
-	if strings.HasPrefix(path, PathRow+"?") {
+	if strings.HasPrefix(path, platform.PathRow+"?") {
 		limit = maxRowBytes
 	}
 	data, err := membudget.ReadAll(resp.Body, resp.ContentLength, limit, nil)
@@ -172,9 +150,9 @@
 	case http.StatusOK:
 		return data, nil
 	case http.StatusNotFound:
-		return nil, ErrNotFound
+		return nil, platform.ErrNotFound
 	case http.StatusConflict:
-		return nil, ErrConflict
+		return nil, platform.ErrConflict
 	default:
 		return nil, fmt.Errorf("platform: %s %s: status %d", method, path, resp.StatusCode)
 	}
--- a/internal/platform/endless_test.go
+++ b/internal/platformclient/endless_test.go
@@ -1,4 +1,4 @@
-package platform
+package platformclient
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 
 func TestEndlessResponseOfPlatformIsCut(t *testing.T) {
 	endless.CheckClient(t, "", func(_ *testing.T, address string) error {
-		_, err := NewClient(address).Get(context.Background(), "key")
+		_, err := New(address).Get(context.Background(), "key")
 		return err
 	})
 }
--- a/internal/standin/platform_test.go
+++ b/internal/standin/platform_test.go
@@ -10,14 +10,15 @@
 	"testing"
 
 	"kumquatcleat/internal/platform"
+	"kumquatcleat/internal/platformclient"
 )
 
-func startPlatform(t *testing.T, s PlatformSettings) (*Platform, *platform.Client) {
+func startPlatform(t *testing.T, s PlatformSettings) (*Platform, *platformclient.Client) {
 	t.Helper()
 	p := NewPlatform(s)
 	server := httptest.NewServer(p)
 	t.Cleanup(server.Close)
-	return p, platform.NewClient(strings.TrimPrefix(server.URL, "http://"))
+	return p, platformclient.New(strings.TrimPrefix(server.URL, "http://"))
 }
 
 func TestCommitOfStaleVersionConflicts(t *testing.T) {
