Signals to stop are received from the initialization of the program on

What operators saw: none of the requests is lost by it, but a second signal, which ends kumquatcleatd at once, could be ignored.

Cause: go-zero's proc subscribes in a goroutine that it starts while the program is initialized, the project at the beginning of main. A signal in between reaches the library alone, and its notice can't tell whether a copy will reach the project.

The tests of watch that stood for the library's notice are replaced by one with real signals and go-zero in the same process, TestSignalThatLibraryReceivedTooCountsOnce, and by two with a signal that waits in the channel, under the names they had.

--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -8,8 +8,10 @@
 	"os"
 	"runtime/debug"
 	"sync"
+	"time"
 
 	"github.com/spf13/cobra"
+	"github.com/zeromicro/go-zero/core/proc"
 
 	"kumquatcleat/internal/logging"
 	"kumquatcleat/internal/settings"
@@ -28,9 +30,14 @@
 	memoryLimitBytes = 100 << 20 // soft limit: above it, the garbage collector runs as often as needed
 )
 
+// forceQuitTimeout is longer than any planned stop. By default, go-zero sends a signal to the
+// process again 5.5 s after the first.
+const forceQuitTimeout = 24 * time.Hour
+
 // Main runs the daemon's command line and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
 	ctx, repeated := termination.Notify()
+	proc.SetTimeToForceQuit(forceQuitTimeout)
 	code := exitOK
 	command := newCommand(stdout, func(s *settings.Settings) { code = run(ctx, repeated, s, stdout, stderr) })
 	command.SetArgs(args)
--- a/internal/daemon/main_test.go
+++ b/internal/daemon/main_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"os"
@@ -11,15 +12,22 @@
 	"time"
 )
 
+// buildDaemon builds kumquatcleatd into a folder and returns the path of the program.
+func buildDaemon(t *testing.T, folder string) string {
+	t.Helper()
+	binary := filepath.Join(folder, "kumquatcleatd")
+	if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/kumquatcleatd").CombinedOutput(); err != nil {
+		t.Fatalf("build kumquatcleatd: %v\n%s", err, out)
+	}
+	return binary
+}
+
 // startupProcess starts kumquatcleatd and returns it while it waits for the text of its settings,
 // and a function that writes them.
 func startupProcess(t *testing.T, graceMS int) (command *exec.Cmd, proceed func()) {
 	t.Helper()
 	folder := t.TempDir()
-	binary, file := filepath.Join(folder, "kumquatcleatd"), filepath.Join(folder, "settings")
-	if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/kumquatcleatd").CombinedOutput(); err != nil {
-		t.Fatalf("build kumquatcleatd: %v\n%s", err, out)
-	}
+	binary, file := buildDaemon(t, folder), filepath.Join(folder, "settings")
 	if err := syscall.Mkfifo(file, 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -42,6 +50,22 @@
 	}
 }
 
+// Guards against signals that only go-zero receives because it is initialized, and subscribes, before
+// the daemon does.
+func TestDaemonSubscribesBeforeLibrary(t *testing.T) {
+	command := exec.Command(buildDaemon(t, t.TempDir()), "--help")
+	command.Env = append(os.Environ(), "GODEBUG=inittrace=1")
+	out, err := command.CombinedOutput()
+	if err != nil {
+		t.Fatal(err)
+	}
+	own := bytes.Index(out, []byte("init kumquatcleat/internal/termination "))
+	library := bytes.Index(out, []byte("init github.com/zeromicro/go-zero/core/proc "))
+	if own < 0 || library < 0 || own > library {
+		t.Errorf("packages are initialized at %d (termination) and %d (go-zero's proc) of the trace, want both and termination first", own, library)
+	}
+}
+
 // Guards against a stop that is forgotten because it was asked for while the process still read its
 // settings: it would serve on until it is killed, with requests at work.
 func TestSIGTERMDuringStartupStopsDaemon(t *testing.T) {
--- a/internal/termination/termination_test.go
+++ b/internal/termination/termination_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"os"
+	"os/signal"
 	"syscall"
 	"testing"
 	"time"
+
+	_ "github.com/zeromicro/go-zero/core/proc" // handles SIGTERM and SIGINT as well
 )
 
 // ended fails the test unless ctx ends.
@@ -18,37 +21,46 @@
 	}
 }
 
-// Guards against a signal that the library and the process both received and that counts as two:
-// a second one ends kumquatcleatd at once.
+// kill sends a signal to the test process.
+func kill(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	if err := syscall.Kill(os.Getpid(), s); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a signal that the library receives too, or alone because main has not called Notify
+// yet, and that counts twice or not at all: a second one ends kumquatcleatd at once.
 func TestSignalThatLibraryReceivedTooCountsOnce(t *testing.T) {
-	for name, send := range map[string]func(signals chan<- os.Signal, library chan struct{}){
-		"process first": func(signals chan<- os.Signal, library chan struct{}) {
-			signals <- syscall.SIGTERM
-			close(library)
-		},
-		"library first": func(signals chan<- os.Signal, library chan struct{}) {
-			close(library)
-			signals <- syscall.SIGTERM
-		},
-	} {
-		t.Run(name, func(t *testing.T) {
-			signals, library := make(chan os.Signal), make(chan struct{})
-			ctx, repeated := watch(signals, library, false)
-			send(signals, library)
-			ended(t, ctx)
-			signals <- syscall.SIGINT
-			if s := <-repeated; s != syscall.SIGINT {
-				t.Errorf("got repeated signal %v, want the second one, %v", s, syscall.SIGINT)
+	signals := subscribe()
+	defer signal.Stop(signals)
+	kill(t, syscall.SIGTERM)
+	time.Sleep(100 * time.Millisecond) // the library has received it
+	ctx, repeated := watch(signals)
+	ended(t, ctx)
+	select {
+	case s := <-repeated:
+		t.Errorf("got repeated signal %v after one SIGTERM", s)
+	case <-time.After(100 * time.Millisecond):
+	}
+	for _, s := range []syscall.Signal{syscall.SIGINT, syscall.SIGTERM} {
+		kill(t, s)
+		select {
+		case got := <-repeated:
+			if got != s {
+				t.Errorf("got repeated signal %v, want %v", got, s)
 			}
-		})
+		case <-time.After(10 * time.Second):
+			t.Fatalf("a repeated %v was dropped", s)
+		}
 	}
 }
 
-// Guards against a process that forgets a signal that only the library received, before main.
+// Guards against a process that forgets a signal that arrived before main.
 func TestSignalBeforeMainEndsContext(t *testing.T) {
-	library := make(chan struct{})
-	close(library)
-	ctx, repeated := watch(make(chan os.Signal), library, true)
+	signals := make(chan os.Signal, 2)
+	signals <- syscall.SIGTERM
+	ctx, repeated := watch(signals)
 	ended(t, ctx)
 	select {
 	case s := <-repeated:
@@ -57,12 +69,12 @@
 	}
 }
 
-// Guards against a second signal that is taken for the first, which only the library received: it
-// does not end kumquatcleatd at once.
+// Guards against a second signal that is taken for the first, which arrived before main: it does not
+// end kumquatcleatd at once.
 func TestSignalAfterOneBeforeMainIsRepeated(t *testing.T) {
-	signals, library := make(chan os.Signal), make(chan struct{})
-	close(library)
-	ctx, repeated := watch(signals, library, true)
+	signals := make(chan os.Signal, 2)
+	signals <- syscall.SIGTERM
+	ctx, repeated := watch(signals)
 	ended(t, ctx)
 	signals <- syscall.SIGTERM
 	select {
@@ -75,7 +87,7 @@
 // Guards against a stop whose grace counts from a later moment than the signal.
 func TestReceivedIsTimeOfSignal(t *testing.T) {
 	signals := make(chan os.Signal)
-	ctx, _ := watch(signals, make(chan struct{}), false)
+	ctx, _ := watch(signals)
 	before := time.Now()
 	signals <- syscall.SIGTERM
 	ended(t, ctx)
