Signals that do not ask a process to stop no longer end it

What callers saw: after a SIGUSR2, the next SIGINT ended a VM at once instead of by a planned stop. A log whose reader has ended, or a SIGPIPE, ended the process too.

Cause: go-zero writes profiles to files on SIGUSR2 and takes SIGINT over then: it resets all signal handlers and sends SIGINT to the process. Go ends a process that writes to a broken standard output.

Nothing documented used them, and VMs have no disk for profiles.

--- a/internal/daemon/main_test.go
+++ b/internal/daemon/main_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -23,8 +24,8 @@
 }
 
 // startupProcess starts kumquatcleatd and returns it while it waits for the text of its settings,
-// and a function that writes them.
-func startupProcess(t *testing.T, graceMS int) (command *exec.Cmd, proceed func()) {
+// and a function that writes them and returns the address for callers.
+func startupProcess(t *testing.T, graceMS int) (command *exec.Cmd, proceed func() (listen string)) {
 	t.Helper()
 	folder := t.TempDir()
 	binary, file := buildDaemon(t, folder), filepath.Join(folder, "settings")
@@ -41,12 +42,46 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return command, func() {
+	return command, func() string {
+		listen := freeAddress(t)
 		_, err := fmt.Fprintf(pipe, `{"id":"vm-1","failure_domain":"a","listen":%q,"peer_listen":%q,"platform":%q,"shutdown_grace_ms":%d}`,
-			freeAddress(t), freeAddress(t), freeAddress(t), graceMS)
+			listen, freeAddress(t), freeAddress(t), graceMS)
 		if err := errors.Join(err, pipe.Close()); err != nil {
 			t.Error(err)
 		}
+		return listen
+	}
+}
+
+// Guards against signals that end a daemon that serves at once, without a planned stop: SIGINT after
+// a SIGUSR2 on which go-zero starts a profile.
+func TestSignalsDoNotCutDaemonShort(t *testing.T) {
+	const graceMS = 4000
+	for _, signals := range [][]syscall.Signal{
+		{syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGPIPE, syscall.SIGINT},
+	} {
+		t.Run(fmt.Sprint(signals), func(t *testing.T) {
+			command, proceed := startupProcess(t, graceMS)
+			listen := proceed()
+			for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+				if conn, err := net.Dial("tcp", listen); err == nil {
+					_ = conn.Close()
+					break
+				}
+				if time.Now().After(deadline) {
+					t.Fatal("the daemon does not listen")
+				}
+			}
+			for _, s := range signals {
+				time.Sleep(200 * time.Millisecond)
+				_ = command.Process.Signal(s) // the process may have exited already
+			}
+			told := time.Now()
+			err := command.Wait()
+			if took := time.Since(told); err != nil || took < shutdownDelay/2 || took > graceMS*time.Millisecond {
+				t.Errorf("the daemon ended after %v with %v, want exit code 0 after about %v", took, err, shutdownDelay)
+			}
+		})
 	}
 }
 
--- a/internal/termination/termination.go
+++ b/internal/termination/termination.go
@@ -33,9 +33,24 @@
 }
 
 // Notify returns a context that ends with the first SIGTERM or SIGINT, and a channel of
-// further ones, which drops those that nobody receives. Main calls it first, and once. The process
-// stays subscribed until it exits, so that no repeated signal terminates it.
-func Notify() (ctx context.Context, repeated <-chan os.Signal) { return watch(signals) }
+// further ones, which drops those that nobody receives.
+//
+// Main calls Notify first, and once. The process stays subscribed until it exits, so that no
+// repeated signal terminates it. Signals that have no meaning for it no longer terminate it either.
+func Notify() (ctx context.Context, repeated <-chan os.Signal) {
+	return notify(signals)
+}
+
+func notify(signals chan os.Signal) (context.Context, <-chan os.Signal) {
+	IgnoreOthers()
+	return watch(signals)
+}
+
+// IgnoreOthers ignores signals that would terminate the process and do not ask it to stop: SIGPIPE,
+// which a log without a reader raises, SIGUSR1 and SIGUSR2. go-zero subscribes to these two some
+// time after its initialization. It writes profiles then, and the next SIGINT terminates the
+// process. Call IgnoreOthers again before the process listens if it imports go-zero's proc.
+func IgnoreOthers() { signal.Ignore(syscall.SIGPIPE, syscall.SIGUSR1, syscall.SIGUSR2) }
 
 // watch returns the context and the channel of Notify.
 func watch(signals <-chan os.Signal) (context.Context, <-chan os.Signal) {
--- a/internal/termination/termination_test.go
+++ b/internal/termination/termination_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	_ "github.com/zeromicro/go-zero/core/proc" // handles SIGTERM and SIGINT as well
+	_ "github.com/zeromicro/go-zero/core/proc" // handles SIGTERM, SIGINT, SIGUSR1 and SIGUSR2 as well
 )
 
 // ended fails the test unless ctx ends.
@@ -36,8 +36,11 @@
 	defer signal.Stop(signals)
 	kill(t, syscall.SIGTERM)
 	time.Sleep(100 * time.Millisecond) // the library has received it
-	ctx, repeated := watch(signals)
+	ctx, repeated := notify(signals)
 	ended(t, ctx)
+	for _, s := range []syscall.Signal{syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGPIPE} {
+		kill(t, s)
+	}
 	select {
 	case s := <-repeated:
 		t.Errorf("got repeated signal %v after one SIGTERM", s)
