Daemon: SIGHUP begins a planned stop

Cause: nothing subscribed to the signal, whose default action ends the process.

Change: it counts as a request to stop, like SIGTERM, unless the process was started to ignore it. The daemon has nothing to reload; the gateway reloads its settings on SIGHUP, as before.

--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"runtime/debug"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -36,7 +37,7 @@
 
 // Main runs the daemon's command line and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
-	ctx, repeated := termination.Notify()
+	ctx, repeated := termination.Notify(syscall.SIGHUP)
 	proc.SetTimeToForceQuit(forceQuitTimeout)
 	code := exitOK
 	command := newCommand(stdout, func(s *settings.Settings) { code = run(ctx, repeated, s, stdout, stderr) })
--- a/internal/daemon/main_test.go
+++ b/internal/daemon/main_test.go
@@ -53,11 +53,12 @@
 	}
 }
 
-// Guards against signals that end a daemon that serves at once, without a planned stop: SIGINT after
-// a SIGUSR2 on which go-zero starts a profile.
+// Guards against signals that end a daemon that serves at once, without a planned stop: SIGHUP, or
+// SIGINT after a SIGUSR2 on which go-zero starts a profile.
 func TestSignalsDoNotCutDaemonShort(t *testing.T) {
 	const graceMS = 4000
 	for _, signals := range [][]syscall.Signal{
+		{syscall.SIGHUP},
 		{syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGPIPE, syscall.SIGINT},
 	} {
 		t.Run(fmt.Sprint(signals), func(t *testing.T) {
--- a/internal/termination/termination.go
+++ b/internal/termination/termination.go
@@ -33,16 +33,22 @@
 }
 
 // Notify returns a context that ends with the first SIGTERM or SIGINT, and a channel of
-// further ones, which drops those that nobody receives.
+// further ones, which drops those that nobody receives. also adds signals that ask to stop. One
+// that the process was started to ignore, as nohup does with SIGHUP, stays ignored.
 //
 // Main calls Notify first, and once. The process stays subscribed until it exits, so that no
 // repeated signal terminates it. Signals that have no meaning for it no longer terminate it either.
-func Notify() (ctx context.Context, repeated <-chan os.Signal) {
-	return notify(signals)
+func Notify(also ...os.Signal) (ctx context.Context, repeated <-chan os.Signal) {
+	return notify(signals, also)
 }
 
-func notify(signals chan os.Signal) (context.Context, <-chan os.Signal) {
+func notify(signals chan os.Signal, also []os.Signal) (context.Context, <-chan os.Signal) {
 	IgnoreOthers()
+	for _, s := range also {
+		if !signal.Ignored(s) {
+			signal.Notify(signals, s)
+		}
+	}
 	return watch(signals)
 }
 
--- a/internal/termination/termination_test.go
+++ b/internal/termination/termination_test.go
@@ -36,7 +36,7 @@
 	defer signal.Stop(signals)
 	kill(t, syscall.SIGTERM)
 	time.Sleep(100 * time.Millisecond) // the library has received it
-	ctx, repeated := notify(signals)
+	ctx, repeated := notify(signals, []os.Signal{syscall.SIGHUP})
 	ended(t, ctx)
 	for _, s := range []syscall.Signal{syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGPIPE} {
 		kill(t, s)
@@ -46,7 +46,7 @@
 		t.Errorf("got repeated signal %v after one SIGTERM", s)
 	case <-time.After(100 * time.Millisecond):
 	}
-	for _, s := range []syscall.Signal{syscall.SIGINT, syscall.SIGTERM} {
+	for _, s := range []syscall.Signal{syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP} {
 		kill(t, s)
 		select {
 		case got := <-repeated:
