Rate limits: an older statement does not bring back a limit that was lifted

Cause: the time of a statement was compared with that of a known limit; a lifted one leaves nothing to compare with.

Change: a VM remembers for 20 s, twice the age at which statements end to count, when a server last answered without a limit, also if it knew of none, and ignores statements that are clearly older. Within 400 ms the order of answers to different VMs is unknown, and the coordinator decides, as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -224,7 +224,7 @@
 		g.requestPool.Sweep(keep)
 		g.controlPool.Sweep(keep)
 		g.balancer.Sweep(keep)
-		g.rateLimits.Sweep(keep)
+		g.rateLimits.Sweep(time.Now(), keep)
 		g.pauses.Sweep(time.Now(), keep)
 	}
 }
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -6,6 +6,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -40,7 +41,10 @@
 
 	mu     sync.Mutex // guards the fields below
 	limits map[registry.Instance]*limit
-	news   map[registry.Instance]Statement // from answers since the last TakeStatements
+	// unlimited holds when servers last answered without a limit, this or another VM. An
+	// older statement that arrives later does not count.
+	unlimited map[registry.Instance]time.Time
+	news      map[registry.Instance]Statement // from answers since the last TakeStatements
 }
 
 // New returns limits of no server. The number of limited servers is the metric
@@ -48,7 +52,7 @@
 func New(share func(server string) float64, m metrics.Registry) *Limits {
 	return &Limits{
 		share: share, gauge: metrics.GetOrRegisterGauge("servers_rate_limited", m),
-		limits: map[registry.Instance]*limit{}, news: map[registry.Instance]Statement{},
+		limits: map[registry.Instance]*limit{}, unlimited: map[registry.Instance]time.Time{}, news: map[registry.Instance]Statement{},
 	}
 }
 
@@ -82,11 +86,9 @@
 
 // Unstated records that a server answered without a rate limit.
 func (l *Limits) Unstated(now time.Time, server registry.Instance) {
-	if l.count.Load() == 0 {
-		return
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.unlimited[server] = now
 	if l.limits[server] == nil {
 		return
 	}
@@ -207,10 +209,16 @@
 	return time.Duration(min(seconds, maxWait.Seconds()) * float64(time.Second))
 }
 
-// Sweep forgets the limits of servers for which keep returns false.
-func (l *Limits) Sweep(keep func(registry.Instance) bool) {
+// unlimitedMemory is how long an answer without a limit is remembered: older statements may
+// arrive until then.
+const unlimitedMemory = 2 * maxAge
+
+// Sweep forgets the limits of servers for which keep returns false, and answers without a limit that
+// no statement can be older than.
+func (l *Limits) Sweep(now time.Time, keep func(registry.Instance) bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	maps.DeleteFunc(l.unlimited, func(_ registry.Instance, at time.Time) bool { return now.Sub(at) > unlimitedMemory })
 	for server := range l.limits {
 		if !keep(server) {
 			l.forget(server)
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -202,7 +202,7 @@
 func TestSweepForgetsLimits(t *testing.T) {
 	l := newLimits(100)
 	l.Stated(start, server, 0)
-	l.Sweep(func(registry.Instance) bool { return false })
+	l.Sweep(start, func(registry.Instance) bool { return false })
 	if !l.Take(start, server) {
 		t.Error("a server that is gone still has a limit")
 	}
--- a/internal/ratelimit/statements.go
+++ b/internal/ratelimit/statements.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"kumquatcleat/internal/registry"
+	"kumquatcleat/internal/wait"
 )
 
 // Statement is what an answer of a server said about its rate limit, as VMs tell each other.
@@ -55,7 +56,7 @@
 	return list
 }
 
-// Learn applies what answers to other VMs said.
+// Learn applies what answers to other VMs said, as far as this VM knows of no newer one.
 func (l *Limits) Learn(now time.Time, statements []Statement) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -66,9 +67,13 @@
 		server, at := s.instance(), now.Add(-time.Duration(s.AgeMS)*time.Millisecond)
 		known := l.limits[server]
 		switch {
-		case s.Lifted && known != nil && at.After(known.stated):
-			l.lift(server)
-		case !s.Lifted && (known == nil || at.After(known.stated)):
+		case known != nil && !at.After(known.stated):
+		case s.Lifted:
+			l.unlimited[server] = wait.Later(at, l.unlimited[server])
+			if known != nil {
+				l.lift(server)
+			}
+		case at.After(l.unlimited[server].Add(-orderMargin)):
 			l.set(now, server, s.Rate, at)
 		}
 	}
