Answers of other VMs that are read late do not count as new

A VM that was paused, or suspended, between the arrival of an answer and its reading took what it says as of that moment: overload signals and rate limits held for longer, and views counted as fresh for up to the length of the pause.

Cause: the deadline of a call ends a call that waits; it does not compare the time when the answer is read. The age of what a report's answer says counted from its reading.

Change: call refuses an answer that is read after the deadline, by a clock that includes suspensions, for all messages between VMs. Signals and statements in the answer to a report count from the time when the report was sent, the earliest that they can be of.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -6,9 +6,11 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"math"
 	"net/http"
 	"time"
 
+	"kumquatcleat/internal/bootclock"
 	"kumquatcleat/internal/dial"
 	"kumquatcleat/internal/membudget"
 )
@@ -31,8 +33,14 @@
 )
 
 // call posts a JSON request to another VM and decodes its response. It reads the
-// body to the end so that the connection can be reused.
+// body to the end so that the connection can be reused. A response that is read after the
+// deadline of ctx is an error: the VM was paused or suspended, and what the response says is old.
 func call(ctx context.Context, client *http.Client, address, path string, request, response any) error {
+	began := bootclock.Now()
+	allowed := time.Duration(math.MaxInt64)
+	if deadline, ok := ctx.Deadline(); ok {
+		allowed = time.Until(deadline)
+	}
 	body, err := json.Marshal(request)
 	if err != nil {
 		return fmt.Errorf("peers: encode request: %w", err)
@@ -53,6 +61,9 @@
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("peers: request %s to %s: unexpected status %d", path, address, resp.StatusCode)
 	}
+	if took := bootclock.Now() - began; took > allowed {
+		return fmt.Errorf("peers: response to %s from %s took %v, at most %v allowed", path, address, took, allowed)
+	}
 	if err := json.Unmarshal(data, response); err != nil {
 		return fmt.Errorf("peers: decode response: %w", err)
 	}
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -150,7 +150,7 @@
 		case idle && time.Since(l.sentAt) < idleReportInterval:
 		case coordinator == l.selfAddress:
 			l.report(report)
-			l.follow(l.response(retry.SuspectsReport{}))
+			l.follow(time.Now(), l.response(retry.SuspectsReport{}))
 		default:
 			l.sentAt = time.Now()
 			response, accepted := l.send(ctx, coordinator, loadReport{Report: report, Suspects: suspects, Unanswered: unanswered, Leaving: l.registry.Leaving()})
@@ -186,11 +186,12 @@
 func (l *loadReporter) send(ctx context.Context, to string, report loadReport) (response reportResponse, accepted bool) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
+	sent := time.Now()
 	if err := call(ctx, l.client, to, pathLoads, report, &response); err != nil {
 		slog.Debug("loads: report not delivered to the coordinator", "coordinator", to, "error", err.Error())
 		return response, false
 	}
-	l.follow(response)
+	l.follow(sent, response)
 	return response, true
 }
 
@@ -199,11 +200,11 @@
 	return reportResponse{Overloads: l.overloads(), RateLimits: l.rateLimitChanges(), Suspects: retry.Answer(l.quarantine, l.process, suspects), Leaving: l.registry.Leaving()}
 }
 
-// follow applies the coordinator's response to a report.
-func (l *loadReporter) follow(response reportResponse) {
-	now := time.Now()
-	l.gate.Update(now, response.Overloads)
-	l.rateLimits.Learn(now, response.RateLimits)
+// follow applies the coordinator's response to a report that was sent at the given time. What it
+// says may be as old as that.
+func (l *loadReporter) follow(sent time.Time, response reportResponse) {
+	l.gate.Update(sent, response.Overloads)
+	l.rateLimits.Learn(sent, response.RateLimits)
 	l.markLeaving(response.Leaving)
 }
 
--- a/internal/gateway/loads_test.go
+++ b/internal/gateway/loads_test.go
@@ -120,3 +120,18 @@
 		})
 	}
 }
+
+// Guards against overload signals that hold for longer because their message took time.
+func TestSignalsHoldFromReportOn(t *testing.T) {
+	vm := newTestReporter("vm")
+	var response reportResponse
+	response.Overloads = map[string]overload.Signal{"s": {Admit: 0}}
+	vm.follow(time.Now().Add(-2*time.Second), response)
+	if _, admitted := vm.gate.Admit(time.Now(), "svc", "s", 1, 0.5); !admitted {
+		t.Error("a signal holds that was sent for longer ago than signals hold")
+	}
+	vm.follow(time.Now(), response)
+	if _, admitted := vm.gate.Admit(time.Now(), "svc", "s", 1, 0.5); admitted {
+		t.Error("a new signal does not hold")
+	}
+}
