Reports to the coordinator that were held up do not count as new

What callers saw: in a test, a rate limit that a server had lifted came back at all VMs, 0.25 requests/s, because a report of another VM with the older statement was held up for a second. The same holds for the times of requests that had no answer, and for requests at work.

Cause: VMs have no common clock, so a report tells ages as of its sending, and the coordinator took its arrival for that. A VM gives up on a report after 0.5 s, but the bytes may arrive later: from a link that held them back, or into a coordinator that was paused.

Change: reports carry the run of the VM's process and a number, and the coordinator's clock as its last answer stated it with the time since. By that the coordinator knows for how long at least a report was on its way. It ignores those that their VMs have given up on, that follow a newer one, or come twice. Builds before send no stamp and are treated as before; they ignore the new fields.

--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"kumquatcleat/internal/balance"
+	"kumquatcleat/internal/bootclock"
 	"kumquatcleat/internal/dispatch"
 	"kumquatcleat/internal/keyspace"
 	"kumquatcleat/internal/overload"
@@ -26,6 +27,7 @@
 // loadReport is what a VM reports to the coordinator.
 type loadReport struct {
 	keyspace.Report
+	Stamp    reportStamp          `json:"stamp,omitzero"`
 	Suspects retry.SuspectsReport `json:"suspects,omitzero"`
 	// Unanswered are requests whose servers may have ended under them.
 	Unanswered []dispatch.Unanswered `json:"unanswered,omitempty"`
@@ -43,6 +45,10 @@
 	Suspects   retry.SuspectsAnswer  `json:"suspects,omitzero"`
 	Unanswered []dispatch.Unanswered `json:"unanswered,omitempty"`
 	Leaving    []registry.Instance   `json:"leaving,omitempty"`
+	// ClockMS is the coordinator's clock, see reportStamp.
+	ClockMS int64 `json:"clock_ms,omitempty"`
+	// TooOld says that the report did not count.
+	TooOld bool `json:"too_old,omitempty"`
 }
 
 const (
@@ -68,7 +74,9 @@
 	suspicions *dispatch.Suspicions
 	unanswered *dispatch.UnansweredReports // used only by run
 	process    string
-	sentAt     time.Time // of the last report; used only by run
+	sentAt     time.Time       // of the last report; used only by run
+	stamps     *reportStamps   // used only by run
+	arrivals   *reportArrivals // of reports to this VM, if it coordinates
 	// post keeps in the store what VMs have to know that the coordinator can't tell them.
 	post func(retry.Post)
 
@@ -92,7 +100,7 @@
 
 func newLoadReporter(s *Settings, process string, suspicions *dispatch.Suspicions, report func(keyspace.Report), times func(string) map[string]balance.Samples) *loadReporter {
 	q := suspicions.Quarantine()
-	return &loadReporter{post: func(retry.Post) {}, process: process, quarantine: q, exchange: retry.NewExchange(q), suspicions: suspicions, unanswered: dispatch.NewUnansweredReports(suspicions), vm: s.VM, selfAddress: s.PeerListen, gate: overload.NewGate(), report: report, serviceTimes: times, client: newPeerClient(s.IP, peerDialTimeout), counts: map[string]map[uint32]float64{}}
+	return &loadReporter{post: func(retry.Post) {}, process: process, stamps: &reportStamps{run: newRunID(process), now: bootclock.Now}, arrivals: newReportArrivals(process), quarantine: q, exchange: retry.NewExchange(q), suspicions: suspicions, unanswered: dispatch.NewUnansweredReports(suspicions), vm: s.VM, selfAddress: s.PeerListen, gate: overload.NewGate(), report: report, serviceTimes: times, client: newPeerClient(s.IP, peerDialTimeout), counts: map[string]map[uint32]float64{}}
 }
 
 // count counts a request for a key.
@@ -186,12 +194,18 @@
 func (l *loadReporter) send(ctx context.Context, to string, report loadReport) (response reportResponse, accepted bool) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	sent := time.Now()
+	sentAt, sent := time.Now(), l.stamps.now()
+	report.Stamp = l.stamps.next()
 	if err := call(ctx, l.client, to, pathLoads, report, &response); err != nil {
 		slog.Debug("loads: report not delivered to the coordinator", "coordinator", to, "error", err.Error())
 		return response, false
 	}
-	l.follow(sent, response)
+	l.stamps.answer(sent, response.Suspects.Known.Process, response.ClockMS)
+	if response.TooOld {
+		slog.Info("loads: report was too old for the coordinator", "coordinator", to, "number", report.Stamp.Number)
+		return response, false
+	}
+	l.follow(sentAt, response)
 	return response, true
 }
 
@@ -225,10 +239,20 @@
 		http.Error(w, "another VM coordinates", http.StatusConflict)
 		return
 	}
+	if l.arrivals.tooOld(report.VM, report.Stamp) {
+		slog.Info("loads: report ignored, its VM has given up on it or sent a newer one", "vm", report.VM, "number", report.Stamp.Number)
+		l.respond(w, reportResponse{TooOld: true, Suspects: retry.SuspectsAnswer{Known: retry.Position{Process: l.process}}})
+		return
+	}
 	l.report(report.Report)
 	l.markLeaving(report.Leaving)
 	response := l.response(report.Suspects)
 	response.Unanswered = l.suspicions.Exchange(report.Unanswered)
+	l.respond(w, response)
+}
+
+func (l *loadReporter) respond(w http.ResponseWriter, response reportResponse) {
+	response.ClockMS = l.arrivals.clockMS()
 	if err := json.NewEncoder(w).Encode(response); err != nil {
 		slog.Debug("loads: response to a report not sent", "error", err.Error())
 	}
