--- a/internal/ratelimit/late_test.go
+++ b/internal/ratelimit/late_test.go
@@ -86,3 +86,21 @@
 		t.Error("an answer without a limit is kept for ever")
 	}
 }
+
+// Guards against a VM that saves up the right to send for the same time twice, because what it learns
+// is as of the time of its report, before its last request.
+func TestLearningDoesNotAddCredit(t *testing.T) {
+	const rate, every = 10, 100 * time.Millisecond
+	l := newLimits(1)
+	l.Stated(start, server, rate)
+	sent := 0
+	for at := start; at.Before(start.Add(100 * time.Second)); at = at.Add(every) {
+		l.Learn(at.Add(-2*every), []Statement{{Server: server.ID, Incarnation: server.Incarnation, Rate: rate}})
+		for l.Take(at, server) {
+			sent++
+		}
+	}
+	if sent > 100*rate+1+rate {
+		t.Errorf("sent %d requests in 100s, want at most about %d", sent, 100*rate)
+	}
+}
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -149,8 +149,10 @@
 // step.
 func (l *Limits) accrue(now time.Time, server registry.Instance, known *limit) float64 {
 	rate := known.rate * l.share(server.ID)
-	known.credit += rate * max(now.Sub(known.creditAt).Seconds(), 0)
-	known.creditAt = now
+	if now.After(known.creditAt) {
+		known.credit += rate * now.Sub(known.creditAt).Seconds()
+		known.creditAt = now
+	}
 	if excess := known.credit - 1 - rate*creditLife.Seconds(); rate > 0 && excess > 0 {
 		known.credit -= math.Ceil(excess)
 	}
