--- a/internal/termination/termination_test.go
+++ b/internal/termination/termination_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	_ "github.com/zeromicro/go-zero/core/proc" // handles SIGTERM, SIGINT, SIGUSR1 and SIGUSR2 as well
+	"github.com/zeromicro/go-zero/core/proc" // handles SIGTERM, SIGINT, SIGUSR1 and SIGUSR2 as well
 )
 
 // ended fails the test unless ctx ends.
@@ -32,6 +32,7 @@
 // Guards against a signal that the library receives too, or alone because main has not called Notify
 // yet, and that counts twice or not at all: a second one ends kumquatcleatd at once.
 func TestSignalThatLibraryReceivedTooCountsOnce(t *testing.T) {
+	proc.SetTimeToForceQuit(time.Hour)
 	signals := subscribe()
 	defer signal.Stop(signals)
 	kill(t, syscall.SIGTERM)
