--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -110,7 +110,7 @@
 		_, _ = fmt.Fprintln(stderr, "kumquatcleatd:", err)
 		return exitFailed
 	}
-	termination.IgnoreOthers()
+	termination.IgnoreUnused() // go-zero may have subscribed since main began
 	err = interruptible(func() error { return d.Run(told) }, repeated, func(sig os.Signal) {
 		slog.Error("daemon: terminated immediately by a second signal", "signal", sig.String(), "requests_cut", d.InFlight())
 		flush()
--- a/internal/termination/termination.go
+++ b/internal/termination/termination.go
@@ -43,7 +43,7 @@
 }
 
 func notify(signals chan os.Signal, also []os.Signal) (context.Context, <-chan os.Signal) {
-	IgnoreOthers()
+	IgnoreUnused()
 	for _, s := range also {
 		if !signal.Ignored(s) {
 			signal.Notify(signals, s)
@@ -52,11 +52,11 @@
 	return watch(signals)
 }
 
-// IgnoreOthers ignores signals that would terminate the process and do not ask it to stop: SIGPIPE,
-// which a log without a reader raises, SIGUSR1 and SIGUSR2. go-zero subscribes to these two some
-// time after its initialization. It writes profiles then, and the next SIGINT terminates the
-// process. Call IgnoreOthers again before the process listens if it imports go-zero's proc.
-func IgnoreOthers() { signal.Ignore(syscall.SIGPIPE, syscall.SIGUSR1, syscall.SIGUSR2) }
+// IgnoreUnused ignores SIGPIPE, which a log without a reader raises, SIGUSR1 and SIGUSR2: nothing
+// uses them, and each would terminate the process. go-zero's proc subscribes to the last two in a
+// goroutine, some time after its initialization. On SIGUSR2 it writes profiles, and the next SIGINT
+// terminates the process. A process that imports proc calls IgnoreUnused once more before it listens.
+func IgnoreUnused() { signal.Ignore(syscall.SIGPIPE, syscall.SIGUSR1, syscall.SIGUSR2) }
 
 // watch returns the context and the channel of Notify.
 func watch(signals <-chan os.Signal) (context.Context, <-chan os.Signal) {
