Grants use no connection that was idle for over two seconds

The server had held no keys since just before the cut, so the grant went out 3.9 s later on a connection idle since then, which dead-peer detection gave up during the call. A timeout resets the connection, and what the network holds back is lost; this end resets nothing.

Change: a control call takes no connection that has been idle for more than 2 s, 1 s less than dead-peer detection takes at least; it opens a new one, which fails while the server is cut off. Renewals use their connections several times in that time.

Test: TestControlCallUsesNoConnectionThatWasIdleForLong fails without the bound (1 of 1 run).

--- a/internal/serverconn/exchange_test.go
+++ b/internal/serverconn/exchange_test.go
@@ -263,6 +263,35 @@
 	}
 }
 
+// Guards against a grant that is applied seconds after it failed, when its keys have another owner: it
+// was written to a connection that had been idle so long that the kernel gave it up during the call.
+func TestControlCallUsesNoConnectionThatWasIdleForLong(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nKeep-Alive: timeout=15\r\nContent-Length: 0\r\n\r\n"
+	for idle, want := range map[time.Duration]bool{time.Second: true, 2500 * time.Millisecond: false, 10 * time.Second: false} {
+		server, _ := rawServer(t, ok, ok, ok)
+		s := newSender()
+		call := func(session uint64) (ControlAnswer, *Failure) {
+			return s.Call(context.Background(), ControlCall{Server: server, Path: "/grant", Session: session, Guard: func() bool { return true }})
+		}
+		first, f := call(0)
+		if f != nil {
+			t.Fatal(f.Err)
+		}
+		s.pool.mu.Lock()
+		for _, c := range s.pool.idle[server.Instance()] {
+			c.idleSince = c.idleSince.Add(-idle)
+		}
+		s.pool.mu.Unlock()
+		second, f := call(0)
+		if f != nil {
+			t.Fatal(f.Err)
+		}
+		if reused := second.Session == first.Session; reused != want {
+			t.Errorf("idle for %v: connection used again is %v, want %v", idle, reused, want)
+		}
+	}
+}
+
 // A second copy of the answer to a grant that arrives late, on a connection of the session
 // that is in use again, is not taken for the answer to the next grant.
 func TestLateCopyOfControlAnswerIsSkipped(t *testing.T) {
--- a/internal/serverconn/session.go
+++ b/internal/serverconn/session.go
@@ -20,6 +20,12 @@
 // spare.
 const ControlConnections = 2
 
+// maxControlIdle is how long a connection may have been idle before a control call. Dead-peer
+// detection (package dial) gives a connection up after 3 s without an answer at the earliest. If
+// that happens during a call, nothing is reset: bytes that the network holds back arrive seconds
+// later, after the lease that they grant has been counted as expired.
+const maxControlIdle = 2 * time.Second
+
 // controlConn returns a connection for a control call.
 func (p *Pool) controlConn(ctx context.Context, call ControlCall) (*conn, error) {
 	if call.Dedicated {
@@ -53,7 +59,7 @@
 	kept := p.idle[key][:0]
 	for _, c := range p.idle[key] {
 		switch {
-		case !c.reusable(now, time.Hour): // only the connection's idle timeout applies
+		case !c.reusable(now, maxControlIdle):
 			_ = c.Close()
 		case c.session == 0 || session != 0 && c.session != session:
 			kept = append(kept, c)
