--- a/internal/gateway/reports_test.go
+++ b/internal/gateway/reports_test.go
@@ -11,8 +11,7 @@
 	"kumquatcleat/internal/registry"
 )
 
-// reportPath is the way of the reports of one VM to the coordinator, with a clock for each that has
-// its own start.
+// reportPath carries the reports of one VM to the coordinator. Their clocks differ.
 type reportPath struct {
 	now      time.Duration
 	stamps   *reportStamps
