--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -9,6 +9,8 @@
 	Running int // requests that it runs
 	Waiting int // requests in its queue
 	Slots   int // requests that it can run concurrently
+	// Slowdown is how long work takes at this moment, relative to the usual time; 0: not stated.
+	Slowdown float64
 }
 
 // Dialect holds the header names of one protocol and the functions for their values.
