--- a/internal/balance/subset_test.go
+++ b/internal/balance/subset_test.go
@@ -6,7 +6,6 @@
 	"testing"
 	"time"
 
-	"kumquatcleat/internal/dialect"
 	"kumquatcleat/internal/loadmodel"
 	"kumquatcleat/internal/registry"
 )
@@ -27,26 +26,40 @@
 	far      int // requests sent to another domain
 	late     int
 	latency  time.Duration
+
+	workload workload
+	// slowdowns holds how long work takes at each server now; nil: as usual.
+	slowdowns      []float64
+	statesSlowdown bool // load reports say so
+}
+
+// workload is what callers ask of the servers of one failure domain.
+type workload struct {
+	vms, servers, slots int
+	serviceTime         time.Duration
+	spread              float64 // standard deviation of its logarithm
+	objective           time.Duration
+	load                float64 // of the capacity of all servers
 }
 
+// longRequests take servers most of a second.
+var longRequests = workload{vms: 29, servers: 60, slots: 6, serviceTime: 800 * time.Millisecond, spread: 0.4, objective: 3 * time.Second, load: 0.69}
+
 const (
-	modelVMs         = 29
-	modelServers     = 60
-	modelSlots       = 6
-	modelServiceTime = 800 * time.Millisecond
-	modelSpread      = 0.4
-	modelObjective   = 3 * time.Second
-	modelIdleTime    = 8500 * time.Millisecond
-	modelRunTime     = 60 * time.Second
-	modelLoad        = 0.69 // of the capacity of all servers
+	modelIdleTime = 8500 * time.Millisecond
+	modelRunTime  = 60 * time.Second
 )
 
 func newDomainModel(seed uint64, domains int) *domainModel {
-	m := &domainModel{Sim: loadmodel.NewSim(seed), domains: domains}
-	for range modelServers * domains {
+	return newModel(seed, domains, longRequests)
+}
+
+func newModel(seed uint64, domains int, w workload) *domainModel {
+	m := &domainModel{Sim: loadmodel.NewSim(seed), domains: domains, workload: w}
+	for range w.servers * domains {
 		m.addServer()
 	}
-	for i := range modelVMs * domains {
+	for i := range w.vms * domains {
 		m.vms = append(m.vms, New(Settings{FailureDomain: m.domain(i), CrossDomainCost: 0.05, InitialServiceTime: 100 * time.Millisecond, MaxRequestsPerSlot: 4.5}))
 		m.idle = append(m.idle, map[int][]time.Time{})
 	}
@@ -58,8 +71,8 @@
 
 func (m *domainModel) addServer() {
 	i := len(m.servers)
-	m.entries = append(m.entries, &registry.Server{ID: fmt.Sprint("s", i), Service: "svc", FailureDomain: m.domain(i), Slots: modelSlots, Incarnation: 1})
-	m.servers = append(m.servers, &loadmodel.Server{Sim: m.Sim, Slots: modelSlots, Queue: math.MaxInt})
+	m.entries = append(m.entries, &registry.Server{ID: fmt.Sprint("s", i), Service: "svc", FailureDomain: m.domain(i), Slots: m.workload.slots, Incarnation: 1})
+	m.servers = append(m.servers, &loadmodel.Server{Sim: m.Sim, Slots: m.workload.slots, Queue: math.MaxInt})
 	m.speeds = append(m.speeds, []float64{0.5, 1, 1, 1.5}[i/m.domains%4])
 	m.served = append(m.served, 0)
 }
@@ -81,7 +94,7 @@
 func (m *domainModel) request() {
 	vm := m.Rand.IntN(len(m.vms))
 	m.requests++
-	choice, _ := m.vms[vm].Choose(m.Now, m.entries, modelObjective, none)
+	choice, _ := m.vms[vm].Choose(m.Now, m.entries, m.workload.objective, none)
 	var i int
 	_, _ = fmt.Sscanf(choice.Server.ID, "s%d", &i)
 	m.connect(vm, i)
@@ -90,17 +103,17 @@
 	}
 	m.vms[vm].Started(choice.Server)
 	sent, server := m.Now, m.servers[i]
-	work := time.Duration(float64(m.LogNormal(modelServiceTime, modelSpread)) / m.speeds[i])
+	work := time.Duration(float64(m.LogNormal(m.workload.serviceTime, m.workload.spread)) * m.slowdown(i) / m.speeds[i])
 	server.Arrive(work, func() {
 		took := m.Now.Sub(sent)
 		m.latency += took
 		m.served[i]++
-		if took > modelObjective {
+		if took > m.workload.objective {
 			m.late++
 		}
 		m.idle[vm][i] = append(m.idle[vm][i], m.Now)
 		m.vms[vm].Finished(m.Now, choice.Server, Outcome{
-			Took: took, Answered: true, HasLoad: true, Load: dialect.Load{Running: server.Running, Waiting: server.Waiting(), Slots: modelSlots},
+			Took: took, Answered: true, HasLoad: true, Load: m.load(i),
 		})
 	})
 }
@@ -109,10 +122,10 @@
 func (m *domainModel) play() {
 	capacity := 0.0
 	for _, speed := range m.speeds {
-		capacity += speed * modelSlots / modelServiceTime.Seconds()
+		capacity += speed * float64(m.workload.slots) / m.workload.serviceTime.Seconds()
 	}
 	end := m.Now.Add(modelRunTime)
-	m.Poisson(capacity*modelLoad, end, m.request)
+	m.Poisson(capacity*m.workload.load, end, m.request)
 	m.Run(end.Add(modelRunTime))
 }
 
