--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -14,7 +14,7 @@
 }
 
 // Dialect holds the header names of one protocol and the functions for their values.
-// Key, NotStarted, ServerID, ServerLoad, Leaving and RateLimit are empty if the protocol has no
+// Key, NotStarted, ServerID, ServerLoad, Leaving, RateLimit and Warmup are empty if the protocol has no
 // such header. The other names are required.
 type Dialect struct {
 	RequestID    string // id of one attempt of a caller; servers echo it
@@ -27,6 +27,7 @@
 	ServerLoad   string
 	Leaving      string // set to "1" by a server that leaves
 	RateLimit    string // requests per second that the server takes from all VMs together, while it states it
+	Warmup       string // milliseconds for which the server that answers stays cold
 	// MaxKey is the highest valid key.
 	MaxKey uint32
 	// FormatDeadline and ParseDeadline convert the value of the Deadline header.
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -1,5 +1,6 @@
 // Package ratelimit keeps the requests that all VMs together send to a server within the
-// rate limit that the server states in its answers. A limit holds until the server answers
+// rate limit that the server states in its answers, and within the rate that a cold server takes
+// while it warms up; the lower one counts. A stated limit holds until the server answers
 // without it. Each VM sends its share of the limit, whatever the others do; what one VM
 // learns from an answer reaches the others as a Statement.
 package ratelimit
@@ -16,12 +17,17 @@
 	"github.com/rcrowley/go-metrics"
 
 	"kumquatcleat/internal/registry"
+	"kumquatcleat/internal/wait"
 )
 
 // limit is the rate limit of one server and this VM's share of it.
 type limit struct {
-	rate   float64   // requests per second from all VMs together
+	rate   float64   // requests per second from all VMs together; 0: the server states none
 	stated time.Time // when the server last stated it, to this or another VM
+	// warmupRate is the rate in requests per second that the server takes until warmUntil, while it
+	// is cold; 0: it is not.
+	warmupRate float64
+	warmUntil  time.Time
 	// credit grows with this VM's share of the rate. A request takes one.
 	credit   float64
 	creditAt time.Time
@@ -37,7 +43,9 @@
 	// share returns this VM's share of the limit of a server, 0 while it is unknown.
 	share func(server string) float64
 	gauge metrics.Gauge
-	count atomic.Int64 // of limits; without any, requests take no lock
+	// warmingGauge is the number of cold servers, whether they also state a limit or not.
+	warmingGauge metrics.Gauge
+	count        atomic.Int64 // of limits; without any, requests take no lock
 
 	mu     sync.Mutex // guards the fields below
 	limits map[registry.Instance]*limit
@@ -47,11 +55,11 @@
 	news      map[registry.Instance]Statement // from answers since the last TakeStatements
 }
 
-// New returns limits of no server. The number of limited servers is the metric
-// servers_rate_limited.
+// New returns limits of no server. The metric servers_warming_up is the number of cold servers,
+// servers_rate_limited that of other servers with a limit.
 func New(share func(server string) float64, m metrics.Registry) *Limits {
 	return &Limits{
-		share: share, gauge: metrics.GetOrRegisterGauge("servers_rate_limited", m),
+		share: share, gauge: metrics.GetOrRegisterGauge("servers_rate_limited", m), warmingGauge: metrics.GetOrRegisterGauge("servers_warming_up", m),
 		limits: map[registry.Instance]*limit{}, unlimited: map[registry.Instance]time.Time{}, news: map[registry.Instance]Statement{},
 	}
 }
@@ -89,7 +97,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.unlimited[server] = now
-	if l.limits[server] == nil {
+	if known := l.limits[server]; known == nil || known.rate == 0 {
 		return
 	}
 	l.lift(server)
@@ -107,6 +115,17 @@
 )
 
 func (l *Limits) set(now time.Time, server registry.Instance, rate float64, stated time.Time) {
+	known := l.entry(now, server)
+	known.rate, known.stated = max(rate, minRate), stated
+	changed := rate > known.loggedRate*logChange || rate*logChange < known.loggedRate
+	if known.loggedAt.IsZero() || changed && now.Sub(known.loggedAt) >= logInterval {
+		slog.Info("ratelimit: server states a limit", "server", server.ID, "incarnation", server.Incarnation, "rate_per_s", rate, "logged_before", known.loggedRate, "share", l.share(server.ID), "age", now.Sub(stated))
+		known.loggedAt, known.loggedRate = now, rate
+	}
+}
+
+// entry returns the limit of a server, as of now, and creates it if there is none.
+func (l *Limits) entry(now time.Time, server registry.Instance) *limit {
 	known := l.limits[server]
 	if known == nil {
 		// VMs learn of a limit at about the same time. A random start keeps them from
@@ -116,17 +135,64 @@
 		l.updateCount()
 	}
 	l.accrue(now, server, known)
-	known.rate, known.stated = max(rate, minRate), stated
-	changed := rate > known.loggedRate*logChange || rate*logChange < known.loggedRate
-	if known.loggedAt.IsZero() || changed && now.Sub(known.loggedAt) >= logInterval {
-		slog.Info("ratelimit: server states a limit", "server", server.ID, "incarnation", server.Incarnation, "rate_per_s", rate, "logged_before", known.loggedRate, "share", l.share(server.ID), "age", now.Sub(stated))
-		known.loggedAt, known.loggedRate = now, rate
+	return known
+}
+
+// WarmUp records that a server is cold and takes rate requests per second from all VMs together
+// until then. Of several such statements the latest end counts.
+func (l *Limits) WarmUp(now time.Time, server registry.Instance, rate float64, until time.Time) {
+	if !until.After(now) || !(rate > 0) {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := l.entry(now, server)
+	if known.warmupRate == 0 {
+		slog.Info("ratelimit: server is cold", "server", server.ID, "incarnation", server.Incarnation, "rate_per_s", rate, "for_ms", until.Sub(now).Milliseconds())
+	}
+	known.warmupRate, known.warmUntil = rate, wait.Later(known.warmUntil, until)
+	l.updateCount()
+}
+
+// WarmupRate returns the requests per second that a cold server takes from all VMs together, 0 if it
+// is warm.
+func (l *Limits) WarmupRate(now time.Time, server registry.Instance) float64 {
+	if l.count.Load() == 0 {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := l.limits[server]
+	if known == nil || !now.Before(known.warmUntil) {
+		return 0
+	}
+	return known.warmupRate
+}
+
+// endWarmup ends a warm-up whose time has passed.
+func (l *Limits) endWarmup(now time.Time, server registry.Instance, known *limit) {
+	if known.warmupRate == 0 || now.Before(known.warmUntil) {
+		return
 	}
+	slog.Info("ratelimit: server is warm", "server", server.ID, "incarnation", server.Incarnation)
+	known.warmupRate = 0
+	if known.rate == 0 {
+		l.forget(server)
+		return
+	}
+	l.updateCount()
 }
 
 func (l *Limits) lift(server registry.Instance) {
-	slog.Info("ratelimit: server states no limit any more", "server", server.ID, "incarnation", server.Incarnation, "rate_per_s", l.limits[server].rate)
-	l.forget(server)
+	known := l.limits[server]
+	if known.rate == 0 {
+		return
+	}
+	slog.Info("ratelimit: server states no limit any more", "server", server.ID, "incarnation", server.Incarnation, "rate_per_s", known.rate)
+	known.rate = 0
+	if known.warmupRate == 0 {
+		l.forget(server)
+	}
 }
 
 func (l *Limits) forget(server registry.Instance) {
@@ -135,8 +201,15 @@
 }
 
 func (l *Limits) updateCount() {
+	warming := 0
+	for _, known := range l.limits {
+		if known.warmupRate > 0 {
+			warming++
+		}
+	}
 	l.count.Store(int64(len(l.limits)))
-	l.gauge.Update(int64(len(l.limits)))
+	l.gauge.Update(int64(len(l.limits) - warming))
+	l.warmingGauge.Update(int64(warming))
 }
 
 // creditLife is how long a VM may save up the right to send a request. A longer one lets
@@ -148,7 +221,7 @@
 // saved up for longer than creditLife is lost, one request at a time, so that VMs stay out of
 // step.
 func (l *Limits) accrue(now time.Time, server registry.Instance, known *limit) float64 {
-	rate := known.rate * l.share(server.ID)
+	rate := known.total() * l.share(server.ID)
 	if now.After(known.creditAt) {
 		known.credit += rate * now.Sub(known.creditAt).Seconds()
 		known.creditAt = now
@@ -159,6 +232,18 @@
 	return rate
 }
 
+// total returns the rate that all VMs together may send.
+func (k *limit) total() float64 {
+	switch {
+	case k.warmupRate == 0:
+		return k.rate
+	case k.rate == 0:
+		return k.warmupRate
+	default:
+		return min(k.rate, k.warmupRate)
+	}
+}
+
 // Any reports whether any server has a rate limit.
 func (l *Limits) Any() bool { return l.count.Load() > 0 }
 
@@ -179,36 +264,47 @@
 
 // Take takes the right to send a request to a server, and reports whether there was one.
 func (l *Limits) Take(now time.Time, server registry.Instance) bool {
-	return l.wait(now, server, true) == 0
+	wait, _ := l.wait(now, server, true)
+	return wait == 0
 }
 
 // Wait returns the time until this VM may send a request to a server, 0 if it may now.
 func (l *Limits) Wait(now time.Time, server registry.Instance) time.Duration {
+	wait, _ := l.wait(now, server, false)
+	return wait
+}
+
+// WaitReason returns what Wait does, and whether the limit is that of the server's warm-up.
+func (l *Limits) WaitReason(now time.Time, server registry.Instance) (wait time.Duration, warmingUp bool) {
 	return l.wait(now, server, false)
 }
 
 // maxWait is the longest time that Wait returns.
 const maxWait = time.Minute
 
-func (l *Limits) wait(now time.Time, server registry.Instance, take bool) time.Duration {
+func (l *Limits) wait(now time.Time, server registry.Instance, take bool) (wait time.Duration, warmingUp bool) {
 	if l.count.Load() == 0 {
-		return 0
+		return 0, false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known := l.limits[server]
 	if known == nil {
-		return 0
+		return 0, false
+	}
+	l.endWarmup(now, server, known)
+	if known.total() == 0 {
+		return 0, false
 	}
 	rate := l.accrue(now, server, known)
 	if known.credit >= 1 {
 		if take {
 			known.credit--
 		}
-		return 0
+		return 0, false
 	}
 	seconds := (1 - known.credit) / rate // infinite while the share is unknown
-	return time.Duration(min(seconds, maxWait.Seconds()) * float64(time.Second))
+	return time.Duration(min(seconds, maxWait.Seconds()) * float64(time.Second)), known.rate == 0 || known.warmupRate > 0 && known.warmupRate <= known.rate
 }
 
 // unlimitedMemory is how long an answer without a limit is remembered: older statements may
@@ -221,9 +317,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	maps.DeleteFunc(l.unlimited, func(_ registry.Instance, at time.Time) bool { return now.Sub(at) > unlimitedMemory })
-	for server := range l.limits {
+	for server, known := range l.limits {
 		if !keep(server) {
 			l.forget(server)
+			continue
 		}
+		l.endWarmup(now, server, known)
 	}
 }
--- a/internal/ratelimit/statements.go
+++ b/internal/ratelimit/statements.go
@@ -67,7 +67,7 @@
 		server, at := s.instance(), now.Add(-time.Duration(s.AgeMS)*time.Millisecond)
 		known := l.limits[server]
 		switch {
-		case known != nil && !at.After(known.stated):
+		case known != nil && known.rate > 0 && !at.After(known.stated):
 		case s.Lifted:
 			l.unlimited[server] = wait.Later(at, l.unlimited[server])
 			if known != nil {
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -39,6 +39,10 @@
 	Name           string
 	MaxConnections int  // connections that a server accepts from all VMs in total
 	DividedByKey   bool // each server owns a share of the keys exclusively
+	// Warmup is how long a server is cold after its start, WarmupRate how many requests per second
+	// a cold server takes from all VMs together; 0: as many as any other.
+	Warmup     time.Duration
+	WarmupRate float64
 }
 
 // Limits bound the requests and connections of callers.
--- a/internal/serverconn/exchange.go
+++ b/internal/serverconn/exchange.go
@@ -51,6 +51,8 @@
 	// together.
 	RateLimit    float64
 	HasRateLimit bool
+	// Warmup is how long the server says that it stays cold; 0: not stated.
+	Warmup time.Duration
 	// Leaving says that the server leaves.
 	Leaving bool
 	// Pause is how long a server that turned the request away wants no other one from this
@@ -265,6 +267,7 @@
 	}
 	s.readLoad(resp.Header, out)
 	s.readRateLimit(resp.Header, out)
+	s.readWarmup(resp.Header, out)
 	out.Leaving = s.dialect.Leaving != "" && resp.Header.Get(s.dialect.Leaving) == "1"
 	if resp.StatusCode == http.StatusServiceUnavailable {
 		out.Pause = pause(resp.Header.Get("Retry-After"), r.Server.ID)
@@ -313,6 +316,19 @@
 	out.RateLimit, out.HasRateLimit = rate, true
 }
 
+func (s *Sender) readWarmup(h http.Header, out *Response) {
+	text := h.Get(s.dialect.Warmup)
+	if s.dialect.Warmup == "" || text == "" {
+		return
+	}
+	ms, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || !(ms >= 0 && ms <= maxPauseSeconds*1000) {
+		slog.Debug("serverconn: warm-up ignored", "server", out.ServerID, "warmup_ms", text)
+		return
+	}
+	out.Warmup = time.Duration(ms * float64(time.Millisecond))
+}
+
 // maxPauseSeconds bounds a pause, so that adding to it can't overflow.
 const maxPauseSeconds = 24 * 60 * 60
 
