--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -23,8 +23,8 @@
 // all VMs report and by its rate limit.
 func (r *requestState) admitOwner(server *registry.Server) *Answer {
 	now := time.Now()
-	if r.core.Pauses.Wait(now, server.Instance()) > 0 {
-		return r.refuseUntilFree([]*registry.Server{server})
+	if !r.core.eligibility.CheckOwner(now, server).Allowed() {
+		return r.refuseUntilEligible([]*registry.Server{server}, r.core.eligibility.CheckOwner)
 	}
 	signal, admitted := r.core.Overload.Admit(now, r.service.Name, server.ID, r.route.Rank, rand.Float64())
 	switch {
@@ -33,7 +33,7 @@
 	case admitted && r.core.RateLimits.Take(now, server.Instance()):
 		return nil
 	case admitted:
-		return r.refuseUntilFree([]*registry.Server{server})
+		return r.refuseUntilEligible([]*registry.Server{server}, r.core.eligibility.CheckUsable)
 	}
 	hint := r.honored(signal.RetryAfter(r.route.Objective, rand.Float64()))
 	return refuse(fault.Overloaded, hint, "server %s is overloaded: %.0f requests of all VMs, admitted share %.2f",
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"kumquatcleat/internal/balance"
+	"kumquatcleat/internal/eligibility"
 	"kumquatcleat/internal/fault"
 	"kumquatcleat/internal/overload"
 	"kumquatcleat/internal/registry"
@@ -24,6 +25,9 @@
 	ownerRetryAfter = 300 * time.Millisecond
 	// unreachedRetryAfter is the Retry-After hint when no server could be reached.
 	unreachedRetryAfter = 400 * time.Millisecond
+	// evacuatedRetryAfter is the Retry-After hint when all servers are in evacuated failure
+	// domains. Evacuations last for seconds at least, so callers return as late as they would.
+	evacuatedRetryAfter = time.Minute
 	// ownerWaitShare is the share of the remaining time that a request may wait for its
 	// key's owner. A refusal after that leaves the caller time for a retry.
 	ownerWaitShare = 0.35
@@ -93,11 +97,15 @@
 	choice, ok := r.untried()
 	if !ok {
 		untried := slices.DeleteFunc(slices.Clone(r.core.Registry.Usable(r.service.Name)), r.hasTried)
-		if refusal := r.refuseUntilFree(untried); refusal != nil {
+		if refusal := r.refuseUntilEligible(untried, r.core.eligibility.CheckUsable); refusal != nil {
 			return choice, refusal
 		}
-		return choice, refuse(fault.NoServer, r.honored(unreachedRetryAfter), "service %q: %d servers, %d tried",
-			r.service.Name, len(r.core.Registry.Usable(r.service.Name)), len(r.tried))
+		hint := unreachedRetryAfter
+		if len(r.tried) == 0 && r.core.Registry.EvacuatedDomains() > 0 {
+			hint = evacuatedRetryAfter
+		}
+		return choice, refuse(fault.NoServer, r.honored(hint), "service %q: %d servers, %d tried, %d failure domains evacuated",
+			r.service.Name, len(r.core.Registry.Usable(r.service.Name)), len(r.tried), r.core.Registry.EvacuatedDomains())
 	}
 	return choice, r.admit(choice)
 }
@@ -109,7 +117,9 @@
 	if choice, ok := r.limitedLocal(now); ok {
 		return choice, true
 	}
-	excluded := func(s *registry.Server) bool { return r.hasTried(s) || r.core.serverWait(now, s) > 0 }
+	excluded := func(s *registry.Server) bool {
+		return r.hasTried(s) || !r.core.eligibility.CheckUsable(now, s).Allowed()
+	}
 	for {
 		choice, ok := r.core.Balancer.Choose(now, r.core.Registry.Usable(r.service.Name), r.route.Objective, excluded)
 		// Another request may have taken the room meanwhile.
@@ -126,7 +136,7 @@
 		return balance.Choice{}, false
 	}
 	for _, s := range r.core.Registry.Usable(r.service.Name) {
-		if r.hasTried(s) || r.core.Pauses.Wait(now, s.Instance()) > 0 || !r.core.RateLimits.HasRoom(now, s.Instance()) {
+		if !r.core.RateLimits.HasRoom(now, s.Instance()) || r.hasTried(s) || !r.core.eligibility.CheckUsable(now, s).Allowed() {
 			continue
 		}
 		if choice, ok := r.core.Balancer.Local(now, s, r.route.Objective); ok && r.core.RateLimits.Take(now, s.Instance()) {
@@ -142,32 +152,20 @@
 	return slices.Contains(r.tried, s.Instance())
 }
 
-// serverWait returns the time until a server may get a request from this VM, 0 if it may now:
-// pauses that it asks for and rate limits that it states.
-func (c *Core) serverWait(now time.Time, s *registry.Server) time.Duration {
-	return max(c.Pauses.Wait(now, s.Instance()), c.RateLimits.Wait(now, s.Instance()))
-}
-
-// refuseUntilFree refuses a request that only pauses and rate limits keep from all of some
-// servers. Without servers, it returns nil.
-func (r *requestState) refuseUntilFree(servers []*registry.Server) *Answer {
+// refuseUntilEligible refuses a request that may be sent to none of some servers now. Without
+// servers, it returns nil.
+func (r *requestState) refuseUntilEligible(servers []*registry.Server, check func(time.Time, *registry.Server) eligibility.Verdict) *Answer {
 	now := time.Now()
-	var first *registry.Server
-	var wait time.Duration
-	for _, s := range servers {
-		if w := r.core.serverWait(now, s); first == nil || w < wait {
-			first, wait = s, w
-		}
-	}
-	if first == nil {
+	first, verdict, found := eligibility.Earliest(servers, func(s *registry.Server) eligibility.Verdict { return check(now, s) })
+	if !found {
 		return nil
 	}
-	reason := "its rate limit leaves this VM no room"
-	if r.core.Pauses.Wait(now, first.Instance()) > 0 {
-		reason = "it asked for a pause"
+	r.core.requestMetrics.withheld(verdict.Reason)
+	if verdict.Wait == 0 {
+		return refuse(fault.NoServer, r.honored(unreachedRetryAfter), "server %s: %s", first.ID, verdict.Reason)
 	}
-	hint := overload.Signal{WaitS: wait.Seconds()}.RetryAfter(r.route.Objective, rand.Float64())
-	return refuse(fault.Overloaded, r.honored(hint), "server %s: %s, for %v more", first.ID, reason, wait.Round(time.Millisecond))
+	hint := overload.Signal{WaitS: verdict.Wait.Seconds()}.RetryAfter(r.route.Objective, rand.Float64())
+	return refuse(fault.Overloaded, r.honored(hint), "server %s: %s, for %v more", first.ID, verdict.Reason, verdict.Wait.Round(time.Millisecond))
 }
 
 // chooseOwner returns the owner of the request's key. It waits for a move of the
@@ -183,6 +181,10 @@
 			}
 			return choice, r.admit(choice)
 		}
+		if len(r.core.Registry.Usable(r.service.Name)) == 0 && r.core.Registry.EvacuatedDomains() > 0 {
+			return balance.Choice{}, refuse(fault.NoServer, r.honored(evacuatedRetryAfter), "key %d of service %q: %s; all servers are in evacuated failure domains",
+				r.request.Key, r.service.Name, reason)
+		}
 		left := time.Until(until)
 		if left <= 0 || ctx.Err() != nil {
 			return balance.Choice{}, refuse(fault.NoOwner, r.honored(ownerRetryAfter), "key %d of service %q: %s", r.request.Key, r.service.Name, reason)
@@ -217,6 +219,8 @@
 		return nil, fmt.Sprintf("owner %s terminated, record %d", owner.Server, version)
 	case server.Draining && time.Since(server.SeenAt) > r.core.Settings.DrainOwnerGrace:
 		return nil, fmt.Sprintf("owner %s is draining, record %d", owner.Server, version)
+	case r.core.eligibility.CheckOwner(time.Now(), server).Reason == eligibility.Evacuated:
+		return nil, fmt.Sprintf("the failure domain of owner %s is evacuated, record %d", owner.Server, version)
 	case version == r.recordVersion && time.Since(r.notOwnerAt) < grantDelay:
 		return nil, fmt.Sprintf("owner %s did not run it, record %d", owner.Server, version)
 	}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -15,6 +15,7 @@
 
 	"kumquatcleat/internal/balance"
 	"kumquatcleat/internal/dialect"
+	"kumquatcleat/internal/eligibility"
 	"kumquatcleat/internal/fault"
 	"kumquatcleat/internal/keyspace"
 	"kumquatcleat/internal/logging"
@@ -100,6 +101,9 @@
 	// DrainOwnerGrace is how long a draining server still receives requests for the
 	// keys it owns, while they move.
 	DrainOwnerGrace time.Duration
+	// EvacuatedOwnerGrace is how long a server of an evacuated failure domain still receives
+	// requests for the keys it owns, while they move.
+	EvacuatedOwnerGrace time.Duration
 	// DefaultTimeout applies to requests without a deadline on routes without a
 	// timeout.
 	DefaultTimeout time.Duration
@@ -134,11 +138,15 @@
 	inFlight       atomic.Int64
 	stopBy         atomic.Pointer[time.Time] // nil unless the process stops
 	requestMetrics *requestMetrics
+	eligibility    *eligibility.Gate
 }
 
 // New returns a Core.
 func New(parts Parts) *Core {
-	return &Core{Parts: parts, requestMetrics: newRequestMetrics(parts.Metrics)}
+	return &Core{
+		Parts: parts, requestMetrics: newRequestMetrics(parts.Metrics),
+		eligibility: &eligibility.Gate{Registry: parts.Registry, Pauses: parts.Pauses, Limits: parts.RateLimits, OwnerGrace: parts.Settings.EvacuatedOwnerGrace},
+	}
 }
 
 // InFlight returns how many requests are being served.
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"kumquatcleat/internal/balance"
+	"kumquatcleat/internal/eligibility"
 	"kumquatcleat/internal/registry"
 	"kumquatcleat/internal/serverconn"
 )
@@ -169,6 +170,11 @@
 	if response.Pause > 0 {
 		c.Pauses.Stated(now, server.Instance(), response.Pause)
 	}
+	if table := c.Tables.Current(); response.Warmup > 0 && table != nil {
+		if service, ok := table.Service(server.Service); ok {
+			c.RateLimits.WarmUp(now, server.Instance(), service.WarmupRate, now.Add(response.Warmup))
+		}
+	}
 	switch {
 	case response.HasRateLimit:
 		c.RateLimits.Stated(now, server.Instance(), response.RateLimit)
@@ -177,23 +183,23 @@
 	}
 }
 
-// Errors of requests that were not sent because of what became known of the server meanwhile.
-var (
-	errServerGone   = errors.New("the server became unavailable before the request was sent")
-	errServerPaused = errors.New("the server asked for a pause before the request was sent")
-)
+// errNotEligible means that a request was not sent because of what became known of the server
+// meanwhile.
+var errNotEligible = errors.New("the server may get no request any more")
 
 // guard checks again, just before a request is sent, that the server may still
-// receive it.
+// receive it. Its share of a rate was taken when it was chosen.
 func (r *requestState) guard(server *registry.Server) error {
-	known := r.core.Registry.Get(server.ID)
-	if known == nil || !known.SameInstance(server) || (known.Draining && !r.service.DividedByKey) {
-		return errServerGone
+	now := time.Now()
+	verdict := r.core.eligibility.CheckOwner(now, server)
+	if verdict.Allowed() && !r.service.DividedByKey {
+		verdict = r.core.eligibility.Check(now, server)
 	}
-	if r.core.Pauses.Wait(time.Now(), server.Instance()) > 0 {
-		return errServerPaused
+	switch verdict.Reason {
+	case "", eligibility.WarmingUp, eligibility.RateLimited:
+		return nil
 	}
-	return nil
+	return fmt.Errorf("%w: %s", errNotEligible, verdict.Reason)
 }
 
 // recordAttempt adds the result of an attempt to the log of the request.
@@ -228,7 +234,7 @@
 	o := balance.Outcome{Took: took}
 	if failure != nil {
 		canceled := ctx.Err() != nil
-		o.ConnectFailed = failure.Progress == serverconn.NotSent && !canceled && !errors.Is(failure.Err, errServerGone) && !errors.Is(failure.Err, errServerPaused)
+		o.ConnectFailed = failure.Progress == serverconn.NotSent && !canceled && !errors.Is(failure.Err, errNotEligible)
 		o.Failed = failure.Progress == serverconn.Sent && !canceled
 		o.Reset = failure.Reset && !canceled
 		return o
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -2,11 +2,13 @@
 
 import (
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
+	"kumquatcleat/internal/eligibility"
 	"kumquatcleat/internal/fault"
 )
 
@@ -35,6 +37,11 @@
 	return m
 }
 
+// withheld counts a request that is refused because no server may get it.
+func (m *requestMetrics) withheld(reason eligibility.Reason) {
+	metrics.GetOrRegisterCounter("servers_withheld_"+strings.ReplaceAll(string(reason), " ", "_"), m.registry).Inc(1)
+}
+
 func (m *requestMetrics) record(a *Answer, took time.Duration) {
 	if a.Abandoned {
 		m.abandoned.Inc(1)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"sync"
 	"time"
 
 	"kumquatcleat/internal/registry"
@@ -9,6 +10,72 @@
 	"kumquatcleat/internal/rows"
 )
 
+// applyEvacuations updates the evacuated failure domains from changed rows.
+func (g *Gateway) applyEvacuations(changed []rows.Row) {
+	now := time.Now()
+	for _, row := range changed {
+		domain, ok := g.adapter.EvacuatedDomain(row.Key)
+		switch {
+		case !ok:
+		case domain == "":
+			slog.Warn("gateway: evacuation ignored, it names no failure domain", "row", row.Key, "row_version", row.Version)
+		case !row.Deleted:
+			g.unsettledEvacuations.forget(domain)
+			g.registry.Evacuate(now, domain)
+		case row.Unsettled:
+			g.unsettledEvacuations.add(domain, now.Add(storeSettleTime))
+		default:
+			g.unsettledEvacuations.forget(domain)
+			g.endEvacuation(domain)
+		}
+	}
+}
+
+// endEvacuation lets the servers of a failure domain get requests again.
+func (g *Gateway) endEvacuation(domain string) {
+	if _, evacuated := g.registry.Evacuated(domain); !evacuated {
+		return
+	}
+	g.presumeCold(time.Now(), domain) // before any of them gets a request
+	g.registry.EndEvacuation(domain)
+}
+
+// unsettledEvacuations holds evacuations whose row was missing in a store that had just returned
+// or was restored from a copy: the operator may write it again. Safe for concurrent use.
+type unsettledEvacuations struct {
+	mu    sync.Mutex // guards until
+	until map[string]time.Time
+}
+
+func (u *unsettledEvacuations) add(domain string, until time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.until == nil {
+		u.until = map[string]time.Time{}
+	}
+	u.until[domain] = until
+}
+
+func (u *unsettledEvacuations) forget(domain string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	delete(u.until, domain)
+}
+
+// takeExpired returns the failure domains whose row did not come back.
+func (u *unsettledEvacuations) takeExpired(now time.Time) []string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var expired []string
+	for domain, until := range u.until {
+		if !now.Before(until) {
+			expired = append(expired, domain)
+			delete(u.until, domain)
+		}
+	}
+	return expired
+}
+
 // applyConfig activates a configuration that is newer than the active one. It ignores
 // older ones.
 func (g *Gateway) applyConfig(changed []rows.Row) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,6 +43,9 @@
 	ServersTable string
 	DecodeConfig func(value []byte) (routetable.Config, error)
 	DecodeServer func(id string, value []byte) (registry.Server, error)
+	// EvacuatedDomain returns the failure domain that a row of ConfigTable with the given key
+	// evacuates while it exists, and false for other rows.
+	EvacuatedDomain func(key string) (domain string, ok bool)
 	// NewControl returns the client for control calls to servers. It calls
 	// terminated for each server incarnation found to have terminated.
 	NewControl func(sender *serverconn.Sender, terminated func(id string, incarnation int64, reason string)) keyspace.Control
@@ -92,6 +95,7 @@
 	views            *rows.Set
 
 	configs, servers, vms, keys *rows.View
+	unsettledEvacuations        unsettledEvacuations
 
 	draining atomic.Bool
 }
@@ -217,6 +221,9 @@
 func (g *Gateway) sweep(ctx context.Context) {
 	for wait.For(ctx, sweepInterval) {
 		g.registry.Sweep(time.Now())
+		for _, domain := range g.unsettledEvacuations.takeExpired(time.Now()) {
+			g.endEvacuation(domain)
+		}
 		keep := func(instance registry.Instance) bool {
 			s := g.registry.Get(instance.ID)
 			return s != nil && s.Instance() == instance
--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"time"
 
 	"kumquatcleat/internal/balance"
@@ -12,6 +13,28 @@
 type members struct {
 	registry *registry.Registry
 	balancer *balance.Balancer
+	// evacuationTime is the time in seconds over which the servers of an evacuated failure domain
+	// give their keys away.
+	evacuationTime float64
+	// warmupRate returns the rate at which a server warms up, 0 if it is warm.
+	warmupRate func(time.Time, registry.Instance) float64
+}
+
+// evacuationShare is the share of the time until an evacuated failure domain gets no more requests
+// over which its servers start to give their keys away. All at once, a third of all keys would be
+// on the move and their new owners would meet the queued requests together.
+const evacuationShare = 0.4
+
+// givesKeysAway reports whether a server has to give its keys away because its failure domain is
+// evacuated. The servers of a domain start at different times, the same ones on each VM.
+func (m *members) givesKeysAway(now time.Time, s *registry.Server) bool {
+	since, evacuated := m.registry.Evacuated(s.FailureDomain)
+	if !evacuated {
+		return false
+	}
+	// The low bits of the hash are the well-mixed ones.
+	start := float64(uint32(hashName(s.ID))) / math.MaxUint32 * m.evacuationTime
+	return now.Sub(since).Seconds() >= start
 }
 
 // Members implements keyspace.Members.
@@ -20,9 +43,10 @@
 	now := time.Now()
 	for _, s := range m.registry.Usable(service) {
 		list = append(list, keyspace.Member{
-			Holder:   keyspace.Holder{Server: s.ID, Incarnation: s.Incarnation, Address: s.Address},
-			Slots:    s.Slots,
-			Capacity: m.balancer.Capacity(now, s),
+			Holder:     keyspace.Holder{Server: s.ID, Incarnation: s.Incarnation, Address: s.Address},
+			Slots:      s.Slots,
+			Capacity:   m.balancer.Capacity(now, s),
+			WarmupRate: m.warmupRate(now, s.Instance()),
 		})
 	}
 	return list
@@ -37,7 +61,7 @@
 	switch {
 	case s == nil || s.Incarnation != h.Incarnation:
 		return keyspace.Unregistered
-	case s.Draining:
+	case s.Draining, m.givesKeysAway(time.Now(), s):
 		return keyspace.Draining
 	default:
 		return keyspace.Serving
--- a/internal/gateway/provision.go
+++ b/internal/gateway/provision.go
@@ -78,7 +78,10 @@
 	g.vms = g.views.Add(vmsTable, watchWindow)
 	g.keys = g.views.Add(keysTable, watchWindow)
 	g.configs.OnApply(g.applyConfig)
+	g.configs.OnApply(g.applyEvacuations)
+	g.configs.OnApply(func([]rows.Row) { g.applyWarmups(time.Now(), g.registry.All()) })
 	g.servers.OnApply(g.applyServers)
+	g.servers.OnApply(g.applyChangedWarmups)
 	g.vms.OnApply(g.peers.apply)
 	g.keys.OnApply(g.owners.Apply)
 	g.quarantine = retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now)
@@ -192,6 +195,8 @@
 			SplitOffset:     splitOffset(g.settings.VM),
 			DrainOwnerGrace: seconds(g.settings.DrainS) * 6 / 10, // the rest is for requests in flight
 			DefaultTimeout:  defaultTimeout,
+			// The rest is for requests in flight, and for VMs that learn of the evacuation late.
+			EvacuatedOwnerGrace: g.settings.evacuateBound() / 2,
 		},
 		Tables: g, Registry: g.registry, Owners: g.owners, Balancer: g.balancer, Sender: g.sender,
 		Budget: g.budget, Overload: g.loads.gate, RateLimits: g.rateLimits, Pauses: g.pauses, Suspicions: g.suspicions,
@@ -293,7 +298,7 @@
 	g.coordinator = keyspace.NewCoordinator(keyspace.Options{
 		Settings: s, Store: g.adapter.Store, CoordinatorLease: g.coordinatorLease,
 		Control:    g.adapter.NewControl(g.newControlSender(), g.registry.MarkTerminated),
-		Members:    &members{registry: g.registry, balancer: g.balancer},
+		Members:    &members{registry: g.registry, balancer: g.balancer, evacuationTime: evacuationShare * g.settings.evacuateBound().Seconds(), warmupRate: g.rateLimits.WarmupRate},
 		Owners:     g.owners,
 		Services:   func() []string { return keyedServices(g.Current()) },
 		Objective:  func(service string) time.Duration { return objectiveOf(g.Current(), service) },
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -16,7 +16,7 @@
 )
 
 // Settings are the settings of one gateway, read from a JSON file. All fields except
-// Seeds are required. Every address is IP:port.
+// Seeds and those marked as optional are required. Every address is IP:port.
 type Settings struct {
 	VM            string `json:"vm"`             // name of this VM
 	FailureDomain string `json:"failure_domain"` // failure domain of this VM
@@ -42,6 +42,23 @@
 	RetryRatio  float64 `json:"retry_ratio"`  // retries per request, over all VMs
 	RetrySlack  float64 `json:"retry_slack"`  // additional retries per window, over all VMs
 	RetryWindow float64 `json:"retry_window"` // seconds
+	// EvacuateS is the time after which an evacuated failure domain must get no more requests;
+	// optional.
+	EvacuateS float64 `json:"evacuate_s,omitempty"`
+}
+
+// defaultEvacuateS applies where the platform states no bound for evacuations.
+const defaultEvacuateS = 5
+
+// maxEvacuateS bounds evacuate_s: keys that move for longer would hold up other moves.
+const maxEvacuateS = 600
+
+// evacuateBound returns the time after which an evacuated failure domain must get no more requests.
+func (s *Settings) evacuateBound() time.Duration {
+	if s.EvacuateS == 0 {
+		return seconds(defaultEvacuateS)
+	}
+	return seconds(s.EvacuateS)
 }
 
 // Grace returns the time between SIGTERM and the forced end of the process.
@@ -135,6 +152,9 @@
 			wrong(field, fmt.Sprint(value), "more than 0")
 		}
 	}
+	if s.EvacuateS < 0 || s.EvacuateS > maxEvacuateS {
+		wrong("evacuate_s", fmt.Sprint(s.EvacuateS), fmt.Sprintf("0 to %d", maxEvacuateS))
+	}
 	if s.RetryRatio < 0 || s.RetrySlack < 0 {
 		wrong("retry_ratio, retry_slack", fmt.Sprint(s.RetryRatio, ", ", s.RetrySlack), "at least 0")
 	}
--- a/internal/gateway/view_fleet_test.go
+++ b/internal/gateway/view_fleet_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -223,8 +224,11 @@
 			v.recordActivation(version)
 			return routetable.Config{Version: version}, err
 		},
-		DecodeServer: func(id string, _ []byte) (registry.Server, error) { return registry.Server{ID: id}, nil },
-		NewControl:   func(*serverconn.Sender, func(string, int64, string)) keyspace.Control { return nil },
+		DecodeServer: func(id string, _ []byte) (registry.Server, error) {
+			return registry.Server{ID: id, Service: "svc", FailureDomain: "b", Incarnation: 1, Slots: 1}, nil
+		},
+		EvacuatedDomain: func(key string) (string, bool) { return strings.CutPrefix(key, "evacuate/") },
+		NewControl:      func(*serverconn.Sender, func(string, int64, string)) keyspace.Control { return nil },
 	})
 	base := v.fleet.started
 	g.freshness.now = func() time.Duration { return time.Since(base) + time.Hour }
--- a/internal/keyspace/overload.go
+++ b/internal/keyspace/overload.go
@@ -36,7 +36,7 @@
 func (c *Coordinator) addSignals(now time.Duration, svc *serviceState, loads map[string]float64, signals map[string]overload.Signal, demands map[string]float64) {
 	members := c.withReportedCapacity(c.members.Members(svc.service))
 	mayNeedSignal := func(m Member) bool {
-		_, limited := c.rateLimitOf(m.Holder)
+		_, limited := c.rateLimitOf(&m)
 		return limited || overload.Busy(loads[m.Server], m.Slots)
 	}
 	if !slices.ContainsFunc(members, mayNeedSignal) {
@@ -45,7 +45,7 @@
 	demand := c.requestCountsOf(svc.service).ownerRates(now, &svc.leases.record)
 	objective := c.objective(svc.service)
 	for _, m := range members {
-		rate, limited := c.rateLimitOf(m.Holder)
+		rate, limited := c.rateLimitOf(&m)
 		signal, overloaded := overload.SignalFor(overload.Server{
 			Slots: m.Slots, Capacity: m.Capacity, Demand: demand[m.Holder], Load: loads[m.Server], Objective: objective,
 			RateLimit: rate, HasRateLimit: limited,
--- a/internal/keyspace/plan.go
+++ b/internal/keyspace/plan.go
@@ -10,6 +10,9 @@
 	Holder
 	Slots    int     // maximum concurrent requests
 	Capacity float64 // requests per second
+	// WarmupRate is the rate in requests per second that the server takes while it is cold; 0: it
+	// is warm.
+	WarmupRate float64
 }
 
 // PlanSettings are the thresholds for moving keys.
--- a/internal/keyspace/report.go
+++ b/internal/keyspace/report.go
@@ -79,10 +79,14 @@
 	return c.rateLimits.Changes(c.clock())
 }
 
-// rateLimitOf returns the rate limit of a server, and false if it has none. The caller holds
-// the lock.
-func (c *Coordinator) rateLimitOf(h Holder) (float64, bool) {
-	return c.rateLimits.Rate(registry.Instance{ID: h.Server, Incarnation: h.Incarnation})
+// rateLimitOf returns the rate limit of a server, and false if it has none: the one that it states,
+// or its warm-up rate if that is lower. The caller holds the lock.
+func (c *Coordinator) rateLimitOf(m *Member) (float64, bool) {
+	rate, limited := c.rateLimits.Rate(registry.Instance{ID: m.Server, Incarnation: m.Incarnation})
+	if m.WarmupRate > 0 && (!limited || m.WarmupRate < rate) {
+		return m.WarmupRate, true
+	}
+	return rate, limited
 }
 
 // withReportedCapacity replaces this VM's capacity estimates by those from reported
@@ -93,7 +97,7 @@
 		if s.Count >= minServiceTimeSamples && s.Seconds > 0 {
 			members[i].Capacity = float64(members[i].Slots) * s.Count / s.Seconds
 		}
-		if rate, limited := c.rateLimitOf(members[i].Holder); limited {
+		if rate, limited := c.rateLimitOf(&members[i]); limited {
 			members[i].Capacity = min(members[i].Capacity, rate)
 		}
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -44,6 +44,8 @@
 type snapshot struct {
 	servers  map[string]*Server
 	services map[string][]*Server // servers that may receive new requests, ordered by ID
+	// evacuated holds since when this VM knows that failure domains are evacuated.
+	evacuated map[string]time.Time
 }
 
 // Registry holds the registered servers. Reads of servers are lock-free; mu serializes
@@ -67,7 +69,7 @@
 // New returns an empty registry.
 func New() *Registry {
 	r := &Registry{retainedUntil: map[string]time.Time{}, terminated: map[string]int64{}, departed: map[string]departure{}, returning: map[string]returning{}, onEnded: func(Instance, string) {}, leaving: map[string]int64{}}
-	r.current.Store(&snapshot{servers: map[string]*Server{}, services: map[string][]*Server{}})
+	r.current.Store(&snapshot{servers: map[string]*Server{}, services: map[string][]*Server{}, evacuated: map[string]time.Time{}})
 	return r
 }
 
@@ -83,9 +85,10 @@
 
 // Edit is a set of changes that take effect together.
 type Edit struct {
-	registry *Registry
-	servers  map[string]*Server
-	touched  map[string]bool // services whose servers changed
+	registry  *Registry
+	servers   map[string]*Server
+	touched   map[string]bool      // services whose servers changed
+	evacuated map[string]time.Time // see snapshot; replaced, not changed
 }
 
 // Put adds or updates the registration of a server.
@@ -250,9 +253,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := r.current.Load()
-	e := &Edit{registry: r, servers: maps.Clone(old.servers), touched: map[string]bool{}}
+	e := &Edit{registry: r, servers: maps.Clone(old.servers), touched: map[string]bool{}, evacuated: old.evacuated}
 	edit(e)
-	if len(e.touched) == 0 {
+	if len(e.touched) == 0 && len(e.evacuated) == len(old.evacuated) {
 		return
 	}
 	services := maps.Clone(old.services)
@@ -260,14 +263,14 @@
 		services[name] = nil
 	}
 	for _, s := range e.servers {
-		if e.touched[s.Service] && !s.Draining && r.terminated[s.ID] < s.Incarnation {
+		if _, evacuated := e.evacuated[s.FailureDomain]; e.touched[s.Service] && !evacuated && !s.Draining && r.terminated[s.ID] < s.Incarnation {
 			services[s.Service] = append(services[s.Service], s)
 		}
 	}
 	for name := range e.touched {
 		slices.SortFunc(services[name], func(a, b *Server) int { return strings.Compare(a.ID, b.ID) })
 	}
-	r.current.Store(&snapshot{servers: e.servers, services: services})
+	r.current.Store(&snapshot{servers: e.servers, services: services, evacuated: e.evacuated})
 }
 
 // Get returns a server by ID, or nil.
