--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -23,6 +23,8 @@
 	// MaxRequestsPerSlot is how many requests per slot, running or queued and counted
 	// over all VMs, a server may have before it counts as full.
 	MaxRequestsPerSlot float64
+	// HasIdleConnection reports whether there is an idle connection to a server; nil: unknown.
+	HasIdleConnection func(*registry.Server) bool
 }
 
 // Balancer chooses servers by their statistics. It is safe for concurrent use.
@@ -35,8 +37,15 @@
 	samples      map[registry.Instance]Samples
 }
 
-// candidates is how many servers are compared in the VM's own failure domain; one fewer in others.
-const candidates = 3
+const (
+	// candidates is how many servers are compared in the VM's own failure domain. Each VM judges them
+	// by its own answers, so VMs do not all turn to the same one.
+	candidates = 12
+	// remoteCandidates is how many are compared in other failure domains, of which a VM knows little.
+	remoteCandidates = 2
+	// newConnectionCost is the cost of opening a connection, as a loss.
+	newConnectionCost = 0.03
+)
 
 // New returns a balancer without statistics.
 func New(s Settings) *Balancer {
@@ -82,6 +91,9 @@
 			list = list[:len(list)-1]
 			c := b.estimate(now, s)
 			loss := cost + expectedLatenessLoss(c.Expected, objective) + b.expectedFailureLoss(now, s)
+			if b.settings.HasIdleConnection != nil && !b.settings.HasIdleConnection(s) {
+				loss += newConnectionCost
+			}
 			if c.Full {
 				loss += fullPenalty
 			}
@@ -91,15 +103,16 @@
 		}
 	}
 	consider(near, candidates, 0)
+	unusedCost := b.unusedCost()
 	if rand.Float64() < exploreShare {
-		consider(unused, 1, 0)
+		consider(unused, 1, unusedCost-newConnectionCost)
 	} else {
 		consider(unused, 1, unusedCost)
 	}
 	if best.Full || !found {
 		consider(unused, len(unused), unusedCost)
 	}
-	farCandidates := candidates - 1
+	farCandidates := remoteCandidates
 	if len(near)+len(unused) == 0 || best.Full || b.expectedFailureLoss(now, best.Server) >= pausedPenalty {
 		farCandidates = len(far)
 	}
--- a/internal/balance/candidates.go
+++ b/internal/balance/candidates.go
@@ -14,8 +14,6 @@
 	// usedTime is how long a server counts as used after an answer. Servers close
 	// connections that are idle for longer.
 	usedTime = 6 * time.Second
-	// unusedCost is the cost of the new connection that an unused server takes, as a loss.
-	unusedCost = 0.03
 	// exploreShare is the share of requests for which an unused server is not at a
 	// disadvantage, so that the used ones change over time.
 	exploreShare = 0.02
@@ -51,3 +49,12 @@
 	}
 	return used, unused, fresh
 }
+
+// unusedCost returns the cost of the new connection that an unused server takes, as a loss, unless
+// that is known of each server.
+func (b *Balancer) unusedCost() float64 {
+	if b.settings.HasIdleConnection != nil {
+		return 0
+	}
+	return newConnectionCost
+}
--- a/internal/gateway/provision.go
+++ b/internal/gateway/provision.go
@@ -176,6 +176,7 @@
 		CrossDomainCost:    crossDomainCost,
 		InitialServiceTime: initialService,
 		MaxRequestsPerSlot: maxQueue,
+		HasIdleConnection:  func(s *registry.Server) bool { return g.requestPool.HasIdle(s) },
 	})
 	g.reach = reachability.NewMonitor(g.settings.FailureDomain, g.registry.All, g.probeServer, func(isolated bool) {
 		g.coordinatorLease.SetEligible(!isolated)
