--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -149,6 +149,6 @@
 	// overloadedUtilization is the utilization at which a queue begins to grow without bound.
 	overloadedUtilization = 0.95
 	// maxMovesPerPlan lets one plan spread a few hundred busy keys. Each move gives a range
-	// of keys to one server, so 24 moves reach a third of the servers of a service with 70.
-	maxMovesPerPlan = 24
+	// of keys to one server, so 48 moves reach a third of the servers of a service with 150.
+	maxMovesPerPlan = 48
 )
--- a/internal/keyspace/coordinator.go
+++ b/internal/keyspace/coordinator.go
@@ -324,24 +324,35 @@
 }
 
 // rebalance moves keys to balance load: at once if a server is overloaded by the
-// requests of the last second, otherwise if the last seconds show a lasting imbalance
-// and all earlier moves have ended.
+// requests of the last second, and, once all earlier moves have ended, if the last seconds show a
+// lasting imbalance. One plan does both: a few overloaded keys must not put off the rest.
 func (c *Coordinator) rebalance(now time.Duration, svc *serviceState, members []Member, ranges []Range, movesDone bool) ([]Range, string) {
 	fast, slow := c.planners(now, svc, members)
-	fast.settings.Busy = c.settings.Plan.Overloaded
-	for _, p := range []struct {
-		planner *planner
-		reason  string
-	}{{fast, "overload"}, {slow, "load"}} {
-		if p.planner == slow && !movesDone {
-			break
-		}
-		p.planner.computeLoads(ranges)
-		if next, changed := p.planner.balance(ranges); changed {
-			return next, p.reason
-		}
+	return rebalance(fast, slow, c.settings.Plan.Overloaded, ranges, movesDone)
+}
+
+// rebalance moves keys by the fast planner, which acts above the utilization overloaded, and by the
+// slow one if movesDone. It returns the reason, empty if nothing moves.
+func rebalance(fast, slow *planner, overloaded float64, ranges []Range, movesDone bool) (next []Range, reason string) {
+	fast.settings.Busy = overloaded
+	fast.computeLoads(ranges)
+	next, changed := fast.balance(ranges)
+	if changed {
+		reason = "overload"
 	}
-	return ranges, ""
+	if !movesDone {
+		return next, reason
+	}
+	slow.computeLoads(next)
+	next, changed = slow.balance(next)
+	switch {
+	case !changed:
+	case reason == "":
+		reason = "load"
+	default:
+		reason = "overload, load"
+	}
+	return next, reason
 }
 
 // unavailable reports whether a server must not receive keys: it is not serving, or
--- a/internal/keyspace/overload_test.go
+++ b/internal/keyspace/overload_test.go
@@ -15,7 +15,7 @@
 	rng := rand.New(rand.NewPCG(1, 1))
 	counts := NewRequestCounts(0)
 	for range 5000 {
-		counts.Add(rng.Uint32N(planKeys)*rng.Uint32N(planKeys)/planKeys, 1)
+		counts.Add(0, rng.Uint32N(planKeys)*rng.Uint32N(planKeys)/planKeys, 1)
 	}
 	record := Record{Ranges: newPlanner(testPlan, evenProfile(100), planMembers(7)).initialRanges()}
 	now := 2 * time.Second
--- a/internal/keyspace/plan_test.go
+++ b/internal/keyspace/plan_test.go
@@ -42,7 +42,7 @@
 func profileOf(rates map[uint32]float64) profile {
 	w := NewRequestCounts(0)
 	for key, rate := range rates {
-		w.Add(key, rate)
+		w.Add(0, key, rate)
 	}
 	_, slow := w.profiles(time.Minute/1000, planKeys)
 	for i := range slow.sums { // the window is short here: scale to the given rates
--- a/internal/keyspace/report.go
+++ b/internal/keyspace/report.go
@@ -32,16 +32,17 @@
 func (c *Coordinator) Report(r Report) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := c.clock()
 	for service, keys := range r.Requests {
 		w := c.requestCountsOf(service)
 		for key, requests := range keys {
 			if key < c.settings.Keys && requests > 0 && requests < maxReportedRequests {
-				w.Add(key, requests)
+				w.Add(now, key, requests)
 			}
 		}
 	}
-	c.inFlight.Add(c.clock(), r.VM, r.InFlight)
-	c.rateLimits.Add(c.clock(), r.RateLimits)
+	c.inFlight.Add(now, r.VM, r.InFlight)
+	c.rateLimits.Add(now, r.RateLimits)
 	for server, sample := range r.ServiceTimes {
 		if sample.Count > 0 && sample.Count < maxReportedRequests && sample.Seconds >= 0 && sample.Seconds < maxReportedSeconds {
 			c.serviceTimes[server] = c.serviceTimes[server].add(sample)
--- a/internal/keyspace/request_counts.go
+++ b/internal/keyspace/request_counts.go
@@ -34,12 +34,16 @@
 	return &RequestCounts{counts: map[uint32]decayedCount{}, decayedAt: now, startedAt: now}
 }
 
-// Add counts requests for a key.
-func (w *RequestCounts) Add(key uint32, requests float64) {
+// Add counts requests for a key, as of now.
+func (w *RequestCounts) Add(now time.Duration, key uint32, requests float64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	// The next decay reduces all counts by the time since the last one.
+	since := (now - w.decayedAt).Seconds()
 	c := w.counts[key]
-	w.counts[key] = decayedCount{c.fast + requests, c.slow + requests}
+	c.fast += requests * math.Exp(since/fastDecayTime.Seconds())
+	c.slow += requests * math.Exp(since/slowDecayTime.Seconds())
+	w.counts[key] = c
 }
 
 // minCount is the count below which a key is dropped.
