--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -2,46 +2,116 @@
 
 import (
 	"math/rand/v2"
+	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
+	"kumquatcleat/internal/admission"
 	"kumquatcleat/internal/balance"
 	"kumquatcleat/internal/fault"
 	"kumquatcleat/internal/registry"
 )
 
-// admit refuses a request that the server would not answer before the deadline.
-func (r *requestState) admit(choice balance.Choice) *Answer {
-	left := time.Until(r.deadline)
-	if !choice.Full && choice.Expected < left {
-		return nil
+// admissions is what decisions on admission need to know of earlier requests.
+type admissions struct {
+	ages          *admission.Ages
+	withoutReturn metrics.Counter // refusals for good
+	mu            sync.Mutex      // guards mixes
+	mixes         map[string]*admission.Mix
+}
+
+func newAdmissions(m metrics.Registry) *admissions {
+	return &admissions{ages: admission.NewAges(), mixes: map[string]*admission.Mix{},
+		withoutReturn: metrics.GetOrRegisterCounter("refusals_without_return", m)}
+}
+
+// mix returns the mix of a service.
+func (a *admissions) mix(service string) *admission.Mix {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	m := a.mixes[service]
+	if m == nil {
+		m = &admission.Mix{}
+		a.mixes[service] = m
 	}
-	return refuse(fault.Overloaded, r.overloadRetryAfter(choice, left), "server %s: an answer is expected after %v, %v are left, full: %v",
-		choice.Server.ID, choice.Expected.Round(time.Millisecond), left.Round(time.Millisecond), choice.Full)
+	return m
 }
 
-// admitOwner refuses a request that the owner of its key has no room for: by the loads that
-// all VMs report and by its rate limit.
-func (r *requestState) admitOwner(server *registry.Server) *Answer {
-	now := time.Now()
+// admit refuses a request for which its server has no room: by the VM's own estimate and,
+// for owners of keys, by the loads that all VMs report.
+func (r *requestState) admit(choice balance.Choice) *Answer {
+	refusal, _ := r.decide(time.Now(), choice)
+	return refusal
+}
+
+// admitOwner refuses a request for which the owner of its key has no room: by its load, by the
+// pause that it asked for and by its rate limit.
+func (r *requestState) admitOwner(choice balance.Choice) *Answer {
+	now, server := time.Now(), choice.Server
 	if r.core.Pauses.Wait(now, server.Instance()) > 0 {
 		return r.refuseUntilFree([]*registry.Server{server})
 	}
-	signal, admitted := r.core.Overload.Admit(now, r.service.Name, server.ID, r.route.Rank, rand.Float64())
+	refusal, rateLimited := r.decide(now, choice)
 	switch {
-	case admitted && signal.RateLimited:
+	case refusal != nil:
+		return refusal
+	case rateLimited:
 		return nil // the signal divides the rate among the VMs by their requests
-	case admitted && r.core.RateLimits.Take(now, server.Instance()):
-		return nil
-	case admitted:
+	case !r.core.RateLimits.Take(now, server.Instance()):
 		return r.refuseUntilFree([]*registry.Server{server})
 	}
-	hint := r.honored(signal.RetryAfter(r.route.Objective, rand.Float64()))
-	return refuse(fault.Overloaded, hint, "server %s is overloaded: %.0f requests of all VMs, admitted share %.2f",
-		server.ID, signal.Load, signal.Admit)
+	return nil
+}
+
+// decide decides whether a server gets a request. The second result reports whether the
+// coordinator's signal keeps the requests of all VMs within the rate limit of the server.
+func (r *requestState) decide(now time.Time, choice balance.Choice) (refusal *Answer, rateLimited bool) {
+	server := choice.Server
+	request := admission.Request{Rank: r.route.Rank, Objective: r.route.Objective, Age: r.age(now), Left: r.deadline.Sub(now)}
+	if r.request.Timeout > 0 {
+		request.CallerLeft = max(r.request.Arrived.Add(r.request.Timeout).Sub(now), 1)
+	}
+	slots := max(server.Slots, 1)
+	state := admission.State{
+		Load: choice.Load, Slots: slots, Expected: choice.Expected, Full: choice.Full,
+		ServiceTime: time.Duration(float64(slots) / r.core.Balancer.Capacity(now, server) * float64(time.Second)),
+	}
+	if r.service.DividedByKey {
+		state.Watched = r.core.Overload.Watches(now)
+		if signal, age, found := r.core.Overload.Signal(now, server.ID); found {
+			state = state.Limit(signal.Load, signal.Admit, time.Duration(signal.WaitS*float64(time.Second)), age)
+			state.RateLimited, rateLimited = signal.RateLimited, signal.RateLimited
+		}
+	}
+	d := admission.Decide(now, request, state, r.core.admissions.mix(r.service.Name), rand.Float64(), rand.Float64())
+	if d.Outcome == admission.Admit && !state.Limited {
+		return nil, rateLimited
+	}
+	r.admission = d.Describe(request, state)
+	switch d.Outcome {
+	case admission.Return:
+		return refuse(fault.Overloaded, d.RetryAfter, "server %s: %s", server.ID, r.admission), rateLimited
+	case admission.Final:
+		r.core.admissions.withoutReturn.Inc(1)
+		return refuse(fault.Overloaded, 0, "server %s: %s", server.ID, r.admission), rateLimited
+	default:
+		return nil, rateLimited
+	}
+}
+
+// age returns the time since the caller's first attempt. It is inferred once: each call counts
+// the deadline that the caller states.
+func (r *requestState) age(now time.Time) time.Duration {
+	if r.firstAttempt.IsZero() {
+		age := r.core.admissions.ages.Infer(now, r.route.Name, r.request.Timeout, r.route.Timeout)
+		r.firstAttempt = r.request.Arrived.Add(-age)
+	}
+	return now.Sub(r.firstAttempt)
 }
 
 // minRetryAfter is the shortest Retry-After hint.
-const minRetryAfter = 20 * time.Millisecond
+const minRetryAfter = admission.MinRetryAfter
 
 // overloadRetryAfter returns the Retry-After hint for an overloaded server: the time
 // until its queue has halved, at most a third of the remaining time, as callers
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -7,9 +7,9 @@
 	"slices"
 	"time"
 
+	"kumquatcleat/internal/admission"
 	"kumquatcleat/internal/balance"
 	"kumquatcleat/internal/fault"
-	"kumquatcleat/internal/overload"
 	"kumquatcleat/internal/registry"
 )
 
@@ -166,7 +166,7 @@
 	if r.core.Pauses.Wait(now, first.Instance()) > 0 {
 		reason = "it asked for a pause"
 	}
-	hint := overload.Signal{WaitS: wait.Seconds()}.RetryAfter(r.route.Objective, rand.Float64())
+	hint := admission.RetryAfter(wait, r.route.Objective, rand.Float64())
 	return refuse(fault.Overloaded, r.honored(hint), "server %s: %s, for %v more", first.ID, reason, wait.Round(time.Millisecond))
 }
 
@@ -178,10 +178,7 @@
 		server, reason := r.owner()
 		if server != nil {
 			choice := r.core.Balancer.Estimate(time.Now(), server)
-			if refusal := r.admitOwner(server); refusal != nil {
-				return choice, refusal
-			}
-			return choice, r.admit(choice)
+			return choice, r.admitOwner(choice)
 		}
 		left := time.Until(until)
 		if left <= 0 || ctx.Err() != nil {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -13,6 +13,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"kumquatcleat/internal/admission"
 	"kumquatcleat/internal/balance"
 	"kumquatcleat/internal/dialect"
 	"kumquatcleat/internal/fault"
@@ -134,11 +135,12 @@
 	inFlight       atomic.Int64
 	stopBy         atomic.Pointer[time.Time] // nil unless the process stops
 	requestMetrics *requestMetrics
+	admissions     *admissions
 }
 
 // New returns a Core.
 func New(parts Parts) *Core {
-	return &Core{Parts: parts, requestMetrics: newRequestMetrics(parts.Metrics)}
+	return &Core{Parts: parts, requestMetrics: newRequestMetrics(parts.Metrics), admissions: newAdmissions(parts.Metrics)}
 }
 
 // InFlight returns how many requests are being served.
@@ -183,6 +185,10 @@
 	// answered that it does not own the key, zero if it has not. The grant may still
 	// be in flight after the record was written.
 	notOwnerAt time.Time
+	// firstAttempt is when the caller is taken to have sent the request first, zero until that is
+	// asked for.
+	firstAttempt time.Time
+	admission    string // last decision about a limited server or a refusal, for the log
 }
 
 func (r *requestState) serve(ctx context.Context) *Answer {
@@ -259,17 +265,13 @@
 	configRetryAfter = 250 * time.Millisecond
 )
 
-// maxHonoredShare is the share of the time left up to which callers honor a Retry-After
-// hint.
-const maxHonoredShare = 1.0 / 3
-
 // honored shortens a Retry-After hint to what the caller honors.
 func (r *requestState) honored(hint time.Duration) time.Duration {
 	if r.request.Timeout <= 0 {
 		return hint
 	}
 	left := time.Until(r.request.Arrived.Add(r.request.Timeout))
-	return max(min(hint, time.Duration(maxHonoredShare*float64(left))), minRetryAfter)
+	return max(min(hint, time.Duration(admission.MaxHonoredShare*float64(left))), minRetryAfter)
 }
 
 func (r *requestState) log(a *Answer) {
@@ -292,6 +294,9 @@
 	if len(r.attemptLog) > 0 {
 		attrs = append(attrs, slog.Any("attempts", r.attemptLog))
 	}
+	if r.admission != "" && a.Refusal != fault.Overloaded { // a refusal names it as its reason
+		attrs = append(attrs, slog.String("admission", r.admission))
+	}
 	switch {
 	case a.Abandoned:
 		attrs = append(attrs, slog.String("outcome", "caller left"))
--- a/internal/gateway/loads_test.go
+++ b/internal/gateway/loads_test.go
@@ -50,7 +50,7 @@
 			t.Fatalf("step %+v: got %d suspicions", step, suspicions)
 		}
 	}
-	if _, admitted := vm.gate.Admit(time.Now(), "svc", "s", 1, 0.5); admitted {
+	if s, _, ok := vm.gate.Signal(time.Now(), "s"); !ok || s.Admit > 0 {
 		t.Error("the VM does not follow the signals in the responses to its reports")
 	}
 	if wait := vm.rateLimits.Wait(time.Now(), registry.Instance{ID: "limited", Incarnation: 1}); wait == 0 {
@@ -127,11 +127,11 @@
 	var response reportResponse
 	response.Overloads = map[string]overload.Signal{"s": {Admit: 0}}
 	vm.follow(time.Now().Add(-2*time.Second), response)
-	if _, admitted := vm.gate.Admit(time.Now(), "svc", "s", 1, 0.5); !admitted {
+	if _, _, ok := vm.gate.Signal(time.Now(), "s"); ok {
 		t.Error("a signal holds that was sent for longer ago than signals hold")
 	}
 	vm.follow(time.Now(), response)
-	if _, admitted := vm.gate.Admit(time.Now(), "svc", "s", 1, 0.5); admitted {
+	if s, _, ok := vm.gate.Signal(time.Now(), "s"); !ok || s.Admit > 0 {
 		t.Error("a new signal does not hold")
 	}
 }
--- a/internal/overload/hotserver_test.go
+++ b/internal/overload/hotserver_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"kumquatcleat/internal/admission"
 	"kumquatcleat/internal/balance"
 	"kumquatcleat/internal/dialect"
 	"kumquatcleat/internal/loadmodel"
@@ -20,6 +21,7 @@
 	vms      []*balance.Balancer
 	inFlight []int
 	gates    []*Gate
+	mixes    []*admission.Mix
 	totals   *Totals
 	demand   int // requests of callers, repeats included
 
@@ -50,7 +52,7 @@
 		entry: &registry.Server{ID: "hot", Service: "keyed", Slots: hotSlots, Incarnation: 1}}
 	for i := range hotVMs {
 		b := balance.New(balance.Settings{InitialServiceTime: hotServiceTime, MaxRequestsPerSlot: 4.5})
-		h.vms, h.gates, h.inFlight = append(h.vms, b), append(h.gates, NewGate()), append(h.inFlight, 0)
+		h.vms, h.gates, h.mixes, h.inFlight = append(h.vms, b), append(h.gates, NewGate()), append(h.mixes, &admission.Mix{}), append(h.inFlight, 0)
 		if shared {
 			h.After(time.Duration(h.Rand.Int64N(int64(reporting))), func() { h.report(i) })
 		}
@@ -80,11 +82,15 @@
 	vm := h.Rand.IntN(hotVMs)
 	left := hotTimeout - h.Now.Sub(first)
 	choice := h.vms[vm].Estimate(h.Now, h.entry)
-	signal, admitted := h.gates[vm].Admit(h.Now, "keyed", "hot", 1, h.Rand.Float64())
-	if !admitted || choice.Full || choice.Expected >= left {
+	r := admission.Request{Rank: 1, Objective: hotObjective, Age: h.Now.Sub(first), Left: left, CallerLeft: left}
+	s := admission.State{Load: choice.Load, Slots: hotSlots, ServiceTime: hotServiceTime, Expected: choice.Expected, Full: choice.Full, Watched: h.gates[vm].Watches(h.Now)}
+	if signal, age, ok := h.gates[vm].Signal(h.Now, "hot"); ok {
+		s = s.Limit(signal.Load, signal.Admit, time.Duration(signal.WaitS*float64(time.Second)), age)
+	}
+	if d := admission.Decide(h.Now, r, s, h.mixes[vm], h.Rand.Float64(), h.Rand.Float64()); d.Outcome != admission.Admit {
 		h.refused++
-		if attempt == 0 {
-			h.After(min(signal.RetryAfter(hotObjective, h.Rand.Float64()), left/3), func() { h.request(first, 1) })
+		if attempt == 0 && d.Outcome == admission.Return {
+			h.After(min(d.RetryAfter, left/3), func() { h.request(first, 1) })
 		}
 		return
 	}
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -2,7 +2,7 @@
 // only its own requests, and a server that is the only one to own a key can't hand them
 // to another. So each VM reports how many of its requests are at each server, one VM sums
 // the reports up, and tells the others which share of their requests an overloaded
-// server can take. What it can't take is refused at once.
+// server can take. Package admission refuses what it can't take.
 package overload
 
 import (
@@ -185,89 +185,51 @@
 	return loads
 }
 
-// retryAfterShare is the shortest Retry-After hint as a share of the time within which an
-// answer should arrive. While a server is at its target, whether a caller is admitted does
-// not depend on when it returns, and one that returns soon can still be answered in time.
-const retryAfterShare = 0.1
-
-// RetryAfter returns the Retry-After hint for a request with an objective: when the server
-// is expected to have room. random is uniformly distributed below 1 and keeps callers from
-// returning together.
-func (s Signal) RetryAfter(objective time.Duration, random float64) time.Duration {
-	shortest := retryAfterShare * objective.Seconds()
-	return time.Duration((0.5 + random) * max(shortest, s.WaitS) * float64(time.Second))
-}
-
 // signalLife is how long a VM follows a signal after it was received: longer than one lost
 // report, shorter than the change of the coordinator.
 const signalLife = 1200 * time.Millisecond
 
-// Gate admits requests on one VM by the signals that it received. It is safe for
-// concurrent use.
+// settleTime is how long a VM must have received signals without a gap before a server without one
+// counts as not overloaded: two time constants of the demand that the coordinator counts. After a
+// domain was cut off it counts too little at first.
+const settleTime = 2 * time.Second
+
+// Gate holds the signals that one VM received. It is safe for concurrent use.
 type Gate struct {
 	mu       sync.Mutex // guards the fields below
 	signals  map[string]Signal
 	received time.Time
-	mixes    map[string]*mix // by service
+	since    time.Time // of the first signals after the last gap
 }
 
-// NewGate returns a gate that admits all requests.
-func NewGate() *Gate { return &Gate{mixes: map[string]*mix{}} }
+// NewGate returns a gate without signals.
+func NewGate() *Gate { return &Gate{} }
 
 // Update replaces the signals.
 func (g *Gate) Update(now time.Time, signals map[string]Signal) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if now.Sub(g.received) > signalLife {
+		g.since = now
+	}
 	g.signals, g.received = signals, now
 }
 
-// Admit decides whether a request may be sent to a server, and returns the signal that it
-// followed, if any. Requests of lower rank number
-// are more urgent and go first: the others share what is left. random is a uniformly
-// distributed number below 1.
-func (g *Gate) Admit(now time.Time, service, server string, rank int, random float64) (Signal, bool) {
+// Watches reports whether the coordinator would have sent a signal for any overloaded server.
+func (g *Gate) Watches(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	m := g.mixes[service]
-	if m == nil {
-		m = &mix{counts: map[int]float64{}}
-		g.mixes[service] = m
-	}
-	m.count(now, rank)
-	signal, overloaded := g.signals[server]
-	if !overloaded || now.Sub(g.received) > signalLife {
-		return Signal{}, true
-	}
-	return signal, random < m.share(rank, signal.Admit)
-}
-
-// mixDecay is the time constant with which the counts of a mix decay.
-const mixDecay = 5 * time.Second
-
-// mix holds the recent requests of a service by rank.
-type mix struct {
-	counts map[int]float64
-	at     time.Time
-}
-
-func (m *mix) count(now time.Time, rank int) {
-	decay := math.Exp(-now.Sub(m.at).Seconds() / mixDecay.Seconds())
-	for r := range m.counts {
-		m.counts[r] *= decay
-	}
-	m.at = now
-	m.counts[rank]++
+	return now.Sub(g.received) <= signalLife && now.Sub(g.since) >= settleTime
 }
 
-// share returns the share of the requests of a rank that may be sent if admit is the
-// share of all requests.
-func (m *mix) share(rank int, admit float64) float64 {
-	total, before := 0.0, 0.0
-	for r, n := range m.counts {
-		total += n
-		if r < rank {
-			before += n
-		}
+// Signal returns the signal for a server and its age, and false if none is in force.
+func (g *Gate) Signal(now time.Time, server string) (Signal, time.Duration, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	signal, overloaded := g.signals[server]
+	age := now.Sub(g.received)
+	if !overloaded || age > signalLife {
+		return Signal{}, 0, false
 	}
-	return min(max((admit*total-before)/m.counts[rank], 0), 1)
+	return signal, age, true
 }
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -36,39 +36,37 @@
 	properties.TestingRun(t)
 }
 
-// Urgent requests are admitted first, and all ranks together keep to the admitted share.
-func TestUrgentRequestsAreAdmittedFirst(t *testing.T) {
-	now := time.Unix(1000, 0)
-	g := NewGate()
-	g.Update(now, map[string]Signal{"s": {Admit: 0.5}})
-	admitted := map[int]float64{}
-	const requests = 10_000
-	for i := range requests {
-		rank := 2
-		if i%10 < 3 {
-			rank = 1
+// Guards against own estimates being set aside for a coordinator that does not know the demand yet,
+// or that is lost.
+func TestCoordinatorWatchesOnceItsSignalsCameForAWhile(t *testing.T) {
+	now, g := time.Unix(1000, 0), NewGate()
+	for _, step := range []struct {
+		after   time.Duration
+		updated bool
+		want    bool
+	}{{0, true, false}, {time.Second, true, false}, {time.Second, true, true}, {time.Second, false, true}, {time.Second, false, false}, {0, true, false}, {time.Second, true, false}, {time.Second, true, true}} {
+		now = now.Add(step.after)
+		if step.updated {
+			g.Update(now, nil)
 		}
-		if _, ok := g.Admit(now, "svc", "s", rank, float64(i*7919%requests)/requests); ok {
-			admitted[rank]++
+		if got := g.Watches(now); got != step.want {
+			t.Errorf("%v: got %v, want %v", now.Sub(time.Unix(1000, 0)), got, step.want)
 		}
 	}
-	if share := admitted[1] / (0.3 * requests); share < 0.98 {
-		t.Errorf("got share %.2f of urgent requests admitted, want all", share)
-	}
-	if share := (admitted[1] + admitted[2]) / requests; math.Abs(share-0.5) > 0.02 {
-		t.Errorf("got share %.2f of all requests admitted, want 0.5", share)
-	}
 }
 
 func TestOldSignalsAndReportsAreForgotten(t *testing.T) {
 	now := time.Unix(1000, 0)
 	g := NewGate()
 	g.Update(now, map[string]Signal{"s": {Admit: 0}})
-	if _, ok := g.Admit(now.Add(time.Second), "svc", "s", 1, 0); ok {
-		t.Error("admitted a request to a server without room")
+	if s, age, ok := g.Signal(now.Add(time.Second), "s"); !ok || s.Admit != 0 || age != time.Second {
+		t.Errorf("got signal %v, age %v, %v; want that of 1 s ago", s, age, ok)
+	}
+	if _, _, ok := g.Signal(now.Add(time.Second), "other"); ok {
+		t.Error("got a signal for a server without one")
 	}
-	if _, ok := g.Admit(now.Add(2*time.Second), "svc", "s", 1, 0.99); !ok {
-		t.Error("refused a request by a signal of 2 s ago")
+	if _, _, ok := g.Signal(now.Add(2*time.Second), "s"); ok {
+		t.Error("a signal of 2 s ago is in force")
 	}
 	totals := NewTotals()
 	totals.Add(0, "a", map[string]int{"s": 3})
