--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -7,10 +7,10 @@
 	"slices"
 	"time"
 
+	"kumquatcleat/internal/admission"
 	"kumquatcleat/internal/balance"
 	"kumquatcleat/internal/eligibility"
 	"kumquatcleat/internal/fault"
-	"kumquatcleat/internal/overload"
 	"kumquatcleat/internal/registry"
 )
 
@@ -164,7 +164,7 @@
 	if verdict.Wait == 0 {
 		return refuse(fault.NoServer, r.honored(unreachedRetryAfter), "server %s: %s", first.ID, verdict.Reason)
 	}
-	hint := overload.Signal{WaitS: verdict.Wait.Seconds()}.RetryAfter(r.route.Objective, rand.Float64())
+	hint := admission.RetryAfter(verdict.Wait, r.route.Objective, rand.Float64())
 	return refuse(fault.Overloaded, r.honored(hint), "server %s: %s, for %v more", first.ID, verdict.Reason, verdict.Wait.Round(time.Millisecond))
 }
 
@@ -176,10 +176,7 @@
 		server, reason := r.owner()
 		if server != nil {
 			choice := r.core.Balancer.Estimate(time.Now(), server)
-			if refusal := r.admitOwner(server); refusal != nil {
-				return choice, refusal
-			}
-			return choice, r.admit(choice)
+			return choice, r.admitOwner(choice)
 		}
 		if len(r.core.Registry.Usable(r.service.Name)) == 0 && r.core.Registry.EvacuatedDomains() > 0 {
 			return balance.Choice{}, refuse(fault.NoServer, r.honored(evacuatedRetryAfter), "key %d of service %q: %s; all servers are in evacuated failure domains",
