--- a/internal/serverconn/conn.go
+++ b/internal/serverconn/conn.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"kumquatcleat/internal/httpstatus"
 )
 
 const (
@@ -50,7 +52,6 @@
 // them without end.
 const (
 	maxHeadBytes      = 64 << 10 // one head: status line and header lines
-	maxInterimAnswers = 16       // interim answers (1xx) before a final one
 	maxSkippedAnswers = 4        // late answers to earlier requests before the one read for
 	maxSkippedBytes   = 64 << 10 // body of an answer whose content is not used
 )
@@ -76,17 +77,20 @@
 // may never come.
 func (c *conn) readFinal(method string) (*http.Response, error) {
 	defer func() { c.input.left = math.MaxInt64 }() // the reader of a body has its own limit
-	for range maxInterimAnswers + 1 {
+	for answers := (httpstatus.Sequence{}); ; {
 		c.input.left = maxHeadBytes
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, readError(err)
 		}
-		if resp.StatusCode >= http.StatusOK {
+		final, err := answers.Next(resp.StatusCode)
+		if err != nil {
+			return nil, fmt.Errorf("%w: %w", errInvalidAnswer, err)
+		}
+		if final {
 			return resp, nil
 		}
 	}
-	return nil, fmt.Errorf("%w: more than %d interim answers", errInvalidAnswer, maxInterimAnswers)
 }
 
 // readError marks an error of reading an answer as errInvalidAnswer unless it is an
