--- a/internal/backend/http.go
+++ b/internal/backend/http.go
@@ -13,6 +13,7 @@
 	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"kumquatcleat/internal/dial"
+	"kumquatcleat/internal/httpstatus"
 	"kumquatcleat/internal/membudget"
 )
 
@@ -46,7 +47,7 @@
 
 		MaxResponseHeaderBytes: controlMaxHeadBytes,
 	}
-	client := &http.Client{Transport: transport, Timeout: controlTimeout, CheckRedirect: dial.NoRedirects}
+	client := &http.Client{Transport: httpstatus.Transport(transport), Timeout: controlTimeout, CheckRedirect: dial.NoRedirects}
 	return &ControlClients{service: httpc.NewServiceWithClient(controlBreaker, client)}
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -12,18 +12,23 @@
 
 	"kumquatcleat/internal/bootclock"
 	"kumquatcleat/internal/dial"
+	"kumquatcleat/internal/httpstatus"
 	"kumquatcleat/internal/membudget"
 )
 
-// newPeerClient returns an HTTP client for calls to other VMs.
-func newPeerClient(localIP string, dialTimeout time.Duration) *http.Client {
+// newPeerClient returns an HTTP client for calls to other VMs that keeps idlePerVM idle connections
+// to each of them.
+func newPeerClient(localIP string, dialTimeout time.Duration, idlePerVM int) *http.Client {
 	dialer := dial.WithDeadPeerDetection(localIP, dialTimeout)
-	return &http.Client{CheckRedirect: dial.NoRedirects, Transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second,
+	return &http.Client{CheckRedirect: dial.NoRedirects, Transport: httpstatus.Transport(&http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerVM, IdleConnTimeout: 10 * time.Second,
 		DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
-	}}
+	})}
 }
 
+// peerIdleConnections is how many idle connections to a VM are kept for calls.
+const peerIdleConnections = 2
+
 // Maximum sizes of messages between VMs. A request with the counts of all keys has less
 // than half of the maximum, a response with all rows of a site of 800 servers a tenth.
 const (
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -89,8 +89,7 @@
 }
 
 func newRelays(p *peers, bodies, answers *membudget.Budget, maxAnswer int64) *relays {
-	client := newPeerClient(p.settings.IP, relayDialTimeout)
-	client.Transport.(*http.Transport).MaxIdleConnsPerHost = relayIdleConnections
+	client := newPeerClient(p.settings.IP, relayDialTimeout, relayIdleConnections)
 	return &relays{peers: p, client: client, bodies: bodies, answers: answers, maxAnswer: maxAnswer, unable: map[string]unableVM{}, inFlight: map[string]int{}}
 }
 
--- /dev/null
+++ b/internal/gateway/status_test.go
@@ -0,0 +1,47 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"kumquatcleat/internal/httpstatus/statustest"
+)
+
+// Guards against a connection to a VM in trouble that stays in use: what follows a response
+// without a valid status could be read as the response to the next call.
+func TestInvalidStatusOfPeerEndsConnection(t *testing.T) {
+	statustest.CheckClient(t, "", func(address string) error {
+		follower, _ := newTestViewSync(t)
+		_, err := follower.ask(context.Background(), &peer{name: "reader", address: address}, map[string]uint64{}, 3*time.Second, 0)
+		return err
+	})
+}
+
+// Guards against an invalid status that a VM of an earlier version passes on as the answer of a
+// server: the request may have run, and is not sent again.
+func TestInvalidStatusOfRelayedAnswerIsNoAnswer(t *testing.T) {
+	header := relayOutcome + ": " + relayAnswered + "\r\n"
+	for _, a := range append(statustest.Answers(header), statustest.Switching(header)) {
+		t.Run(a.Name, func(t *testing.T) {
+			raw := statustest.Serve(t, a.Text)
+			began := time.Now()
+			result := send(relayTo(t, map[string][]string{"a": {raw.Address}}), callerRequest(http.MethodPost, "order"))
+			if result.Answer != nil {
+				t.Fatalf("got status %d with body %q as an answer", result.Answer.Status, result.Answer.Body)
+			}
+			if !result.Sent || !strings.Contains(result.Err.Error(), "invalid status "+a.Status) {
+				t.Errorf("got sent %v, error %v; want the invalid status %s of a request that may have run", result.Sent, result.Err, a.Status)
+			}
+			if took := time.Since(began); took > statustest.MaxTime {
+				t.Errorf("the request took %v", took)
+			}
+			raw.CheckReset(t)
+			if n := raw.Requests.Load(); n != 1 {
+				t.Errorf("the request was sent %d times", n)
+			}
+		})
+	}
+}
--- a/internal/gateway/view_sync.go
+++ b/internal/gateway/view_sync.go
@@ -99,7 +99,7 @@
 }
 
 func newViewSync(p *peers, set *rows.Set, l *loadReporter, f *freshness, configTable string) *viewSync {
-	return &viewSync{peers: p, set: set, client: newPeerClient(p.settings.IP, peerDialTimeout), seedClient: newPeerClient(p.settings.IP, seedDialTimeout), loads: l, packer: newPacker(), freshness: f, configTable: configTable}
+	return &viewSync{peers: p, set: set, client: newPeerClient(p.settings.IP, peerDialTimeout, peerIdleConnections), seedClient: newPeerClient(p.settings.IP, seedDialTimeout, peerIdleConnections), loads: l, packer: newPacker(), freshness: f, configTable: configTable}
 }
 
 // followFirstSource follows the first reader of the domain, unless that is this VM.
--- /dev/null
+++ b/internal/httpstatus/transport.go
@@ -0,0 +1,104 @@
+package httpstatus
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"sync/atomic"
+)
+
+// Transport returns a RoundTripper for base that fails for answers with invalid statuses and
+// resets their connections. base must have a DialContext.
+//
+// A check of the response alone would come too late: net/http puts a connection back into its pool
+// before it returns a response without a body, and another request could then read the bytes that
+// follow as its answer. So connections check statuses as they read them.
+func Transport(base *http.Transport) http.RoundTripper {
+	dial := base.DialContext
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &Conn{Conn: c}, nil
+	}
+	return transport{base}
+}
+
+type transport struct{ *http.Transport }
+
+// RoundTrip implements http.RoundTripper.
+func (t transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	var used atomic.Pointer[Conn]
+	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if c, ok := info.Conn.(*Conn); ok {
+			c.awaitAnswer()
+			used.Store(c)
+		}
+	}})
+	resp, err := t.Transport.RoundTrip(r.WithContext(ctx))
+	if err != nil {
+		// The error may be that of a write to the connection, which the check has closed.
+		if c := used.Load(); c != nil && c.invalid() != nil {
+			return nil, fmt.Errorf("read answer: %w", c.invalid())
+		}
+		return nil, err
+	}
+	// Covers 101, after which net/http passes the connection to the caller.
+	if err := CheckFinal(resp.StatusCode); err != nil {
+		if c := used.Load(); c != nil {
+			c.reset()
+		}
+		_ = resp.Body.Close()
+		return nil, fmt.Errorf("read answer: %w", err)
+	}
+	return resp, nil
+}
+
+// Conn is a connection that checks the statuses of the answers that are read from it.
+type Conn struct {
+	net.Conn
+	mu   sync.Mutex // guards the fields below
+	scan scanner
+	err  error // invalid status that was read
+}
+
+// Read implements net.Conn. It resets the connection at an invalid status.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err == nil {
+		if c.err = c.scan.add(p[:n]); c.err != nil {
+			c.reset()
+		}
+	}
+	if c.err != nil {
+		return 0, c.err
+	}
+	return n, err
+}
+
+// awaitAnswer begins the check of the answer to the next request.
+func (c *Conn) awaitAnswer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.scan = scanner{state: inVersion}
+}
+
+func (c *Conn) invalid() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.err
+}
+
+// reset closes the connection with a TCP reset, so that bytes still in transit are dropped.
+func (c *Conn) reset() {
+	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Conn.Close()
+}
--- a/internal/peer/clients.go
+++ b/internal/peer/clients.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"kumquatcleat/internal/dial"
+	"kumquatcleat/internal/httpstatus"
 )
 
 const (
@@ -69,7 +70,7 @@
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	return &Clients{
-		http:      &http.Client{Transport: limitedTransport{transport}, Timeout: requestTimeout},
+		http:      &http.Client{Transport: limitedTransport{httpstatus.Transport(transport)}, Timeout: requestTimeout},
 		byAddress: map[string]Peer{},
 	}
 }
--- a/internal/routing/forward_test.go
+++ b/internal/routing/forward_test.go
@@ -97,6 +97,7 @@
 	*httptest.Server
 	resolver   *fixedResolver
 	quarantine *countingQuarantine
+	decisions  *logging.Decisions
 }
 
 // countingQuarantine counts the runs that are reported to it.
@@ -119,15 +120,16 @@
 	}
 	resolver := &fixedResolver{server: server}
 	quarantine := &countingQuarantine{Quarantine: retry.NewQuarantine(retry.DefaultQuarantineSettings(), time.Now)}
+	decisions := logging.NewDecisions(metrics.NewRegistry())
 	handler := NewHandler(Parts{
 		Services: oneService{service}, Resolver: resolver, Gate: unlimitedGate{}, Policies: onePolicy{policy}, Prober: noProber{},
 		Claimer: noClaims{}, Quarantine: quarantine,
 		Transport: NewTransport(0), Canceler: noCancel{}, Deferrals: noDeferrals{},
-		Decisions: logging.NewDecisions(metrics.NewRegistry()), Metrics: metrics.NewRegistry(),
+		Decisions: decisions, Metrics: metrics.NewRegistry(),
 	})
 	front := httptest.NewServer(handler)
 	t.Cleanup(front.Close)
-	return &testRouter{Server: front, resolver: resolver, quarantine: quarantine}
+	return &testRouter{Server: front, resolver: resolver, quarantine: quarantine, decisions: decisions}
 }
 
 func (r *testRouter) do(t *testing.T, method, path, body string, header ...string) (*http.Response, string, error) {
--- a/internal/routing/forwarder.go
+++ b/internal/routing/forwarder.go
@@ -13,6 +13,7 @@
 	"kumquatcleat/internal/backend"
 	"kumquatcleat/internal/config"
 	"kumquatcleat/internal/fault"
+	"kumquatcleat/internal/httpstatus"
 	"kumquatcleat/internal/limits"
 	"kumquatcleat/internal/retry"
 )
@@ -221,6 +222,8 @@
 	}
 	f.cancel(target)
 	switch {
+	case errors.Is(err, httpstatus.ErrInvalid):
+		return fault.Wrap(fault.ConnectionLost, err, "the answer of server %s is invalid", id)
 	case f.request.Context().Err() != nil || f.body.readFailed.Load():
 		return fault.Wrap(fault.CallerGone, err, "the caller left before the answer of server %s", id)
 	case ctx.Err() != nil:
@@ -266,9 +269,9 @@
 }
 
 func (f *forwarder) logAttempt(number int, target Target, err *fault.Error, took time.Duration) {
-	result := "answered"
+	result, reason := "answered", ""
 	if err != nil {
-		result = string(err.Kind)
+		result, reason = string(err.Kind), err.Error()
 	}
 	f.handler.Decisions.Log("routing: sent",
 		slog.String(logRequest, f.call.requestID),
@@ -279,6 +282,7 @@
 		slog.String("token", target.Token.String()),
 		slog.Int("attempt", number),
 		slog.String("result", result),
+		slog.String("reason", reason),
 		slog.Int64("took_us", took.Microseconds()))
 }
 
--- a/internal/routing/transport.go
+++ b/internal/routing/transport.go
@@ -13,6 +13,7 @@
 	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"kumquatcleat/internal/dial"
+	"kumquatcleat/internal/httpstatus"
 )
 
 const (
@@ -66,7 +67,7 @@
 		DisableCompression:     true, // bodies are forwarded unchanged
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
-	client := &http.Client{Transport: roundTripper, CheckRedirect: dial.NoRedirects} // the caller follows redirects
+	client := &http.Client{Transport: httpstatus.Transport(roundTripper), CheckRedirect: dial.NoRedirects} // the caller follows redirects
 	return &Transport{service: httpc.NewServiceWithClient(serverBreaker, client)}
 }
 
@@ -108,7 +109,11 @@
 }
 
 func (s *sendTracker) gotConn(info httptrace.GotConnInfo) {
-	conn, ok := info.Conn.(*guardedConn)
+	checked, ok := info.Conn.(*httpstatus.Conn)
+	if !ok {
+		return
+	}
+	conn, ok := checked.Conn.(*guardedConn)
 	if !ok {
 		return
 	}
@@ -163,6 +168,15 @@
 	return c.Conn.Write(p)
 }
 
+// SetLinger sets whether Close resets the connection, as net.TCPConn has it.
+func (c *guardedConn) SetLinger(seconds int) error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return tcp.SetLinger(seconds)
+}
+
 func (c *guardedConn) sealIfUnwritten() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
