--- a/internal/standin/run.go
+++ b/internal/standin/run.go
@@ -233,11 +233,25 @@
 	return strings.Repeat(unit, size/len(unit)+1)[:size]
 }
 
-// send writes an answer, truncated if CutAnswer is set.
+// sendStatus writes an answer with a status that net/http may not let a handler send.
+func sendStatus(w http.ResponseWriter, status string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		abort()
+	}
+	_, _ = conn.Write([]byte("HTTP/1.1 " + status + " Injected\r\nContent-Length: 0\r\n\r\n"))
+	_ = conn.Close()
+}
+
+// send writes an answer, with AnswerStatus if that is set, truncated if CutAnswer is set.
 func (s *Server) send(w http.ResponseWriter, a answer) {
 	if a.lost {
 		abort()
 	}
+	if status := s.faults.get().AnswerStatus; status != "" {
+		sendStatus(w, status)
+		return
+	}
 	w.Header().Set(backend.HeaderServer, s.settings.ID)
 	if a.notStarted != "" {
 		w.Header().Set(backend.HeaderNotStarted, a.notStarted)
--- a/internal/standin/server_faults.go
+++ b/internal/standin/server_faults.go
@@ -20,6 +20,7 @@
 	CloseAfterRead     bool     `json:"close_after_read"`    // reads the request, then closes the connection without running it
 	CloseAfterRun      bool     `json:"close_after_run"`     // runs the request, then closes the connection without an answer
 	CutAnswer          bool     `json:"cut_answer"`          // sends half of the answer, then closes the connection
+	AnswerStatus       string   `json:"answer_status"`       // three digits, valid or not, instead of the status of each answer, without a body; "": none
 	RefuseConnects     bool     `json:"refuse_connects"`     // resets each new connection
 	ControlUnreachable bool     `json:"control_unreachable"` // closes control calls without an answer
 	LoseGrantAnswers   bool     `json:"lose_grant_answers"`  // grants and revokes take effect but are not answered
--- a/internal/standin/server_test.go
+++ b/internal/standin/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -347,6 +348,16 @@
 	}
 }
 
+// Guards against a fault that net/http turns into a panic: its handlers can't send these statuses.
+func TestAnswerWithGivenStatus(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600", "999"} {
+		s := startServer(t, ServerSettings{Faults: ServerFaults{AnswerStatus: status}})
+		if got, _, err := s.send(testCall{body: "x"}); err != nil || fmt.Sprintf("%03d", got.StatusCode) != status {
+			t.Errorf("got %v, %v; want status %s", got, err, status)
+		}
+	}
+}
+
 func TestGrantForEarlierIncarnationRejected(t *testing.T) {
 	s := startServer(t, ServerSettings{Slots: 1, Checks: true})
 	token := backend.Token{Epoch: 1, Seq: 1}
