--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -33,6 +33,7 @@
 	serviceTimes map[string]float64 // smoothed service time of a service at the usual speed, in seconds
 	slowdowns    map[string]float64 // smoothed slowdown that the servers of a service state; 0: they state none
 	samples      map[registry.Instance]Samples
+	sizes        map[string]float64 // smoothed bytes of a request of a service with its response
 }
 
 // candidates is how many servers are compared in the VM's own failure domain; one fewer in others.
@@ -40,7 +41,7 @@
 
 // New returns a balancer without statistics.
 func New(s Settings) *Balancer {
-	return &Balancer{settings: s, servers: map[registry.Instance]*stats{}, serviceTimes: map[string]float64{}, slowdowns: map[string]float64{}, samples: map[registry.Instance]Samples{}}
+	return &Balancer{settings: s, servers: map[registry.Instance]*stats{}, serviceTimes: map[string]float64{}, slowdowns: map[string]float64{}, samples: map[registry.Instance]Samples{}, sizes: map[string]float64{}}
 }
 
 // Choice is a server with its expected latency and load.
@@ -56,19 +57,26 @@
 func (b *Balancer) Choose(now time.Time, servers []*registry.Server, objective time.Duration, excluded func(*registry.Server) bool) (Choice, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.choose(now, b.settings.FailureDomain, servers, objective, excluded)
+}
+
+// choose returns the best of a few servers. Those of the given failure domain cost nothing extra,
+// those of others the crossing.
+func (b *Balancer) choose(now time.Time, domain string, servers []*registry.Server, objective time.Duration, excluded func(*registry.Server) bool) (Choice, bool) {
 	var near, far []*registry.Server
 	for _, s := range servers {
 		if excluded(s) {
 			continue
 		}
-		if s.FailureDomain == b.settings.FailureDomain {
+		if s.FailureDomain == domain {
 			near = append(near, s)
 		} else {
 			far = append(far, s)
 		}
 	}
 	near, unused, fresh := b.splitByUse(now, near)
-	if len(fresh) > 0 && rand.Float64() < freshShare {
+	// In another domain, servers that this VM has not used yet are new to it, not to all VMs.
+	if domain == b.settings.FailureDomain && len(fresh) > 0 && rand.Float64() < freshShare {
 		if c, ok := b.promising(now, fresh[rand.IntN(len(fresh))], objective); ok {
 			return c, true
 		}
