--- a/internal/balance/spill.go
+++ b/internal/balance/spill.go
@@ -48,6 +48,10 @@
 	Only bool
 }
 
+// failingLoss is the expected loss through failures from which a server is no reason to stay in its
+// domain: it failed about every fourteenth attempt.
+const failingLoss = 0.05
+
 // ChooseIn is Choose for a request that is to be executed in one failure domain. It compares
 // servers of all domains, as Choose does, if the domain has no server for the request, or the best
 // of those that were compared is full, failing or expected to answer after the objective.
@@ -61,7 +65,7 @@
 			failures = b.expectedFailureLoss(now, c.Server)
 		}
 		b.mu.Unlock()
-		serves := failures <= b.settings.CrossDomainCost && !c.Full && (objective <= 0 || c.Expected < objective)
+		serves := failures <= failingLoss && !c.Full && (objective <= 0 || c.Expected < objective)
 		if ok && (serves || p.Only && failures < pausedPenalty) {
 			return c, true
 		}
--- a/internal/balance/spill_test.go
+++ b/internal/balance/spill_test.go
@@ -23,20 +23,22 @@
 		placement Placement
 		servers   []*registry.Server
 		want      *registry.Server
+		price     float64
 	}{
-		"home only, far idle":          {load(5), near, Placement{Domain: "a"}, servers, near},
-		"other domain":                 {load(3), far, Placement{Domain: "b"}, servers, far},
-		"no decision":                  {load(5), near, Placement{}, servers, far},
-		"home full":                    {load(20), near, Placement{Domain: "a"}, servers, far},
-		"home full, others too":        {load(20), near, Placement{Domain: "a", Only: true}, servers, near},
-		"home unreachable":             {Outcome{ConnectFailed: true}, near, Placement{Domain: "a", Only: true}, servers, far},
-		"other domain unreachable":     {Outcome{ConnectFailed: true}, far, Placement{Domain: "b"}, servers, near},
-		"home failing":                 {Outcome{Failed: true}, near, Placement{Domain: "a"}, servers, far},
-		"no server in the domain":      {load(4), far, Placement{Domain: "a"}, servers[1:], far},
-		"home expected to be late":     {load(16), near, Placement{Domain: "a"}, servers, far},
-		"other domain without servers": {load(4), far, Placement{Domain: "b"}, servers[:1], near},
+		"home only, far idle":          {load(5), near, Placement{Domain: "a"}, servers, near, 0.05},
+		"other domain":                 {load(3), far, Placement{Domain: "b"}, servers, far, 0.05},
+		"no decision":                  {load(5), near, Placement{}, servers, far, 0.05},
+		"home full":                    {load(20), near, Placement{Domain: "a"}, servers, far, 0.05},
+		"home full, others too":        {load(20), near, Placement{Domain: "a", Only: true}, servers, near, 0.05},
+		"home unreachable":             {Outcome{ConnectFailed: true}, near, Placement{Domain: "a", Only: true}, servers, far, 0.05},
+		"home unreachable, high price": {Outcome{ConnectFailed: true}, near, Placement{Domain: "a"}, servers, far, 10},
+		"other domain unreachable":     {Outcome{ConnectFailed: true}, far, Placement{Domain: "b"}, servers, near, 0.05},
+		"home failing":                 {Outcome{Failed: true}, near, Placement{Domain: "a"}, servers, far, 0.05},
+		"no server in the domain":      {load(4), far, Placement{Domain: "a"}, servers[1:], far, 0.05},
+		"home expected to be late":     {load(16), near, Placement{Domain: "a"}, servers, far, 0.05},
+		"other domain without servers": {load(4), far, Placement{Domain: "b"}, servers[:1], near, 0.05},
 	} {
-		b := New(Settings{FailureDomain: "a", CrossDomainCost: 0.05, InitialServiceTime: 150 * time.Millisecond, MaxRequestsPerSlot: 4.5})
+		b := New(Settings{FailureDomain: "a", CrossDomainCost: c.price, InitialServiceTime: 150 * time.Millisecond, MaxRequestsPerSlot: 4.5})
 		b.Started(c.server)
 		b.Finished(now, c.server, c.outcome)
 		got, ok := b.ChooseIn(now, c.placement, c.servers, objective, func(*registry.Server) bool { return false })
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -110,8 +110,12 @@
 		return choice, true
 	}
 	excluded := func(s *registry.Server) bool { return r.hasTried(s) || r.core.serverWait(now, s) > 0 }
+	placement := balance.Placement{}
+	if r.core.Place != nil && len(r.tried) == 0 {
+		placement = r.core.Place(r.service.Name)
+	}
 	for {
-		choice, ok := r.core.Balancer.Choose(now, r.core.Registry.Usable(r.service.Name), r.route.Objective, excluded)
+		choice, ok := r.core.Balancer.ChooseIn(now, placement, r.core.Registry.Usable(r.service.Name), r.route.Objective, excluded)
 		// Another request may have taken the room meanwhile.
 		if !ok || r.core.RateLimits.Take(now, choice.Server.Instance()) {
 			return choice, ok
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -123,9 +123,12 @@
 	// HasIdleConnection reports whether there is an idle connection to a server.
 	HasIdleConnection func(*registry.Server) bool
 	CountKey          func(service string, key uint32)
-	Decisions         *logging.Decisions
-	Metrics           metrics.Registry
-	Dialect           *dialect.Dialect
+	// Place returns the failure domain for the first attempt of a request without key; nil: there
+	// are no such decisions.
+	Place     func(service string) balance.Placement
+	Decisions *logging.Decisions
+	Metrics   metrics.Registry
+	Dialect   *dialect.Dialect
 }
 
 // Core serves requests. Safe for concurrent use.
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -111,6 +111,9 @@
 		now := time.Now()
 		r.core.observeStatements(now, server, response)
 		r.core.Balancer.Finished(now, server, balanceOutcome(ctx, now.Sub(began), response, failure))
+		if response != nil {
+			r.core.Balancer.ObserveSize(server.Service, len(request.Body)+len(response.Body))
+		}
 		r.observeEnd(ctx, server, began, failure)
 		results <- attemptResult{choice, repeat, now.Sub(began), response, failure}
 	}()
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -18,6 +18,7 @@
 	"kumquatcleat/internal/registry"
 	"kumquatcleat/internal/retry"
 	"kumquatcleat/internal/rows"
+	"kumquatcleat/internal/spill"
 	"kumquatcleat/internal/wait"
 )
 
@@ -33,6 +34,8 @@
 	Unanswered []dispatch.Unanswered `json:"unanswered,omitempty"`
 	// Leaving are the servers that said in an answer that they leave.
 	Leaving []registry.Instance `json:"leaving,omitempty"`
+	// Spill holds the requests in flight for services without keys.
+	Spill spill.Report `json:"spill,omitzero"`
 }
 
 // reportResponse acknowledges a report.
@@ -45,6 +48,8 @@
 	Suspects   retry.SuspectsAnswer  `json:"suspects,omitzero"`
 	Unanswered []dispatch.Unanswered `json:"unanswered,omitempty"`
 	Leaving    []registry.Instance   `json:"leaving,omitempty"`
+	// DomainLoads holds the loads of the services without keys by failure domain.
+	DomainLoads spill.Figures `json:"domain_loads,omitempty"`
 	// ClockMS is the coordinator's clock, see reportStamp.
 	ClockMS int64 `json:"clock_ms,omitempty"`
 	// TooOld says that the report did not count.
@@ -91,6 +96,7 @@
 	rateLimits       *ratelimit.Limits
 	registry         *registry.Registry
 	rateLimitChanges func() []ratelimit.Statement
+	spill            *spiller
 	client           *http.Client
 
 	mu          sync.Mutex                    // guards the fields below
@@ -150,7 +156,9 @@
 		report, coordinator := l.takeReport()
 		suspects, change := l.exchange.Report()
 		unanswered, lastUnanswered := l.unanswered.Next()
-		idle := len(report.Requests) == 0 && len(report.RateLimits) == 0 && len(suspects.Suspects) == 0 && len(unanswered) == 0
+		l.spill.publish()
+		spillReport := l.spill.report()
+		idle := len(spillReport.InFlight) == 0 && len(spillReport.Into) == 0 && len(report.Requests) == 0 && len(report.RateLimits) == 0 && len(suspects.Suspects) == 0 && len(unanswered) == 0
 		l.post(l.exchange.Post(l.isCoordinator()))
 		switch {
 		case coordinator == "":
@@ -158,10 +166,11 @@
 		case idle && time.Since(l.sentAt) < idleReportInterval:
 		case coordinator == l.selfAddress:
 			l.report(report)
+			l.spill.received(l.vm, spillReport)
 			l.follow(time.Now(), l.response(retry.SuspectsReport{}))
 		default:
 			l.sentAt = time.Now()
-			response, accepted := l.send(ctx, coordinator, loadReport{Report: report, Suspects: suspects, Unanswered: unanswered, Leaving: l.registry.Leaving()})
+			response, accepted := l.send(ctx, coordinator, loadReport{Report: report, Suspects: suspects, Unanswered: unanswered, Leaving: l.registry.Leaving(), Spill: spillReport})
 			if accepted {
 				l.suspicions.Learn(response.Unanswered)
 				l.unanswered.Delivered(response.Suspects.Known.Process, lastUnanswered)
@@ -211,7 +220,7 @@
 
 // response returns this VM's response to a report, as the coordinator.
 func (l *loadReporter) response(suspects retry.SuspectsReport) reportResponse {
-	return reportResponse{Overloads: l.overloads(), RateLimits: l.rateLimitChanges(), Suspects: retry.Answer(l.quarantine, l.process, suspects), Leaving: l.registry.Leaving()}
+	return reportResponse{Overloads: l.overloads(), RateLimits: l.rateLimitChanges(), Suspects: retry.Answer(l.quarantine, l.process, suspects), Leaving: l.registry.Leaving(), DomainLoads: l.spill.figures()}
 }
 
 // follow applies the coordinator's response to a report that was sent at the given time. What it
@@ -220,6 +229,7 @@
 	l.gate.Update(sent, response.Overloads)
 	l.rateLimits.Learn(sent, response.RateLimits)
 	l.markLeaving(response.Leaving)
+	l.spill.follow(sent, response.DomainLoads)
 }
 
 // markLeaving records the servers that said to another VM that they leave.
@@ -245,6 +255,7 @@
 		return
 	}
 	l.report(report.Report)
+	l.spill.received(report.VM, report.Spill)
 	l.markLeaving(report.Leaving)
 	response := l.response(report.Suspects)
 	response.Unanswered = l.suspicions.Exchange(report.Unanswered)
--- a/internal/gateway/loads_test.go
+++ b/internal/gateway/loads_test.go
@@ -27,6 +27,7 @@
 	coordinator := newLoadReporter(testSettings("c", "a"), "p", newTestSuspicions(), func(keyspace.Report) { accepted++ }, nil)
 	coordinator.overloads = func() map[string]overload.Signal { return map[string]overload.Signal{"s": {Admit: 0}} }
 	coordinator.registry = registry.New()
+	coordinator.spill = newTestSpiller("a")
 	coordinating := true
 	limited := ratelimit.Statement{Server: "limited", Incarnation: 1, Rate: 0.5}
 	coordinator.rateLimitChanges = func() []ratelimit.Statement { return []ratelimit.Statement{limited} }
@@ -39,6 +40,7 @@
 	vm.rateLimits = ratelimit.New(func(string) float64 { return 0.01 }, metrics.NewRegistry())
 	vm.suspectCoordinator = func() { suspicions++ }
 	vm.registry = registry.New()
+	vm.spill = newTestSpiller("a")
 	for _, step := range []struct {
 		coordinating bool
 		suspicions   int
@@ -70,6 +72,7 @@
 	l.isCoordinator = func() bool { return vm == "coordinator" }
 	l.suspectCoordinator = func() {}
 	l.registry = registry.New()
+	l.spill = newTestSpiller("a")
 	return l
 }
 
--- a/internal/gateway/provision.go
+++ b/internal/gateway/provision.go
@@ -170,10 +170,14 @@
 func (g *Gateway) provisionRequests() {
 	g.balancer = balance.New(balance.Settings{
 		FailureDomain:      g.settings.FailureDomain,
-		CrossDomainCost:    crossDomainCost,
+		CrossDomainCost:    g.settings.CrossDomainPrice, // of a short request, about 1 kB
 		InitialServiceTime: initialService,
 		MaxRequestsPerSlot: maxQueue,
 	})
+	g.loads.spill = newSpiller(g.settings, g.balancer, g.metrics)
+	g.loads.spill.services = func() []string { return undividedServices(g.Current()) }
+	g.loads.spill.usable = g.registry.Usable
+	g.loads.spill.objective = func(service string) time.Duration { return objectiveOf(g.Current(), service) }
 	g.reach = reachability.NewMonitor(g.settings.FailureDomain, g.registry.All, g.probeServer, func(isolated bool) {
 		g.coordinatorLease.SetEligible(!isolated)
 	})
@@ -197,6 +201,7 @@
 		Budget: g.budget, Overload: g.loads.gate, RateLimits: g.rateLimits, Pauses: g.pauses, Suspicions: g.suspicions,
 		Reach: g.reach, Relay: g.relays, HasIdleConnection: g.requestPool.HasIdle,
 		CountKey:  g.loads.count,
+		Place:     g.loads.spill.place,
 		Decisions: g.decisions, Metrics: g.metrics, Dialect: g.adapter.Dialect,
 	})
 	g.entry = entry.NewServer(entry.Settings{
@@ -233,12 +238,15 @@
 }
 
 const (
-	// crossDomainCost is the cost of sending a request to a server in another failure
-	// domain, as a fraction of the worth of an answer in time. The traffic of a short
-	// request, about 1 kB, costs 0.12 at one of the two sites where the router runs and
-	// 0.013 at the other; this value lies between.
-	crossDomainCost = 0.05
-	initialService  = 100 * time.Millisecond
+	// defaultCrossDomainPrice is the cost of 1 kB sent between failure domains, as a fraction
+	// of the worth of an answer in time. The traffic of a short request, about 1 kB, costs
+	// 0.12 at one of the two sites where the router runs and 0.013 at the other; this value
+	// lies between.
+	defaultCrossDomainPrice = 0.05
+	// defaultCrossDomainMS is the one-way latency between failure domains: 0.9 and 1.4 ms at two
+	// sites.
+	defaultCrossDomainMS = 1.0
+	initialService       = 100 * time.Millisecond
 	// maxQueue is the number of queued and running requests per slot at which a server
 	// counts as full. It stays below the servers' own limit of five per slot, four queued and
 	// one running, because some servers reset connections when their queue is full.
@@ -321,6 +329,13 @@
 	return t.KeyedServices()
 }
 
+func undividedServices(t *routetable.Table) []string {
+	if t == nil {
+		return nil
+	}
+	return t.UndividedServices()
+}
+
 // objectiveOf returns the objective of a service, or 0 if unknown.
 func objectiveOf(t *routetable.Table, service string) time.Duration {
 	if t == nil {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -16,7 +16,7 @@
 )
 
 // Settings are the settings of one gateway, read from a JSON file. All fields except
-// Seeds are required. Every address is IP:port.
+// those in optionalFields are required. Every address is IP:port.
 type Settings struct {
 	VM            string `json:"vm"`             // name of this VM
 	FailureDomain string `json:"failure_domain"` // failure domain of this VM
@@ -42,8 +42,23 @@
 	RetryRatio  float64 `json:"retry_ratio"`  // retries per request, over all VMs
 	RetrySlack  float64 `json:"retry_slack"`  // additional retries per window, over all VMs
 	RetryWindow float64 `json:"retry_window"` // seconds
+
+	// CrossDomainPrice is the loss per kB that a request sends between failure domains, where 1 is
+	// the worth of an answer in time.
+	CrossDomainPrice float64 `json:"cross_domain_price"`
+	CrossDomainMS    float64 `json:"cross_domain_ms"` // one-way latency between failure domains
 }
 
+// optionalFields are the fields that a settings file may leave out.
+var optionalFields = []string{"seeds", "cross_domain_price", "cross_domain_ms"}
+
+const (
+	// maxCrossDomainPrice is above the price from which nothing leaves a domain, and below the
+	// penalty of unreachable servers: requests leave when all servers of the domain are.
+	maxCrossDomainPrice = 10
+	maxCrossDomainMS    = 1000
+)
+
 // Grace returns the time between SIGTERM and the forced end of the process.
 func (s *Settings) Grace() time.Duration { return seconds(s.GraceS) }
 
@@ -71,7 +86,7 @@
 // Parse decodes and validates the content of a settings file. The error names every
 // field that is unknown, missing or out of range.
 func Parse(data []byte) (*Settings, error) {
-	s := &Settings{}
+	s := &Settings{CrossDomainPrice: defaultCrossDomainPrice, CrossDomainMS: defaultCrossDomainMS}
 	problems := strictjson.Decode(data, s)
 	if len(problems) == 0 {
 		problems = missingFields(data)
@@ -99,7 +114,7 @@
 	}
 	var problems []strictjson.Problem
 	for name := range all {
-		if _, ok := given[name]; !ok && name != "seeds" {
+		if _, ok := given[name]; !ok && !slices.Contains(optionalFields, name) {
 			problems = append(problems, strictjson.Problem{Field: name, Want: "a value; the field is missing"})
 		}
 	}
@@ -138,6 +153,12 @@
 	if s.RetryRatio < 0 || s.RetrySlack < 0 {
 		wrong("retry_ratio, retry_slack", fmt.Sprint(s.RetryRatio, ", ", s.RetrySlack), "at least 0")
 	}
+	if s.CrossDomainPrice < 0 || s.CrossDomainPrice > maxCrossDomainPrice {
+		wrong("cross_domain_price", fmt.Sprint(s.CrossDomainPrice), fmt.Sprint("0 to ", maxCrossDomainPrice))
+	}
+	if s.CrossDomainMS < 0 || s.CrossDomainMS > maxCrossDomainMS {
+		wrong("cross_domain_ms", fmt.Sprint(s.CrossDomainMS), fmt.Sprint("0 to ", maxCrossDomainMS))
+	}
 	switch s.LogLevel {
 	case "debug", "info", "warn", "error":
 	default:
--- a/internal/gateway/settings_test.go
+++ b/internal/gateway/settings_test.go
@@ -23,6 +23,8 @@
 		"unknown level":  {`"info"`, `"loud"`, "log_level"},
 		"no JSON":        {`{"vm"`, `["vm"`, "document"},
 		"negative ratio": {`"retry_ratio":0.2`, `"retry_ratio":-1`, "retry_ratio"},
+		"negative price": {`"vm":`, `"cross_domain_price":-0.1,"vm":`, "cross_domain_price"},
+		"long way":       {`"vm":`, `"cross_domain_ms":1001,"vm":`, "cross_domain_ms"},
 	} {
 		_, err := Parse([]byte(strings.Replace(goodSettings, c.old, c.new, 1)))
 		if err == nil || !strings.Contains(err.Error(), c.want) {
@@ -31,6 +33,20 @@
 	}
 }
 
+// Guards against settings files of the previous version that are refused, and against a price of 0
+// that is taken for a missing one.
+func TestCrossDomainSettingsAreOptional(t *testing.T) {
+	for given, want := range map[string]Settings{
+		`"vm":`: {CrossDomainPrice: defaultCrossDomainPrice, CrossDomainMS: defaultCrossDomainMS},
+		`"cross_domain_price":0,"cross_domain_ms":0.9,"vm":`: {CrossDomainMS: 0.9},
+	} {
+		s, err := Parse([]byte(strings.Replace(goodSettings, `"vm":`, given, 1)))
+		if err != nil || s.CrossDomainPrice != want.CrossDomainPrice || s.CrossDomainMS != want.CrossDomainMS {
+			t.Errorf("%s: got %+v, error %v", given, s, err)
+		}
+	}
+}
+
 func TestMissingSettingsPathErrorNamesFlag(t *testing.T) {
 	if _, err := Load(""); err == nil || !strings.Contains(err.Error(), "--settings") {
 		t.Fatalf("got error %v, want one that mentions --settings", err)
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -147,6 +147,17 @@
 	return names
 }
 
+// UndividedServices returns the names of the services that are not divided by key.
+func (t *Table) UndividedServices() []string {
+	var names []string
+	for name, s := range t.services {
+		if !s.DividedByKey {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // goldenRatio, as the step between successive picks, distributes them evenly over the
 // unit interval, so that short series of requests match the weights too.
 const goldenRatio = 0.6180339887498949
--- a/internal/spill/spill.go
+++ b/internal/spill/spill.go
@@ -90,20 +90,18 @@
 	Service string
 	Decided bool               // false: no decision, each request is compared with servers of all domains
 	Shares  map[string]float64 // of the requests, by other domain
-	Loads   map[string]float64 // requests per slot, by domain
+	Loads   map[string]float64 // requests per slot by domain, smoothed
 	Age     time.Duration      // of the loads
 }
 
 // Update moves the decisions by one step. figures are those of the coordinator's response to a
-// report that was sent at the given time. It returns the decisions that changed, at most one a
-// second for each service.
-func (d *Decider) Update(now, sent time.Time, figures Figures, properties func(service string) Service) []Change {
+// report that was sent at the given time.
+func (d *Decider) Update(now, sent time.Time, figures Figures, properties func(service string) Service) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var changes []Change
-	for service := range d.states {
-		if _, given := figures[service]; !given && now.Sub(d.states[service].at) > maxAge {
-			d.states[service].decided, d.states[service].wanted = false, ""
+	for service, s := range d.states {
+		if _, given := figures[service]; !given {
+			s.wanted = ""
 		}
 	}
 	for service, loads := range figures {
@@ -114,41 +112,53 @@
 		}
 		s.update(&d.settings, now, sent, loads, properties(service))
 	}
+}
+
+const (
+	// changeInterval bounds the changes that are returned for a service.
+	changeInterval = time.Second
+	// notedDifference is the difference of a share from which a change is returned, unless the
+	// share becomes zero or no longer is.
+	notedDifference = 0.03
+)
+
+// Changes returns the decisions that changed since they were last returned, at most one a second for
+// each service.
+func (d *Decider) Changes(now time.Time) []Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var changes []Change
 	for _, service := range slices.Sorted(maps.Keys(d.states)) {
-		if c, ok := d.states[service].change(now, service, figures[service]); ok {
-			changes = append(changes, c)
+		s := d.states[service]
+		if now.Sub(s.notedAt) >= changeInterval && s.differs(now) {
+			s.noted = Change{Service: service, Decided: s.valid(now), Shares: maps.Clone(s.shares), Loads: s.smoothed, Age: now.Sub(s.at)}
+			s.notedAt = now
+			changes = append(changes, s.noted)
 		}
 	}
 	return changes
 }
 
-// changeInterval bounds the changes that are reported for a service.
-const changeInterval = time.Second
-
-// notedDifference is the difference of a share from which a change is reported, unless it becomes
-// zero or no longer is.
-const notedDifference = 0.03
-
-func (s *state) change(now time.Time, service string, loads map[string]Load) (Change, bool) {
-	if now.Sub(s.notedAt) < changeInterval {
-		return Change{}, false
+// differs reports whether the decision differs from the last one that was returned.
+func (s *state) differs(now time.Time) bool {
+	if s.valid(now) != s.noted.Decided {
+		return true
 	}
-	differs := s.decided != s.noted.Decided
-	for _, domain := range slices.Concat(slices.Collect(maps.Keys(s.shares)), slices.Collect(maps.Keys(s.noted.Shares))) {
+	differs := func(domain string) bool {
 		is, was := s.shares[domain], s.noted.Shares[domain]
-		differs = differs || math.Abs(is-was) >= notedDifference || (is > 0) != (was > 0)
+		return math.Abs(is-was) >= notedDifference || (is > 0) != (was > 0)
 	}
-	if !differs {
-		return Change{}, false
+	for domain := range s.shares {
+		if differs(domain) {
+			return true
+		}
 	}
-	c := Change{Service: service, Decided: s.decided, Shares: maps.Clone(s.shares), Loads: map[string]float64{}, Age: now.Sub(s.at)}
-	for domain, l := range loads {
-		if l.Slots > 0 {
-			c.Loads[domain] = l.PerSlot()
+	for domain := range s.noted.Shares {
+		if differs(domain) {
+			return true
 		}
 	}
-	s.noted, s.notedAt = c, now
-	return c, true
+	return false
 }
 
 // Draw returns where a request is to be executed. random is uniformly distributed below 1.
@@ -182,6 +192,13 @@
 	return maps.Clone(s.shares)
 }
 
+// Services returns the services of which there ever were figures.
+func (d *Decider) Services() []string {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return slices.Sorted(maps.Keys(d.states))
+}
+
 // update moves the shares by one step.
 func (s *state) update(settings *Settings, now, sent time.Time, loads map[string]Load, p Service) {
 	home, known := loads[settings.Domain]
--- a/internal/spill/spill_test.go
+++ b/internal/spill/spill_test.go
@@ -250,7 +250,8 @@
 		if i < 5 {
 			loads["a"] = Load{}
 		}
-		lines += len(a.Update(now, now, Figures{"svc": loads}, properties))
+		a.Update(now, now, Figures{"svc": loads}, properties)
+		lines += len(a.Changes(now))
 		share := 0.0
 		for _, s := range a.Shares(now, "svc") {
 			share += s
@@ -266,6 +267,10 @@
 	if last != 0 {
 		t.Errorf("got share %.2f that still leaves", last)
 	}
+	now = now.Add(2 * maxAge)
+	if c := a.Changes(now); len(c) != 1 || c[0].Decided {
+		t.Errorf("got changes %+v when the figures are too old, want one without a decision", c)
+	}
 	if most := int(80 * reporting / changeInterval); lines == 0 || lines > most {
 		t.Errorf("got %d reported changes, want 1 to %d", lines, most)
 	}
