--- a/internal/spill/figures.go
+++ b/internal/spill/figures.go
@@ -43,9 +43,9 @@
 	// reportLife is how long the last report of a VM counts, as for the loads of owners of keys.
 	reportLife = 1500 * time.Millisecond
 	// collectTime is how long a new coordinator collects reports before it tells loads: VMs
-	// without requests report once a second. The sums of fewer reports would show room that is
-	// not there.
-	collectTime = 1200 * time.Millisecond
+	// without requests report each 1.2 s. The sums of fewer reports would show room that is not
+	// there, and permits that conflict with those of VMs that have not reported.
+	collectTime = 1400 * time.Millisecond
 	// maxReported bounds one number in a report. A larger one is not plausible.
 	maxReported = 1e6
 )
--- a/internal/spill/spill_test.go
+++ b/internal/spill/spill_test.go
@@ -153,27 +153,35 @@
 	totals, now := NewTotals(), loadmodel.Start
 	a, c := New(Settings{Domain: "a"}), New(Settings{Domain: "c"})
 	slots := map[string]float64{"a": 100, "b": 100, "c": 100}
-	step := func(others bool) {
+	step := func(withB, withC bool) {
 		now = now.Add(reporting)
-		if others {
+		if withC {
 			exchange(c, totals, now, "vm-c", "c", map[string]int{"c": 10}, slots)
+		}
+		if withB {
 			exchange(New(Settings{Domain: "b"}), totals, now, "vm-b", "b", map[string]int{"b": 250}, slots)
 		}
 		exchange(a, totals, now, "vm-a", "a", map[string]int{"a": 250}, slots)
 	}
 	for range 10 {
-		step(true)
+		step(true, true)
 	}
 	if share := a.Shares(now, "svc")["c"]; share < 0.2 {
 		t.Fatalf("got share %.2f for the idle domain, want more", share)
 	}
 	for range 4 { // 1.6 s
-		step(false)
+		step(true, false)
+	}
+	if got := a.Draw(now, "svc", 0); got.Domain != "a" {
+		t.Errorf("got %v while one of two domains does not report, want the VM's own", got)
+	}
+	for range 4 {
+		step(false, false)
 	}
 	if got := a.Draw(now, "svc", 0); got.Domain != "" || a.Shares(now, "svc") != nil {
 		t.Errorf("got %v for a domain that does not report any more, want no decision", got)
 	}
-	step(true)
+	step(true, true)
 	if got := a.Draw(now, "svc", 0.99); got.Domain != "a" {
 		t.Errorf("got %v after the cut, want a decision", got)
 	}
@@ -213,6 +221,23 @@
 	}
 }
 
+// Guards against a permit that is used by a VM which has not asked for it: it could end while the VM
+// relies on it.
+func TestPermitIsUsedOnlyAfterAsking(t *testing.T) {
+	a, now := New(Settings{Domain: "a"}), loadmodel.Start
+	for i, want := range []float64{0, maxStep, 0} {
+		loads := map[string]Load{"a": {InFlight: 300, Slots: 100, Into: []string{"b"}}, "b": {InFlight: 40, Slots: 100}}
+		if i == 2 { // the permit has ended
+			loads["a"] = Load{InFlight: 300, Slots: 100}
+		}
+		a.Into()
+		a.Update(now, now, Figures{"svc": loads}, properties)
+		if got := a.Shares(now, "svc")["b"]; got != want {
+			t.Errorf("report %d: got share %.2f, want %.2f", i, got, want)
+		}
+	}
+}
+
 // Guards against sums that lack the requests of some VMs: of those that run a version which does not
 // count them, and at a new coordinator.
 func TestNoFiguresFromIncompleteReports(t *testing.T) {
