--- a/internal/gateway/settings_test.go
+++ b/internal/gateway/settings_test.go
@@ -3,6 +3,9 @@
 import (
 	"strings"
 	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
 )
 
 const goodSettings = `{"vm":"a-1","failure_domain":"a","ip":"10.0.0.1","listen":"10.0.0.1:80","ready_listen":"10.0.0.1:81",
@@ -23,6 +26,8 @@
 		"unknown level":  {`"info"`, `"loud"`, "log_level"},
 		"no JSON":        {`{"vm"`, `["vm"`, "document"},
 		"negative ratio": {`"retry_ratio":0.2`, `"retry_ratio":-1`, "retry_ratio"},
+		"negative price": {`"vm":`, `"cross_domain_price":-0.1,"vm":`, "cross_domain_price"},
+		"long way":       {`"vm":`, `"cross_domain_ms":1001,"vm":`, "cross_domain_ms"},
 	} {
 		_, err := Parse([]byte(strings.Replace(goodSettings, c.old, c.new, 1)))
 		if err == nil || !strings.Contains(err.Error(), c.want) {
@@ -31,6 +36,34 @@
 	}
 }
 
+// Guards against settings files of the previous version that are refused, against a price of 0 that is
+// taken for a missing one, and against decisions for whole domains that no setting asks for.
+func TestCrossDomainSettingsAreOptional(t *testing.T) {
+	for _, c := range []struct {
+		given    string
+		price    float64
+		ms       float64
+		evacuate time.Duration
+		spills   bool
+	}{
+		{`"vm":`, defaultCrossDomainPrice, defaultCrossDomainMS, defaultEvacuateS * time.Second, false},
+		{`"cross_domain_price":0,"cross_domain_ms":0.9,"evacuate_s":2.5,"vm":`, 0, 0.9, 2500 * time.Millisecond, true},
+	} {
+		s, err := Parse([]byte(strings.Replace(goodSettings, `"vm":`, c.given, 1)))
+		if err != nil || s.crossDomainPrice() != c.price || s.CrossDomainMS != c.ms || s.evacuateBound() != c.evacuate {
+			t.Fatalf("%s: got %+v, error %v", c.given, s, err)
+		}
+		if got := newSpiller(s, nil, metrics.NewRegistry()).enabled; got != c.spills {
+			t.Errorf("%s: got decisions for domains %v, want %v", c.given, got, c.spills)
+		}
+	}
+	for _, wrong := range []string{`"cross_domain_price":-1`, `"cross_domain_price":11`, `"cross_domain_ms":-1`, `"evacuate_s":-1`, `"evacuate_s":1e9`, `"evacuate_s":"5"`} {
+		if s, err := Parse([]byte(strings.Replace(goodSettings, `"vm":`, wrong+`,"vm":`, 1))); err == nil {
+			t.Errorf("%s: got %+v, want an error", wrong, s)
+		}
+	}
+}
+
 func TestMissingSettingsPathErrorNamesFlag(t *testing.T) {
 	if _, err := Load(""); err == nil || !strings.Contains(err.Error(), "--settings") {
 		t.Fatalf("got error %v, want one that mentions --settings", err)
