--- a/internal/keyspace/coordinator.go
+++ b/internal/keyspace/coordinator.go
@@ -375,6 +375,7 @@
 // planners returns a planner for the fast and one for the slow load profile.
 func (c *Coordinator) planners(now time.Duration, svc *serviceState, members []Member) (fast, slow *planner) {
 	available := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return c.unavailable(now, svc, m.Holder) })
+	available = withoutCold(available)
 	fastProfile, slowProfile := c.requestCountsOf(svc.service).profiles(now, c.settings.Keys)
 	fast, slow = newPlanner(c.settings.Plan, fastProfile, available), newPlanner(c.settings.Plan, slowProfile, available)
 	fast.acknowledged, slow.acknowledged = svc.leases.acknowledged, svc.leases.acknowledged
@@ -382,3 +383,24 @@
 	slow.maxRanges = fast.maxRanges
 	return fast, slow
 }
+
+// minWarmShare is the share of all slots that warm servers must have for cold ones to get no keys.
+const minWarmShare = 0.5
+
+// withoutCold leaves out cold servers if the warm ones can do without them. No other server may run the
+// requests for their keys, so one key that becomes busy would exceed their warm-up rate
+// before its owner is told to admit less.
+func withoutCold(members []Member) []Member {
+	warm := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.WarmupRate > 0 })
+	if float64(slotsOf(warm)) < minWarmShare*float64(slotsOf(members)) {
+		return members
+	}
+	return warm
+}
+
+func slotsOf(members []Member) (slots int) {
+	for _, m := range members {
+		slots += m.Slots
+	}
+	return slots
+}
--- a/internal/keyspace/uneven_test.go
+++ b/internal/keyspace/uneven_test.go
@@ -135,3 +135,19 @@
 		}
 	}
 }
+
+// Guards against a cold server whose keys become busy: it bears few requests, and no other server may
+// run them. If most servers are cold, keys still get owners.
+func TestColdServersGetNoKeysWhileWarmOnesSuffice(t *testing.T) {
+	members := planMembers(6)
+	members[1].WarmupRate, members[4].WarmupRate = 4.2, 4.2
+	if got := withoutCold(members); len(got) != 4 {
+		t.Errorf("two of six servers are cold: got %d that may get keys, want 4", len(got))
+	}
+	for i := range members[:5] {
+		members[i].WarmupRate = 4.2
+	}
+	if got := withoutCold(members); len(got) != 6 {
+		t.Errorf("five of six servers are cold: got %d that may get keys, want all", len(got))
+	}
+}
