--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -27,6 +27,9 @@
 	ServiceTime time.Duration // mean over its slow and fast moments
 	Expected    time.Duration // expected latency of an answer
 	Full        bool          // the server would probably reject the request
+	// SlowFor is for how long requests of this key take several times as long as others, as the
+	// server got the key without the state of its former owner; 0: they don't.
+	SlowFor time.Duration
 
 	// Watched says that the coordinator sums up the load at the server and limits it where
 	// necessary. Otherwise the VM's own estimate decides alone.
@@ -105,7 +108,7 @@
 // and spread are independent and uniformly distributed below 1; spread keeps callers from
 // returning together.
 func Decide(now time.Time, r Request, s State, mix *Mix, random, spread float64) Decision {
-	late := r.Objective > 0 && r.Age >= MinRetryAfter && r.Age+s.Expected > r.Objective
+	late := s.SlowFor > 0 || r.Objective > 0 && r.Age >= MinRetryAfter && r.Age+s.Expected > r.Objective
 	share, urgent := mix.count(now, r, s, late)
 	reason := ""
 	switch {
@@ -133,6 +136,7 @@
 	if s.Limited {
 		hint = RetryAfter(s.Wait-s.Age, r.Objective, spread)
 	}
+	hint = max(hint, s.SlowFor)
 	return Decision{Outcome: Return, RetryAfter: r.honored(hint, s.ServiceTime), Reason: reason}
 }
 
@@ -157,6 +161,9 @@
 func (d Decision) Describe(r Request, s State) string {
 	ms := func(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
 	text := fmt.Sprintf("load %.1f on %d slots, answer expected after %v, rank %d, age %v, %v left", s.Load, s.Slots, ms(s.Expected), r.Rank, ms(r.Age), ms(r.Left))
+	if s.SlowFor > 0 {
+		text += fmt.Sprintf(", key slow for %v", ms(s.SlowFor))
+	}
 	if s.Limited {
 		text = fmt.Sprintf("admitted share %.2f as of %v ago, ", s.Share, ms(s.Age)) + text
 	}
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -182,3 +182,42 @@
 		}
 	}
 }
+
+// Pattern: a failure domain was cut off, and its keys are slow at their new owners. Guards against
+// requests for them that take the slots in which several other requests could be answered in time,
+// against refusals where there is room, and against callers that return while the key is still slow.
+func TestRequestsForSlowKeysGoLastWhereRoomIsShort(t *testing.T) {
+	const ms = time.Millisecond
+	r := Request{Objective: 600 * ms, Left: 4 * time.Second, CallerLeft: 4 * time.Second}
+	server := State{Slots: 3, Load: 2, ServiceTime: 120 * ms, Expected: 120 * ms, Watched: true}
+	slow := server
+	slow.SlowFor = 3 * time.Second
+	if d := Decide(start, r, slow, &Mix{}, 0.99, 0); d.Outcome != Admit {
+		t.Errorf("server with room: got outcome %v", d.Outcome)
+	}
+	admitted, asked := map[bool]int{}, map[bool]int{}
+	m := &Mix{}
+	for i := range 4000 {
+		s, isSlow := server, i%3 == 0 // a third of the keys moved
+		if isSlow {
+			s = slow
+		}
+		d := Decide(start.Add(time.Duration(i)*ms), r, s.Limit(6, 0.6, 0, 0), m, float64(i*7919%1000)/1000, 0.5)
+		if i < 1000 {
+			continue // the mix is not known yet
+		}
+		asked[isSlow]++
+		switch {
+		case d.Outcome == Admit:
+			admitted[isSlow]++
+		case isSlow && d.RetryAfter < r.CallerLeft/3:
+			t.Fatalf("got a hint of %v while the key is slow for 3s, want a third of the 4s left", d.RetryAfter)
+		}
+	}
+	if share := float64(admitted[false]) / float64(asked[false]); share < 0.8 {
+		t.Errorf("share admitted 0.6: got share %.2f of the requests for other keys, want at least 0.8 of the 0.9 possible", share)
+	}
+	if share := float64(admitted[true]) / float64(asked[true]); share > 0.2 {
+		t.Errorf("share admitted 0.6: got share %.2f of the requests for slow keys, want at most 0.2", share)
+	}
+}
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -78,6 +78,7 @@
 		ServiceTime: time.Duration(float64(slots) / r.core.Balancer.Capacity(now, server) * float64(time.Second)),
 	}
 	if r.service.DividedByKey {
+		state.SlowFor = r.slowFor(now)
 		state.Watched = r.core.Overload.Watches(now)
 		if signal, age, found := r.core.Overload.Signal(now, server.ID); found {
 			state = state.Limit(signal.Load, signal.Admit, time.Duration(signal.WaitS*float64(time.Second)), age)
@@ -100,6 +101,14 @@
 	}
 }
 
+// slowFor returns for how long the request's key is slow at its owner, 0 if it is not.
+func (r *requestState) slowFor(now time.Time) time.Duration {
+	if r.core.SlowKeys == nil || !r.service.DividedByKey {
+		return 0
+	}
+	return r.core.SlowKeys.Left(now, r.service.Name, r.request.Key)
+}
+
 // age returns the time since the caller's first attempt. It is inferred once: each call counts
 // the deadline that the caller states.
 func (r *requestState) age(now time.Time) time.Duration {
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -92,6 +92,7 @@
 	repeat := r.hasTried(server)
 	r.tried = append(r.tried, server.Instance())
 	began := time.Now()
+	slowKey := r.slowFor(began) > 0
 	r.core.Balancer.Started(server)
 	request := &serverconn.Request{
 		ID:         r.request.ID,
@@ -111,7 +112,9 @@
 		response, failure := r.send(ctx, request)
 		now := time.Now()
 		r.core.observeStatements(now, server, response)
-		r.core.Balancer.Finished(now, server, balanceOutcome(ctx, now.Sub(began), response, failure))
+		outcome := balanceOutcome(ctx, now.Sub(began), response, failure)
+		outcome.Answered = outcome.Answered && !slowKey // it says nothing of how fast the server is
+		r.core.Balancer.Finished(now, server, outcome)
 		if response != nil {
 			r.core.Balancer.ObserveSize(server.Service, len(request.Body)+len(response.Body))
 		}
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -48,6 +48,8 @@
 	Suspects   retry.SuspectsAnswer  `json:"suspects,omitzero"`
 	Unanswered []dispatch.Unanswered `json:"unanswered,omitempty"`
 	Leaving    []registry.Instance   `json:"leaving,omitempty"`
+	// SlowKeys are the keys that moved without handover data lately, by service.
+	SlowKeys map[string][]keyspace.SlowSpan `json:"slow_keys,omitempty"`
 	// DomainLoads holds the loads of the services without keys by failure domain.
 	DomainLoads spill.Figures `json:"domain_loads,omitempty"`
 	// ClockMS is the coordinator's clock, see reportStamp.
@@ -96,8 +98,11 @@
 	rateLimits       *ratelimit.Limits
 	registry         *registry.Registry
 	rateLimitChanges func() []ratelimit.Statement
-	spill            *spiller
-	client           *http.Client
+	// slowKeys are those that this VM knows, currentSlowKeys those that the coordinator knows.
+	slowKeys        keyspace.SlowKeys
+	currentSlowKeys func() map[string][]keyspace.SlowSpan
+	spill           *spiller
+	client          *http.Client
 
 	mu          sync.Mutex                    // guards the fields below
 	counts      map[string]map[uint32]float64 // by service and key
@@ -106,7 +111,7 @@
 
 func newLoadReporter(s *Settings, process string, suspicions *dispatch.Suspicions, report func(keyspace.Report), times func(string) map[string]balance.Samples) *loadReporter {
 	q := suspicions.Quarantine()
-	return &loadReporter{post: func(retry.Post) {}, process: process, stamps: &reportStamps{run: newRunID(process), now: bootclock.Now}, arrivals: newReportArrivals(process), quarantine: q, exchange: retry.NewExchange(q), suspicions: suspicions, unanswered: dispatch.NewUnansweredReports(suspicions), vm: s.VM, selfAddress: s.PeerListen, gate: overload.NewGate(), report: report, serviceTimes: times, client: newPeerClient(s.IP, peerDialTimeout, peerIdleConnections), counts: map[string]map[uint32]float64{}}
+	return &loadReporter{post: func(retry.Post) {}, currentSlowKeys: func() map[string][]keyspace.SlowSpan { return nil }, process: process, stamps: &reportStamps{run: newRunID(process), now: bootclock.Now}, arrivals: newReportArrivals(process), quarantine: q, exchange: retry.NewExchange(q), suspicions: suspicions, unanswered: dispatch.NewUnansweredReports(suspicions), vm: s.VM, selfAddress: s.PeerListen, gate: overload.NewGate(), report: report, serviceTimes: times, client: newPeerClient(s.IP, peerDialTimeout, peerIdleConnections), counts: map[string]map[uint32]float64{}}
 }
 
 // count counts a request for a key.
@@ -220,13 +225,14 @@
 
 // response returns this VM's response to a report, as the coordinator.
 func (l *loadReporter) response(suspects retry.SuspectsReport) reportResponse {
-	return reportResponse{Overloads: l.overloads(), RateLimits: l.rateLimitChanges(), Suspects: retry.Answer(l.quarantine, l.process, suspects), Leaving: l.registry.Leaving(), DomainLoads: l.spill.figures()}
+	return reportResponse{Overloads: l.overloads(), RateLimits: l.rateLimitChanges(), Suspects: retry.Answer(l.quarantine, l.process, suspects), Leaving: l.registry.Leaving(), DomainLoads: l.spill.figures(), SlowKeys: l.currentSlowKeys()}
 }
 
 // follow applies the coordinator's response to a report that was sent at the given time. What it
 // says may be as old as that.
 func (l *loadReporter) follow(sent time.Time, response reportResponse) {
 	l.gate.Update(sent, response.Overloads)
+	l.slowKeys.Update(sent, response.SlowKeys)
 	l.rateLimits.Learn(sent, response.RateLimits)
 	l.markLeaving(response.Leaving)
 	l.spill.follow(sent, response.DomainLoads)
--- a/internal/gateway/provision.go
+++ b/internal/gateway/provision.go
@@ -96,6 +96,7 @@
 	g.loads.registry = g.registry
 	g.loads.rateLimits = g.rateLimits
 	g.loads.rateLimitChanges = func() []ratelimit.Statement { return g.coordinator.RateLimitChanges() }
+	g.loads.currentSlowKeys = func() map[string][]keyspace.SlowSpan { return g.coordinator.SlowKeys() }
 	g.loads.overloads = func() map[string]overload.Signal { return g.coordinator.Overloads() }
 	g.loads.isCoordinator = func() bool { return g.coordinatorLease.Held() }
 	g.loads.suspectCoordinator = func() { g.coordinatorLease.SuspectCoordinator() }
@@ -207,6 +208,7 @@
 		Budget: g.budget, Overload: g.loads.gate, RateLimits: g.rateLimits, Pauses: g.pauses, Suspicions: g.suspicions,
 		Reach: g.reach, Relay: g.relays, HasIdleConnection: g.requestPool.HasIdle,
 		CountKey:  g.loads.count,
+		SlowKeys:  &g.loads.slowKeys,
 		Place:     g.loads.spill.place,
 		Decisions: g.decisions, Metrics: g.metrics, Dialect: g.adapter.Dialect,
 	})
@@ -311,6 +313,7 @@
 		Owners:     g.owners,
 		Services:   func() []string { return keyedServices(g.Current()) },
 		Objective:  func(service string) time.Duration { return objectiveOf(g.Current(), service) },
+		SlowTime:   func(service string) time.Duration { return slowTimeOf(g.Current(), service) },
 		AskRecords: g.viewSync.askRecords,
 		Format:     g.peers.recordFormat,
 		Clock:      bootclock.Now,
@@ -350,6 +353,16 @@
 	return t.Objective(service)
 }
 
+// slowTimeOf returns for how long keys of a service are slow that move without handover data, 0 if
+// unknown.
+func slowTimeOf(t *routetable.Table, service string) time.Duration {
+	if t == nil {
+		return 0
+	}
+	s, _ := t.Service(service)
+	return s.SlowKeysTime
+}
+
 // serviceTimes returns the service times measured at each server of a service since
 // the last call.
 func (g *Gateway) serviceTimes(service string) map[string]balance.Samples {
--- a/internal/keyspace/coordinator.go
+++ b/internal/keyspace/coordinator.go
@@ -69,6 +69,7 @@
 	owners    *Owners
 	services  func() []string
 	objective func(service string) time.Duration
+	slowTime  func(service string) time.Duration
 	format    func() RecordFormat
 	// askRecords asks all VMs for owners records that are newer than the cached ones, caches
 	// them and reports whether all VMs answered whose process has run for minUptime.
@@ -114,6 +115,7 @@
 	Owners           *Owners
 	Services         func() []string
 	Objective        func(service string) time.Duration                      // latency within which answers should arrive
+	SlowTime         func(service string) time.Duration                      // for which keys are slow that move without handover data
 	AskRecords       func(ctx context.Context, minUptime time.Duration) bool // see Coordinator.askRecords
 	Format           func() RecordFormat                                     // newest format of records that all VMs read
 	Clock            bootclock.Clock
@@ -125,7 +127,7 @@
 func NewCoordinator(o Options) *Coordinator {
 	return &Coordinator{
 		settings: o.Settings, store: o.Store, lease: o.CoordinatorLease, control: o.Control, members: o.Members,
-		owners: o.Owners, services: o.Services, objective: o.Objective, format: o.Format, askRecords: o.AskRecords, clock: o.Clock, address: o.Address, writeID: o.WriteID,
+		owners: o.Owners, services: o.Services, objective: o.Objective, slowTime: o.SlowTime, format: o.Format, askRecords: o.AskRecords, clock: o.Clock, address: o.Address, writeID: o.WriteID,
 		serviceStates: map[string]*serviceState{}, requestCounts: map[string]*RequestCounts{}, serviceTimes: map[string]serviceTime{},
 		inFlight: overload.NewTotals(), rateLimits: ratelimit.NewBoard(), wake: make(chan struct{}, 1),
 	}
@@ -195,6 +197,7 @@
 	defer c.mu.Unlock()
 	now := c.clock()
 	svc.leases.SetLongLeases(c.lease.LongLeasesAllowed())
+	svc.leases.setSlowTime(c.slowTime(service))
 	for _, batch := range groupIntoBatches(svc.leases.Orders(now, c.members.State)) {
 		calls.Go(func() { c.sendBatch(ctx, svc, batch) })
 	}
--- a/internal/keyspace/lease_tracker.go
+++ b/internal/keyspace/lease_tracker.go
@@ -156,8 +156,10 @@
 	// token is raised. 0: the token is certain.
 	uncertainSince time.Duration
 	handover       string
-	nextReleaseAt  time.Duration
-	former         map[string]*formerState // of a pending range, by holderKey
+	// withoutHandover says that the keys moved, and that the former holder handed nothing over.
+	withoutHandover bool
+	nextReleaseAt   time.Duration
+	former          map[string]*formerState // of a pending range, by holderKey
 }
 
 // rejectsBelow returns the token below which a former holder rejects grants. An
@@ -201,6 +203,8 @@
 	lease          time.Duration // duration of the next grants
 	holders        map[string]*holderState
 	ranges         map[rangeKey]*rangeState
+	slowTime       time.Duration // see setSlowTime
+	slow           []slowSpan
 }
 
 // NewLeaseTracker returns a tracker for a record under which another VM may have
@@ -259,6 +263,7 @@
 			state = l.stateOfPart(r)
 			if before := pendingMoves[r.Span]; before.state != nil && before.owner.Same(r.Owner) {
 				state.former, state.handover = before.state.former, before.state.handover
+				state.withoutHandover = !r.Pending && state.handover == ""
 			}
 			for _, f := range r.Former {
 				if formerKey := holderKey(f.Holder); state.former[formerKey] == nil {
@@ -443,21 +448,25 @@
 		holder.lastUnansweredAt = now
 	}
 	if state := l.ranges[rangeKey{order.Span, order.Token}]; state != nil {
-		l.updateRange(now, state, result)
+		l.updateRange(now, order.Span, state, result)
 		return
 	}
 	// The range was moved or split since the order. The result holds for the rest of it.
 	for key, state := range l.ranges {
 		if key.token == order.Token && key.From >= order.Span.From && key.To <= order.Span.To {
-			l.updateRange(now, state, result)
+			l.updateRange(now, key.Span, state, result)
 		}
 	}
 }
 
-// updateRange updates the state of a range by the result of a grant of its keys under its token.
-func (l *LeaseTracker) updateRange(now time.Duration, state *rangeState, result Result) {
+// updateRange updates the state of a range with a span by the result of a grant of its keys under its token.
+func (l *LeaseTracker) updateRange(now time.Duration, span Span, state *rangeState, result Result) {
 	switch {
 	case result.Acknowledged:
+		if state.withoutHandover {
+			state.withoutHandover = false
+			l.recordSlow(now, span)
+		}
 		state.acknowledged, state.session = true, result.Session
 		state.nextGrantAt = now + l.timing.RenewInterval
 	case result.Rejected:
--- /dev/null
+++ b/internal/keyspace/slow_keys_test.go
@@ -0,0 +1,90 @@
+package keyspace
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+)
+
+// Guards against VMs that do not know which keys are slow, or take others for slow: those that moved
+// with handover data, and all keys after a change of the coordinator.
+func TestKeysThatMoveWithoutHandoverAreSlow(t *testing.T) {
+	const slowTime = 5 * time.Second
+	a, b := Holder{Server: "a", Incarnation: 1}, Holder{Server: "b", Incarnation: 1}
+	for _, c := range []struct {
+		name     string
+		former   []Former
+		handover string
+		slow     bool
+	}{
+		{"former owner lost", nil, "", true},
+		{"former owner silent until its lease ended", []Former{{a, 1}}, "", true},
+		{"former owner handed over", []Former{{a, 1}}, "data", false},
+	} {
+		span := Span{100, 199}
+		l := NewLeaseTracker(Timing{Lease: time.Second, RenewInterval: time.Second}, Record{Ranges: []Range{{Span: span, Owner: b, Token: 2, Pending: true, Former: c.former}}}, 2, 0, 0, 0)
+		l.setSlowTime(slowTime)
+		l.ranges[rangeKey{span, 2}].handover = c.handover
+		l.Committed(Record{Ranges: []Range{{Span: span, Owner: b, Token: 3}}}, 3)
+		grant := Order{Kind: OrderGrant, To: b, Span: span, Token: 3}
+		if len(l.slowSpans(time.Second)) != 0 {
+			t.Errorf("%s: keys are slow before they are granted", c.name)
+		}
+		l.Done(time.Second, grant, Result{Acknowledged: true})
+		l.Done(2*time.Second, grant, Result{Acknowledged: true}) // renewed
+		if got := l.slowSpans(4 * time.Second); (len(got) == 1) != c.slow || c.slow && got[0] != (SlowSpan{span, 2 * time.Second}) {
+			t.Errorf("%s: got slow spans %v 3s after the grant, want any: %v", c.name, got, c.slow)
+		}
+		if got := l.slowSpans(6 * time.Second); len(got) != 0 {
+			t.Errorf("%s: got slow spans %v after the time that keys are slow", c.name, got)
+		}
+	}
+	l := NewLeaseTracker(Timing{Lease: time.Second}, Record{Ranges: []Range{{Span: Span{0, 9}, Owner: a, Token: 1}}}, 1, 1, 0, time.Second)
+	l.setSlowTime(slowTime)
+	l.Committed(Record{Ranges: []Range{{Span: Span{0, 9}, Owner: a, Token: 2}}}, 2)
+	l.Done(time.Second, Order{Kind: OrderGrant, To: a, Span: Span{0, 9}, Token: 2}, Result{Acknowledged: true})
+	if got := l.slowSpans(time.Second); len(got) != 0 {
+		t.Errorf("after a takeover: got slow spans %v, want none", got)
+	}
+}
+
+// Guards against keys beside slow ones that count as slow, ones that stay slow because the coordinator
+// is gone, and messages that can't be read.
+func TestSlowKeysAreFoundAndEnd(t *testing.T) {
+	sent, err := json.Marshal(map[string][]SlowSpan{"svc": {{Span{10, 19}, time.Second}, {Span{15, 15}, 3 * time.Second}, {Span{20, 29}, 2 * time.Second}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var received map[string][]SlowSpan
+	if err := json.Unmarshal(sent, &received); err != nil {
+		t.Fatal(err)
+	}
+	asOf := time.Unix(1000, 0)
+	var k SlowKeys
+	k.Update(asOf, received)
+	for _, c := range []struct {
+		after time.Duration
+		key   uint32
+		want  time.Duration
+	}{
+		{0, 9, 0},
+		{0, 10, time.Second},
+		{500 * time.Millisecond, 19, 500 * time.Millisecond},
+		{500 * time.Millisecond, 15, 2500 * time.Millisecond},
+		{1500 * time.Millisecond, 10, 0},
+		{1500 * time.Millisecond, 25, 500 * time.Millisecond},
+		{0, 30, 0},
+	} {
+		if got := k.Left(asOf.Add(c.after), "svc", c.key); got != c.want {
+			t.Errorf("key %d after %v: got slow for %v, want %v", c.key, c.after, got, c.want)
+		}
+	}
+	if got := k.Left(asOf, "other", 10); got != 0 {
+		t.Errorf("other service: got slow for %v", got)
+	}
+	for _, text := range []string{`[1]`, `[5,4,1]`, `[-1,4,1]`, `[1,4,-1]`, `[1,4,99999999999]`, `[1,4294967296,1]`, `"x"`} {
+		if err := json.Unmarshal([]byte(text), &SlowSpan{}); err == nil {
+			t.Errorf("span %s: got no error", text)
+		}
+	}
+}
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -43,6 +43,9 @@
 	// a cold server takes from all VMs together; 0: as many as any other.
 	Warmup     time.Duration
 	WarmupRate float64
+	// SlowKeysTime is for how long keys are slow that move without handover data from their former
+	// owner; 0: not known.
+	SlowKeysTime time.Duration
 }
 
 // Limits bound the requests and connections of callers.
