--- a/internal/keyspace/overload_test.go
+++ b/internal/keyspace/overload_test.go
@@ -36,7 +36,7 @@
 func keyedCoordinator(members []Member, now *time.Duration) (*Coordinator, Record) {
 	c := NewCoordinator(Options{
 		Settings: CoordinatorSettings{Keys: planKeys, Plan: testPlan}, Members: fixedMembers(members),
-		Services: func() []string { return []string{"keyed"} }, Objective: func(string) time.Duration { return time.Second },
+		Services: func() []string { return []string{"keyed"} }, Objective: func(string) time.Duration { return time.Second }, SlowTime: func(string) time.Duration { return 0 },
 		Clock: func() time.Duration { return *now },
 	})
 	record := Record{Ranges: newPlanner(testPlan, evenProfile(100), members).initialRanges()}
