--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -73,8 +73,8 @@
 	return nil
 }
 
-// shrink returns n reserved bytes to the budget.
-func (r *Reservation) shrink(n int64) {
+// Shrink returns n reserved bytes to the budget.
+func (r *Reservation) Shrink(n int64) {
 	if r == nil {
 		return
 	}
@@ -106,30 +106,37 @@
 
 // ReadAll reads from in until EOF. length is the stated length of the message, negative
 // if unknown. ReadAll reserves the memory as the message grows, and fails with
-// ErrTooLarge once the message exceeds limit bytes. It collects chunks, because a single
-// growing buffer would leave its former copies to the garbage collector.
+// ErrTooLarge once the message exceeds limit bytes.
 func ReadAll(in io.Reader, length, limit int64, reservation *Reservation) ([]byte, error) {
+	whole, _, err := ReadParts(in, length, limit, reservation)
+	return whole, err
+}
+
+// ReadParts is like ReadAll. If it fails with ErrTooLarge or ErrExhausted, it also returns what it
+// has read, in parts whose capacity stays reserved. It collects parts, because a single growing
+// buffer would leave its former copies to the garbage collector.
+func ReadParts(in io.Reader, length, limit int64, reservation *Reservation) (whole []byte, parts [][]byte, err error) {
 	size := int64(defaultChunkBytes)
 	if length >= 0 {
 		size = min(length+1, maxHintBytes) // room for one more byte, so that EOF is seen without another chunk
 	}
-	var chunks [][]byte
 	total := int64(0)
 	for {
 		size = min(size, limit+1-total)
 		if err := reservation.Grow(size); err != nil {
-			return nil, err
+			return nil, parts, err
 		}
 		chunk, err := readChunk(in, size)
-		chunks = append(chunks, chunk)
+		parts = append(parts, chunk)
 		total += int64(len(chunk))
 		switch {
+		case err != nil && !errors.Is(err, io.EOF):
+			return nil, nil, err
 		case total > limit:
-			return nil, fmt.Errorf("%w: more than %d bytes", ErrTooLarge, limit)
-		case errors.Is(err, io.EOF):
-			return join(chunks, total, reservation)
+			return nil, parts, fmt.Errorf("%w: more than %d bytes", ErrTooLarge, limit)
 		case err != nil:
-			return nil, err
+			whole, err := join(parts, total, reservation)
+			return whole, parts, err
 		}
 		size = max(total, defaultChunkBytes)
 	}
@@ -159,7 +166,7 @@
 	whole := make([]byte, 0, total)
 	for _, chunk := range chunks {
 		whole = append(whole, chunk...)
-		reservation.shrink(int64(cap(chunk)))
+		reservation.Shrink(int64(cap(chunk)))
 	}
 	return whole, nil
 }
