--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -52,6 +52,7 @@
 	Status int
 	Header http.Header // of a server's answer, without hop-by-hop headers
 	Body   []byte
+	Stream *serverconn.Stream // the body if it does not fit into memory, to be closed; otherwise nil
 	// Refusal is set when the router itself answers, with the reason in Message.
 	Refusal    fault.Kind
 	Message    string
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -31,6 +31,7 @@
 // responding does not delay the answer, and a server that is only slow can still
 // answer until the other does.
 func (r *requestState) hedge(ctx context.Context, choice balance.Choice) (*Answer, bool) {
+	callerCtx := ctx
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(errAnswered)
 	results := make(chan attemptResult, 2)
@@ -55,6 +56,9 @@
 			answer, retryable := r.finishAttempt(ctx, e)
 			final := answer.Refusal == "" && !retryable
 			if final || running == 0 || answer.Abandoned {
+				if answer.Stream != nil {
+					answer.Stream.Follow(callerCtx)
+				}
 				return answer, retryable
 			}
 		}
@@ -105,17 +109,39 @@
 		Repeat:     repeat,
 		Guard:      func() error { return r.guard(server) },
 		Memory:     r.request.AnswerMemory,
+		Whole:      r.request.Relayed, // answers between VMs are not streamed
 	}
 	go func() {
 		response, failure := r.send(ctx, request)
 		now := time.Now()
 		r.core.observeStatements(now, server, response)
-		r.core.Balancer.Finished(now, server, balanceOutcome(ctx, now.Sub(began), response, failure))
-		r.observeEnd(ctx, server, began, failure)
+		if response != nil && response.Stream != nil {
+			r.observeStream(server, began, now.Sub(began), response)
+		} else {
+			r.core.Balancer.Finished(now, server, balanceOutcome(ctx, now.Sub(began), response, failure))
+			r.observeEnd(ctx, server, began, failure)
+		}
 		results <- attemptResult{choice, repeat, now.Sub(began), response, failure}
 	}()
 }
 
+// observeStream records the result of an attempt with a streamed body when the stream ends. What the
+// server took is the time until the stream began and the time spent waiting for its bytes; the rest is
+// the caller's.
+func (r *requestState) observeStream(server *registry.Server, began time.Time, took time.Duration, response *serverconn.Response) {
+	response.Stream.OnEnd(func(failure *serverconn.Failure) {
+		// A failure here is that of the server, whatever became of the attempt's context.
+		ctx := context.Background()
+		outcome := balanceOutcome(ctx, took+response.Stream.Waited(), response, failure)
+		outcome.HasLoad = false // it came with the head and may be old
+		r.core.Balancer.Finished(time.Now(), server, outcome)
+		r.observeEnd(ctx, server, began, failure)
+		if failure == nil && response.Stream.Complete() && response.Status < http.StatusInternalServerError {
+			r.core.Suspicions.Ran(r.service.Name, r.fingerprints)
+		}
+	})
+}
+
 // observeEnd records what a failed attempt shows of the end of its server.
 func (r *requestState) observeEnd(ctx context.Context, server *registry.Server, began time.Time, failure *serverconn.Failure) {
 	switch {
@@ -206,6 +232,9 @@
 		if e.response.NotStarted {
 			what += " not started"
 		}
+		if e.response.Stream != nil {
+			what += " streamed"
+		}
 		if e.response.Leaving {
 			what += " leaving"
 		}
--- a/internal/dispatch/results.go
+++ b/internal/dispatch/results.go
@@ -26,11 +26,11 @@
 	if response.NotStarted {
 		return r.handleNotStarted(choice, response)
 	}
-	if response.Status < http.StatusInternalServerError { // a server that failed the request proves nothing of others
+	if response.Status < http.StatusInternalServerError && response.Stream == nil { // a server that failed the request proves nothing of others
 		r.core.Suspicions.Ran(r.service.Name, r.fingerprints)
 	}
-	answer := &Answer{Status: response.Status, Header: response.Header, Body: response.Body}
-	retryable := response.Status >= 500 && r.route.Idempotent
+	answer := &Answer{Status: response.Status, Header: response.Header, Body: response.Body, Stream: response.Stream}
+	retryable := response.Status >= 500 && r.route.Idempotent && response.Stream == nil // a stream can't wait for a retry
 	return answer, retryable
 }
 
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -91,6 +91,13 @@
 	if last {
 		b.WriteString("Connection: close\r\n")
 	}
+	if a.Stream != nil {
+		err := c.writeStream(p, &b, a.Stream)
+		if err != nil {
+			c.reportUndelivered(c.unacknowledged(), err)
+		}
+		return err
+	}
 	bodyless := a.Status == http.StatusNoContent || a.Status == http.StatusNotModified
 	if !bodyless {
 		length := strconv.Itoa(len(body))
--- a/internal/entry/delivery.go
+++ b/internal/entry/delivery.go
@@ -44,6 +44,14 @@
 	d.answers = append(d.answers, writtenAnswer{strings.Clone(request), d.begun})
 }
 
+// extend records that the answer that is being written has more bytes than it began with.
+func (d *delivery) extend(size int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.begun += size
+	d.answers[len(d.answers)-1].end += size
+}
+
 // wrote records that the kernel accepted so many bytes.
 func (d *delivery) wrote(n int) {
 	d.mu.Lock()
--- a/internal/serverconn/pool.go
+++ b/internal/serverconn/pool.go
@@ -35,6 +35,10 @@
 	settings Settings
 	dialer   *net.Dialer
 	opened   metrics.Counter
+	streamed metrics.Counter
+	// cutBySlowReaders counts answers that servers cut off because this VM did not read on, as
+	// the caller did not.
+	cutBySlowReaders metrics.Counter
 
 	mu            sync.Mutex // protects the fields below
 	idle          map[registry.Instance][]*conn
@@ -50,6 +54,9 @@
 		idle:          map[registry.Instance][]*conn{},
 		openingSpares: map[registry.Instance]bool{},
 		opened:        metrics.GetOrRegisterCounter("server_connections_opened", counters),
+
+		streamed:         metrics.GetOrRegisterCounter("answers_streamed", counters),
+		cutBySlowReaders: metrics.GetOrRegisterCounter("answers_cut_by_slow_readers", counters),
 	}
 	return p
 }
