--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -105,7 +105,7 @@
 // and spread are independent and uniformly distributed below 1; spread keeps callers from
 // returning together.
 func Decide(now time.Time, r Request, s State, mix *Mix, random, spread float64) Decision {
-	late := r.Objective > 0 && r.Age >= MinRetryAfter && r.Age+s.Expected > r.Objective
+	late := r.late(s)
 	share, urgent := mix.count(now, r, s, late)
 	reason := ""
 	switch {
@@ -136,6 +136,11 @@
 	return Decision{Outcome: Return, RetryAfter: r.honored(hint, s.ServiceTime), Reason: reason}
 }
 
+// late reports whether an attempt after the first one is expected to be answered after the objective.
+func (r Request) late(s State) bool {
+	return r.Objective > 0 && r.Age >= MinRetryAfter && r.Age+s.Expected > r.Objective
+}
+
 // RetryAfter returns the hint for a request whose server is expected to have room after wait.
 // spread is uniformly distributed below 1.
 func RetryAfter(wait, objective time.Duration, spread float64) time.Duration {
--- a/internal/admission/ages.go
+++ b/internal/admission/ages.go
@@ -56,6 +56,11 @@
 	}
 	d.at = now
 	d.add(stated)
+	return d.age(stated, timeout)
+}
+
+// age returns the time since the first attempt of a caller that has the stated time left.
+func (d *routeDeadlines) age(stated, timeout time.Duration) time.Duration {
 	i, _ := slices.BinarySearch(d.common, stated)
 	if i == len(d.common) {
 		return 0
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -303,8 +303,14 @@
 		}
 		return 0, false
 	}
-	seconds := (1 - known.credit) / rate // infinite while the share is unknown
-	return time.Duration(min(seconds, maxWait.Seconds()) * float64(time.Second)), known.rate == 0 || known.warmupRate > 0 && known.warmupRate <= known.rate
+	return known.untilCredit(rate)
+}
+
+// untilCredit returns the time until there is credit for a request, and whether the limit is that of
+// the server's warm-up.
+func (k *limit) untilCredit(rate float64) (wait time.Duration, warmingUp bool) {
+	seconds := (1 - k.credit) / rate // infinite while the share is unknown
+	return time.Duration(min(seconds, maxWait.Seconds()) * float64(time.Second)), k.rate == 0 || k.warmupRate > 0 && k.warmupRate <= k.rate
 }
 
 // unlimitedMemory is how long an answer without a limit is remembered: older statements may
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -174,3 +174,20 @@
 	}
 	return r.Targets[len(r.Targets)-1].Service
 }
+
+// Shares returns the services among which the requests of the route are split, with the share of each.
+func (r *Route) Shares() []Target {
+	if len(r.Targets) == 1 {
+		return []Target{{r.Targets[0].Service, 1}}
+	}
+	if len(r.Targets) == 0 || r.totalWeight <= 0 {
+		return []Target{{"", 1}} // as Pick
+	}
+	var shares []Target
+	for _, target := range r.Targets {
+		if target.Weight > 0 {
+			shares = append(shares, Target{target.Service, target.Weight / r.totalWeight})
+		}
+	}
+	return shares
+}
