--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -38,6 +38,13 @@
 	return m
 }
 
+// knownMix returns the mix of a service, or nil if there is none yet.
+func (a *admissions) knownMix(service string) *admission.Mix {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.mixes[service]
+}
+
 // admit refuses a request for which its server has no room: by the VM's own estimate and,
 // for owners of keys, by the loads that all VMs report.
 func (r *requestState) admit(choice balance.Choice) *Answer {
@@ -67,6 +74,27 @@
 // decide decides whether a server gets a request. The second result reports whether the
 // coordinator's signal keeps the requests of all VMs within the rate limit of the server.
 func (r *requestState) decide(now time.Time, choice balance.Choice) (refusal *Answer, rateLimited bool) {
+	request, state := r.admissionInputs(now, choice)
+	rateLimited = state.RateLimited
+	d := admission.Decide(now, request, state, r.core.admissions.mix(r.service.Name), rand.Float64(), rand.Float64())
+	if d.Outcome == admission.Admit && !state.Limited {
+		return nil, rateLimited
+	}
+	r.admission = d.Describe(request, state)
+	server := choice.Server
+	switch d.Outcome {
+	case admission.Return:
+		return refuse(fault.Overloaded, d.RetryAfter, "server %s: %s", server.ID, r.admission), rateLimited
+	case admission.Final:
+		r.core.admissions.withoutReturn.Inc(1)
+		return refuse(fault.Overloaded, 0, "server %s: %s", server.ID, r.admission), rateLimited
+	default:
+		return nil, rateLimited
+	}
+}
+
+// admissionInputs returns what the decision on a request for a server depends on.
+func (r *requestState) admissionInputs(now time.Time, choice balance.Choice) (admission.Request, admission.State) {
 	server := choice.Server
 	request := admission.Request{Rank: r.route.Rank, Objective: r.route.Objective, Age: r.age(now), Left: r.deadline.Sub(now)}
 	if r.request.Timeout > 0 {
@@ -81,23 +109,10 @@
 		state.Watched = r.core.Overload.Watches(now)
 		if signal, age, found := r.core.Overload.Signal(now, server.ID); found {
 			state = state.Limit(signal.Load, signal.Admit, time.Duration(signal.WaitS*float64(time.Second)), age)
-			state.RateLimited, rateLimited = signal.RateLimited, signal.RateLimited
+			state.RateLimited = signal.RateLimited
 		}
 	}
-	d := admission.Decide(now, request, state, r.core.admissions.mix(r.service.Name), rand.Float64(), rand.Float64())
-	if d.Outcome == admission.Admit && !state.Limited {
-		return nil, rateLimited
-	}
-	r.admission = d.Describe(request, state)
-	switch d.Outcome {
-	case admission.Return:
-		return refuse(fault.Overloaded, d.RetryAfter, "server %s: %s", server.ID, r.admission), rateLimited
-	case admission.Final:
-		r.core.admissions.withoutReturn.Inc(1)
-		return refuse(fault.Overloaded, 0, "server %s: %s", server.ID, r.admission), rateLimited
-	default:
-		return nil, rateLimited
-	}
+	return request, state
 }
 
 // age returns the time since the caller's first attempt. It is inferred once: each call counts
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -100,16 +100,21 @@
 		if refusal := r.refuseUntilEligible(untried, r.core.eligibility.CheckUsable); refusal != nil {
 			return choice, refusal
 		}
-		hint := unreachedRetryAfter
-		if len(r.tried) == 0 && r.core.Registry.EvacuatedDomains() > 0 {
-			hint = evacuatedRetryAfter
-		}
-		return choice, refuse(fault.NoServer, r.honored(hint), "service %q: %d servers, %d tried, %d failure domains evacuated",
-			r.service.Name, len(r.core.Registry.Usable(r.service.Name)), len(r.tried), r.core.Registry.EvacuatedDomains())
+		return choice, r.refuseWithoutServer()
 	}
 	return choice, r.admit(choice)
 }
 
+// refuseWithoutServer refuses a request whose service has no server left to try.
+func (r *requestState) refuseWithoutServer() *Answer {
+	hint := unreachedRetryAfter
+	if len(r.tried) == 0 && r.core.Registry.EvacuatedDomains() > 0 {
+		hint = evacuatedRetryAfter
+	}
+	return refuse(fault.NoServer, r.honored(hint), "service %q: %d servers, %d tried, %d failure domains evacuated",
+		r.service.Name, len(r.core.Registry.Usable(r.service.Name)), len(r.tried), r.core.Registry.EvacuatedDomains())
+}
+
 // untried returns the best server that this request has not tried and whose rate limit
 // leaves room.
 func (r *requestState) untried() (balance.Choice, bool) {
@@ -161,6 +166,11 @@
 		return nil
 	}
 	r.core.requestMetrics.withheld(verdict.Reason)
+	return r.refuseUntil(first, verdict)
+}
+
+// refuseUntil refuses a request because of the verdict on a server.
+func (r *requestState) refuseUntil(first *registry.Server, verdict eligibility.Verdict) *Answer {
 	if verdict.Wait == 0 {
 		return refuse(fault.NoServer, r.honored(unreachedRetryAfter), "server %s: %s", first.ID, verdict.Reason)
 	}
@@ -178,7 +188,7 @@
 			choice := r.core.Balancer.Estimate(time.Now(), server)
 			return choice, r.admitOwner(choice)
 		}
-		if len(r.core.Registry.Usable(r.service.Name)) == 0 && r.core.Registry.EvacuatedDomains() > 0 {
+		if r.evacuatedEverywhere() {
 			return balance.Choice{}, refuse(fault.NoServer, r.honored(evacuatedRetryAfter), "key %d of service %q: %s; all servers are in evacuated failure domains",
 				r.request.Key, r.service.Name, reason)
 		}
@@ -190,6 +200,11 @@
 	}
 }
 
+// evacuatedEverywhere reports whether evacuations leave the service without a usable server.
+func (r *requestState) evacuatedEverywhere() bool {
+	return len(r.core.Registry.Usable(r.service.Name)) == 0 && r.core.Registry.EvacuatedDomains() > 0
+}
+
 // grantDelay is how long after its owners record a grant may reach the owner: a
 // few ticks of the coordinator and one call.
 const grantDelay = 100 * time.Millisecond
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -203,9 +203,8 @@
 	if refusal := r.resolve(); refusal != nil {
 		return refusal
 	}
-	if end := r.core.stopBy.Load(); end != nil && r.deadline.After(*end) {
-		return refuse(fault.Stopping, r.honored(minRetryAfter), "this VM stops in %v, the request may take %v",
-			time.Until(*end).Round(time.Millisecond), time.Until(r.deadline).Round(time.Millisecond))
+	if refusal := r.refuseIfStopping(); refusal != nil {
+		return refusal
 	}
 	if err := r.core.Suspicions.Admit(r.service.Name, r.fingerprints); err != nil {
 		return refuse(fault.Quarantined, 0, "%v", err)
@@ -224,8 +223,26 @@
 	return r.attempts(ctx)
 }
 
+// refuseIfStopping refuses a request that the end of the process might cut off.
+func (r *requestState) refuseIfStopping() *Answer {
+	end := r.core.stopBy.Load()
+	if end == nil || !r.deadline.After(*end) {
+		return nil
+	}
+	return refuse(fault.Stopping, r.honored(minRetryAfter), "this VM stops in %v, the request may take %v",
+		time.Until(*end).Round(time.Millisecond), time.Until(r.deadline).Round(time.Millisecond))
+}
+
 // resolve finds the route, service and deadline, or refuses the request.
 func (r *requestState) resolve() *Answer {
+	if refusal := r.findRoute(); refusal != nil {
+		return refusal
+	}
+	return r.useService(r.route.Pick(r.core.Settings.SplitOffset))
+}
+
+// findRoute finds the route, or refuses the request.
+func (r *requestState) findRoute() *Answer {
 	r.table = r.core.Tables.Current()
 	if r.table == nil {
 		return refuse(fault.Starting, r.honored(startRetryAfter), "no configuration is loaded yet")
@@ -234,7 +251,11 @@
 	if r.route == nil {
 		return refuse(fault.UnknownService, 0, "no route for host %q and path %q in configuration version %d", r.request.Host, r.request.Path, r.table.Version)
 	}
-	name := r.route.Pick(r.core.Settings.SplitOffset)
+	return nil
+}
+
+// useService sets the service and the deadline of the request, or refuses it.
+func (r *requestState) useService(name string) *Answer {
 	service, ok := r.table.Service(name)
 	if !ok {
 		return refuse(fault.NoServer, r.honored(configRetryAfter), "route %q names service %q, which configuration version %d does not have", r.route.Name, name, r.table.Version)
--- a/internal/dispatch/suspicions.go
+++ b/internal/dispatch/suspicions.go
@@ -82,6 +82,11 @@
 	return s.quarantine.Admit(service, request)
 }
 
+// Peek returns an error for a request that is in quarantine, and admits no trial.
+func (s *Suspicions) Peek(service string, request retry.Fingerprints) error {
+	return s.quarantine.Peek(service, request)
+}
+
 // Ran clears the suspicion of a request that a server completed.
 func (s *Suspicions) Ran(service string, request retry.Fingerprints) {
 	s.quarantine.Ran(service, request)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"kumquatcleat/internal/entry"
 	"kumquatcleat/internal/keyspace"
 	"kumquatcleat/internal/logging"
+	"kumquatcleat/internal/operator"
 	"kumquatcleat/internal/ratelimit"
 	"kumquatcleat/internal/reachability"
 	"kumquatcleat/internal/registry"
@@ -202,6 +203,7 @@
 	})
 	metricsMux := http.NewServeMux()
 	metricsMux.HandleFunc("GET /metrics", telemetry.ServeText(g.metrics))
+	metricsMux.HandleFunc("GET "+operator.PathExplainRequest, g.serveExplain)
 	peerMux := g.viewSync.mux()
 	peerMux.HandleFunc("POST "+pathRelay, g.relays.receive)
 	for address, mux := range map[string]*http.ServeMux{
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -24,7 +24,7 @@
 	Listen        string `json:"listen"`         // address for callers
 	ReadyListen   string `json:"ready_listen"`   // address that serves GET /ready
 	PeerListen    string `json:"peer_listen"`    // address for other VMs
-	MetricsListen string `json:"metrics_listen"` // address that serves GET /metrics
+	MetricsListen string `json:"metrics_listen"` // address that serves GET /metrics and GET /explain
 	Store         string `json:"store"`          // address of the platform's store
 	// Seeds are peer addresses of other VMs, which this VM follows at the start while
 	// it knows no VM. They may be stale.
