--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -11,15 +11,34 @@
 
 func explainCommand() *cobra.Command {
 	var o options
+	var q requestOptions
 	cmd := &cobra.Command{
-		Use:   "explain SERVICE KEY",
-		Short: "Show a key's slot, owner, token and lease, and the reason for the assignment",
-		Args:  cobra.ExactArgs(2),
+		Use:   "explain SERVICE KEY | --gateway ADDRESS --host HOST --path PATH",
+		Short: "Show where a key or a request would go now, and why, without sending anything",
+		Long: "With SERVICE and KEY, asks a daemon for the key's slot, owner, token and lease, and the reason for the assignment.\n\n" +
+			"With --gateway, asks a gateway where a request would go, and why: route, service, owner or candidates, limits,\n" +
+			"estimates and admission. There --timeout is the time that the request's caller waits (default: not stated).\n" +
+			"Nothing is sent to a server, and nothing is counted.",
+		Args: func(cmd *cobra.Command, args []string) error {
+			if cmd.Flags().Changed("gateway") {
+				return cobra.NoArgs(cmd, args)
+			}
+			return cobra.ExactArgs(2)(cmd, args)
+		},
 		RunE: func(cmd *cobra.Command, args []string) error {
+			if cmd.Flags().Changed("gateway") {
+				return withExitCode(explainRequest(cmd, &o, &q))
+			}
+			for _, flag := range []string{"host", "path", "key"} {
+				if cmd.Flags().Changed(flag) {
+					return withExitCode(usageError(fmt.Errorf("--%s needs --gateway", flag)))
+				}
+			}
 			return withExitCode(explain(cmd, &o, args[0], args[1]))
 		},
 	}
 	o.addVMFlags(cmd)
+	q.addFlags(cmd)
 	return cmd
 }
 
--- /dev/null
+++ b/internal/cli/explainrequest_test.go
@@ -0,0 +1,58 @@
+package cli
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"kumquatcleat/internal/operator"
+)
+
+// startGateway serves explanations by path and returns the address.
+func startGateway(t *testing.T) string {
+	t.Helper()
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+operator.PathExplainRequest, func(w http.ResponseWriter, r *http.Request) {
+		query := r.URL.Query()
+		e := operator.RequestExplanation{VM: "vm-1", Host: query.Get("host"), Path: query.Get("path")}
+		switch {
+		case query.Get("path") == "/none":
+			e.Error = "no route for it"
+			w.WriteHeader(http.StatusNotFound)
+		case query.Has("timeout_ms") && query.Get("timeout_ms") != "1000":
+			e.Error = "timeout_ms " + query.Get("timeout_ms")
+			w.WriteHeader(http.StatusBadRequest)
+		default:
+			e.Services = []operator.ServiceExplanation{{Service: "svc " + query.Get("key"), Outcome: operator.RequestOutcome{Action: operator.ActionSend, Server: "s1", Reason: "best"},
+				Candidates: []operator.Candidate{{Server: "s1"}, {Server: "s2", Withheld: "paused", WaitMS: 300, WarmupLeftMS: 2000, WarmupRate: 6.8}}}}
+		}
+		_ = json.NewEncoder(w).Encode(e)
+	})
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// Guards against explanations that lose a part of the request, and against exit code 0 or missing JSON
+// for a request that can't be routed.
+func TestExplainRequestAsksGateway(t *testing.T) {
+	addr := startGateway(t)
+	explain := func(args ...string) result {
+		return run("", append([]string{"explain", "--gateway", addr, "--host", "h"}, args...)...)
+	}
+	explain("--path", "/p/x?a=b&host=c", "--key", "7", "--timeout", "1s").want(t, ExitOK, "send to s1: best")
+	explain("--path", "/p/", "--key", "7").want(t, ExitOK, "svc 7")
+	explain("--path", "/p/").want(t, ExitOK, "withheld: paused, for 300ms; cold for 2s, 6.8/s")
+	explain("--path", "/none").want(t, ExitFailed, "no route for it")
+	explain("--path", "/p/", "--timeout", "-1s").want(t, ExitUsage, "timeout_ms -1000")
+	var e operator.RequestExplanation
+	if err := json.Unmarshal([]byte(explain("--path", "/none", "--json").stdout), &e); err != nil || e.Error == "" {
+		t.Errorf("got explanation %+v, decode error %v; want the error in the JSON", e, err)
+	}
+	run("", "explain", "--gateway", "x").want(t, ExitUsage, "want IP:port")
+	run("", "explain", "--gateway", "127.0.0.1:1", "--host", "h", "--path", "/").want(t, ExitFailed, "check --gateway")
+	run("", "explain", "a", "b", "--host", "h").want(t, ExitUsage, "--host needs --gateway")
+	run("", "explain", "a").want(t, ExitUsage, "accepts 2 arg")
+}
