--- a/internal/cli/explainrequest.go
+++ b/internal/cli/explainrequest.go
@@ -104,7 +104,7 @@
 		line("outcome", "%s", describeOutcome(*e.Outcome))
 	}
 	for _, s := range e.Services {
-		line("", "")
+		_, _ = fmt.Fprintln(w)
 		line("service", "%s, %.0f %% of the route's requests, divided by key: %t", s.Service, 100*s.Share, s.DividedByKey)
 		line("outcome", "%s", describeOutcome(s.Outcome))
 		if o := s.Owner; o != nil {
--- a/internal/cli/explainrequest_test.go
+++ b/internal/cli/explainrequest_test.go
@@ -56,3 +56,22 @@
 	run("", "explain", "a", "b", "--host", "h").want(t, ExitUsage, "--host needs --gateway")
 	run("", "explain", "a").want(t, ExitUsage, "accepts 2 arg")
 }
+
+// Guards against a path that reaches the daemon changed, and against a lost outcome.
+func TestExplainPathAsksDaemon(t *testing.T) {
+	const path = "/svc/a%20b/?q=1&key=x"
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("path") != path {
+			http.Error(w, "another path", http.StatusBadRequest)
+			return
+		}
+		_ = json.NewEncoder(w).Encode(operator.Explain{Service: "svc", Key: r.URL.Query().Get("key"), Request: &operator.DaemonRequest{Path: path,
+			Outcome: operator.RequestOutcome{Action: operator.ActionRefuse, Status: 422, Kind: "quarantined", Reason: "lost"}, Servers: []operator.DaemonServer{{ID: "s1", Refusal: "full"}}}})
+	}))
+	t.Cleanup(server.Close)
+	vm := strings.TrimPrefix(server.URL, "http://")
+	run("", "explain", "--path", path, "--key", "k7", "--vm", vm).want(t, ExitOK, "refuse with 422 quarantined: lost")
+	run("", "explain", "--path", path, "--key", "k7", "--vm", vm).want(t, ExitOK, "k7")
+	run("", "explain", "--path", path, "--vm", vm, "--json").want(t, ExitOK, `"refusal": "full"`)
+	run("", "explain", "--path", "/", "--vm", vm).want(t, ExitUsage, "another path")
+}
--- a/internal/cli/vm.go
+++ b/internal/cli/vm.go
@@ -49,6 +49,16 @@
 	return explain, c.get(ctx, operator.PathExplain+"?"+query.Encode(), &explain)
 }
 
+// ExplainPath returns what would become of a request at the VM. An empty key is not sent.
+func (c *vmClient) ExplainPath(ctx context.Context, path, key string) (operator.Explain, error) {
+	query := url.Values{"path": {path}}
+	if key != "" {
+		query.Set("key", key)
+	}
+	var explain operator.Explain
+	return explain, c.get(ctx, operator.PathExplain+"?"+query.Encode(), &explain)
+}
+
 func (c *vmClient) get(ctx context.Context, path string, into any) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.address+path, nil)
 	if err != nil {
@@ -80,6 +90,9 @@
 	if status == http.StatusNotFound {
 		return fault.New(fault.NotFound, "%s", text)
 	}
+	if status == http.StatusBadRequest {
+		return fault.New(fault.BadRequest, "%s", text)
+	}
 	return vmError("%s", text)
 }
 
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -175,25 +175,32 @@
 	ctx, cancel := context.WithTimeout(r.Context(), operatorTimeout)
 	defer cancel()
 	name, key := r.URL.Query().Get("service"), r.URL.Query().Get("key")
+	if r.URL.Query().Has("path") {
+		d.serveExplainPath(ctx, w, r.URL.Query().Get("path"), key)
+		return
+	}
 	service, ok := d.store.Service(name)
 	if !ok {
 		writeJSON(w, http.StatusNotFound, fault.New(fault.NotFound, "no service %q is in force here", name))
 		return
 	}
+	writeJSON(w, http.StatusOK, d.explainKey(ctx, service, key))
+}
+
+func (d *Daemon) explainKey(ctx context.Context, service *config.Service, key string) operator.Explain {
 	slot := service.SlotOf(key)
 	id := service.GroupOf(slot)
-	explain := operator.Explain{Service: name, Key: key, Slot: slot, Group: id.String()}
+	explain := operator.Explain{Service: service.Name, Key: key, Slot: slot, Group: id.String()}
 	answer, err := d.directory.FetchRoutes(ctx, routing.RouteRequest{Group: id.String()})
 	if err != nil {
 		explain.Why = "No VM keeps the group now, so nobody is known to own the slot."
-		writeJSON(w, http.StatusOK, explain)
-		return
+		return explain
 	}
 	route := answer.Slots[slot]
 	explain.Owner, explain.Token, explain.Moving = route.Server, route.Token.String(), route.Moving
 	explain.LeaseLeftMS = d.leaseLeft(ctx, id, route.Server).Milliseconds()
 	explain.Why = explainRoute(route.Token, route.Moving, d.directory.hint(id.String()))
-	writeJSON(w, http.StatusOK, explain)
+	return explain
 }
 
 func (d *Daemon) leaseLeft(ctx context.Context, id config.GroupID, server string) time.Duration {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -5,7 +5,7 @@
 // Paths of a daemon's operator interface, on its peer_listen address.
 const (
 	PathStatus  = "/_operator/status"  // GET; answers with a Status
-	PathExplain = "/_operator/explain" // GET with the parameters service and key; answers with an Explain, or 404 if the service is unknown
+	PathExplain = "/_operator/explain" // GET with the parameters service and key, or path and optionally key; answers with an Explain, or 404 if the service is unknown
 )
 
 // Mode is the source of the lease that allows a keeper to decide about its group.
@@ -85,4 +85,7 @@
 	LeaseLeftMS int64  `json:"lease_left_ms"` // of the owner; 0 if the answering VM does not know it
 	Moving      bool   `json:"moving"`
 	Why         string `json:"why"` // one sentence on the decision that made the assignment
+	// Request is set if a path was asked for. Slot, group and lease are those of its key, if it has
+	// one.
+	Request *DaemonRequest `json:"request,omitempty"`
 }
--- a/internal/operator/request.go
+++ b/internal/operator/request.go
@@ -137,3 +137,28 @@
 	WaitMS       int64  `json:"wait_ms,omitempty"` // at most, for ActionWait
 	Reason       string `json:"reason"`
 }
+
+// DaemonRequest tells what would become of a request at a daemon.
+type DaemonRequest struct {
+	Path       string         `json:"path"`
+	Class      string         `json:"class"`
+	Idempotent bool           `json:"idempotent"`
+	TimeoutMS  int64          `json:"timeout_ms"`
+	Servers    []DaemonServer `json:"servers,omitempty"` // the owner, or for a request without a key all, the best first
+	Omitted    int            `json:"omitted,omitempty"` // servers left out
+	Outcome    RequestOutcome `json:"outcome"`
+}
+
+// DaemonServer is a server that may run a request, as seen by the answering VM.
+type DaemonServer struct {
+	ID            string  `json:"id"`
+	FailureDomain string  `json:"failure_domain"`
+	Draining      bool    `json:"draining"`
+	Healthy       bool    `json:"healthy"`
+	InFlight      int     `json:"in_flight"`
+	Waiting       int     `json:"waiting"`
+	Limit         float64 `json:"limit"`             // of requests in flight; 0: none was sent yet
+	WaitMS        int64   `json:"wait_ms,omitempty"` // expected for a new request
+	Refusal       string  `json:"refusal,omitempty"` // why a new request would be refused
+	RefusalKind   string  `json:"refusal_kind,omitempty"`
+}
