--- a/internal/cli/explainrequest.go
+++ b/internal/cli/explainrequest.go
@@ -112,6 +112,12 @@
 			if o.Unusable != "" {
 				line("", "unusable: %s", o.Unusable)
 			}
+			if l := o.Lease; l != nil {
+				line("lease", "%v left, acknowledged %t, unanswered for %v", asMS(l.LeftMS), l.Acknowledged, asMS(l.UnresponsiveMS))
+				if l.Former != "" {
+					line("", "former owner %s: %v left, released %t", l.Former, asMS(l.FormerLeftMS), l.Released)
+				}
+			}
 			line("coordinator", "%s, this VM: %t", orNone(e.Coordinator), e.CoordinatesKeys)
 		}
 		line("left", "%v, first attempt %v ago", asMS(s.LeftMS), asMS(s.AgeMS))
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -50,6 +50,9 @@
 	}
 	e.Coordinator = g.loads.coordinatorAddress()
 	e.CoordinatesKeys = g.coordinatorLease.Held()
+	for i := range e.Services {
+		g.addLease(&e.Services[i], request.Key)
+	}
 	switch {
 	case e.Error == "":
 		return e, http.StatusOK
@@ -60,6 +63,21 @@
 	}
 }
 
+// addLease adds what this VM knows of the lease on a key as the coordinator.
+func (g *Gateway) addLease(s *operator.ServiceExplanation, key uint32) {
+	if s.Owner == nil {
+		return
+	}
+	lease, known := g.coordinator.PeekLease(s.Service, key)
+	if !known {
+		return
+	}
+	s.Owner.Lease = &operator.KeyLease{
+		Acknowledged: lease.Acknowledged, LeftMS: lease.Left.Milliseconds(), UnresponsiveMS: lease.Unresponsive.Milliseconds(),
+		Former: lease.Former, FormerLeftMS: lease.FormerLeft.Milliseconds(), Released: lease.Released,
+	}
+}
+
 // explainedRequest returns the request that a query describes.
 func (g *Gateway) explainedRequest(query string) (*dispatch.Request, error) {
 	values, err := url.ParseQuery(query)
--- a/internal/operator/request.go
+++ b/internal/operator/request.go
@@ -67,8 +67,7 @@
 	Evacuated  *int64 `json:"evacuated_ms,omitempty"` // for how long; absent: it is not
 }
 
-// KeyOwner is what the VM knows of the owner of a key. Only the coordinator and the owner know when
-// the lease ends.
+// KeyOwner is what the VM knows of the owner of a key.
 type KeyOwner struct {
 	Server      string `json:"server"`
 	Incarnation int64  `json:"incarnation"`
@@ -77,6 +76,18 @@
 	Pending     bool   `json:"pending"` // the key moves there; the former owner may still hold it
 	// Unusable says why no request is sent to the owner, empty if it may get one.
 	Unusable string `json:"unusable,omitempty"`
+	// Lease is what the coordinator knows; absent at other VMs.
+	Lease *KeyLease `json:"lease,omitempty"`
+}
+
+// KeyLease is what the coordinator knows of the lease on a key.
+type KeyLease struct {
+	Acknowledged   bool   `json:"acknowledged"`              // by the owner
+	LeftMS         int64  `json:"left_ms"`                   // until it ends, unless it is renewed
+	UnresponsiveMS int64  `json:"unresponsive_ms,omitempty"` // for how long the owner has left grants unanswered
+	Former         string `json:"former,omitempty"`          // server that may still hold the key
+	FormerLeftMS   int64  `json:"former_left_ms,omitempty"`
+	Released       bool   `json:"released,omitempty"` // Former acknowledged a release
 }
 
 // Candidate is a server that may run the request.
