--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -98,14 +98,7 @@
 			list[i] = list[len(list)-1]
 			list = list[:len(list)-1]
 			c := b.estimate(now, s)
-			loss := cost + expectedLatenessLoss(c.Expected, objective) + b.expectedFailureLoss(now, s)
-			if b.settings.HasIdleConnection != nil && !b.settings.HasIdleConnection(s) {
-				loss += newConnectionCost
-			}
-			if c.Full {
-				loss += fullPenalty
-			}
-			if loss < minLoss {
+			if loss := cost + b.loss(now, c, objective); loss < minLoss {
 				best, minLoss, found = c, loss, true
 			}
 		}
--- a/internal/balance/losses.go
+++ b/internal/balance/losses.go
@@ -24,6 +24,23 @@
 	latencySpread = 0.6
 )
 
+// loss returns the expected loss of a request at a server, apart from where the server is.
+func (b *Balancer) loss(now time.Time, c Choice, objective time.Duration) float64 {
+	loss := expectedLatenessLoss(c.Expected, objective) + b.expectedFailureLoss(now, c.Server)
+	if !b.connected(c.Server) {
+		loss += newConnectionCost
+	}
+	if c.Full {
+		loss += fullPenalty
+	}
+	return loss
+}
+
+// connected reports whether there is an idle connection to a server, or that is unknown.
+func (b *Balancer) connected(s *registry.Server) bool {
+	return b.settings.HasIdleConnection == nil || b.settings.HasIdleConnection(s)
+}
+
 // expectedLatenessLoss returns the expected loss through lateness, for a latency with a
 // log-normal distribution around its mean.
 func expectedLatenessLoss(mean, objective time.Duration) float64 {
