--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -30,6 +30,9 @@
 	// SlowFor is for how long requests of this key take several times as long as others, as the
 	// server got the key without the state of its former owner; 0: they don't.
 	SlowFor time.Duration
+	// JustMoved says that the server has just got the key, so that Share does not show what the
+	// requests which waited for it cost.
+	JustMoved bool
 
 	// Watched says that the coordinator sums up the load at the server and limits it where
 	// necessary. Otherwise the VM's own estimate decides alone.
@@ -99,6 +102,13 @@
 	// ones may load a server by the VM's own estimate. Single answers take up to about twice
 	// the mean.
 	urgentShare = 0.6
+	// justMovedShare is the share of the requests for a key that has just moved from a lost server
+	// which may be sent: they take about five times the work of others, so this is the work that the
+	// key meant before. All VMs send what has waited for the move at once otherwise.
+	justMovedShare = 0.2
+	// justMovedWait is the mean hint for such a request: two reporting intervals, after which
+	// the load at the server is known.
+	justMovedWait = 800 * time.Millisecond
 	// fastShare is the share of the mean service time that about one request in a hundred
 	// undercuts, if the logarithms of the service times deviate by 0.3.
 	fastShare = 0.5
@@ -116,6 +126,10 @@
 		reason = "its queue is full"
 	case s.Expected >= r.Left:
 		reason = "an answer is expected too late"
+	case s.JustMoved:
+		if random >= justMovedShare {
+			reason = "it has just got the key of a lost server"
+		}
 	case s.Limited:
 		if random >= share {
 			reason = "it is overloaded"
@@ -136,7 +150,12 @@
 	if s.Limited {
 		hint = RetryAfter(s.Wait-s.Age, r.Objective, spread)
 	}
-	hint = max(hint, s.SlowFor)
+	switch {
+	case s.JustMoved:
+		hint = time.Duration((0.5 + spread) * float64(justMovedWait))
+	case s.SlowFor > 0:
+		hint = max(hint, s.SlowFor)
+	}
 	return Decision{Outcome: Return, RetryAfter: r.honored(hint, s.ServiceTime), Reason: reason}
 }
 
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -221,3 +221,23 @@
 		t.Errorf("share admitted 0.6: got share %.2f of the requests for slow keys, want at most 0.2", share)
 	}
 }
+
+// Pattern: keys of a lost server get an owner, and all VMs send what has waited for it. Guards against
+// a queue that is filled with slow requests before any load report shows it.
+func TestRequestsForJustMovedKeysComeInParts(t *testing.T) {
+	const ms, n = time.Millisecond, 1000
+	r := Request{Objective: 600 * ms, Left: 4 * time.Second, CallerLeft: 4 * time.Second}
+	s := State{Slots: 3, ServiceTime: 120 * ms, Expected: 120 * ms, Watched: true, SlowFor: 5 * time.Second, JustMoved: true}
+	admitted := 0
+	for i := range n {
+		d := Decide(start, r, s, &Mix{}, float64(i)/n, float64(i%10)/10)
+		if d.Outcome == Admit {
+			admitted++
+		} else if d.RetryAfter < 400*ms || d.RetryAfter > r.CallerLeft/3 {
+			t.Fatalf("got a hint of %v, want one after two reports, within a third of the time left", d.RetryAfter)
+		}
+	}
+	if admitted != n/5 {
+		t.Errorf("got %d of %d requests admitted, want a fifth", admitted, n)
+	}
+}
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -106,7 +106,7 @@
 		ServiceTime: time.Duration(float64(slots) / r.core.Balancer.Capacity(now, server) * float64(time.Second)),
 	}
 	if r.service.DividedByKey {
-		state.SlowFor = r.slowFor(now)
+		state.SlowFor, state.JustMoved = r.slowFor(now)
 		state.Watched = r.core.Overload.Watches(now)
 		if signal, age, found := r.core.Overload.Signal(now, server.ID); found {
 			state = state.Limit(signal.Load, signal.Admit, time.Duration(signal.WaitS*float64(time.Second)), age)
@@ -116,12 +116,21 @@
 	return request, state
 }
 
-// slowFor returns for how long the request's key is slow at its owner, 0 if it is not.
-func (r *requestState) slowFor(now time.Time) time.Duration {
-	if r.core.SlowKeys == nil || !r.service.DividedByKey {
-		return 0
+// slowFor returns for how long the request's key is slow at its owner, 0 if it is not, and whether
+// it only seems so, because it has just moved from a lost owner.
+func (r *requestState) slowFor(now time.Time) (left time.Duration, justMoved bool) {
+	slowTime := r.service.SlowKeysTime
+	if slowTime == 0 || !r.service.DividedByKey {
+		return 0, false
 	}
-	return r.core.SlowKeys.Left(now, r.service.Name, r.request.Key)
+	slow := &r.core.Owners.Slow
+	if left := slow.Left(now, r.service.Name, r.request.Key); left > 0 {
+		return left, false
+	}
+	if slow.JustMoved(now, r.service.Name, r.request.Key) {
+		return slowTime, true
+	}
+	return 0, false
 }
 
 // age returns the time since the caller's first attempt. It is inferred once: each call counts
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -129,8 +129,6 @@
 	// HasIdleConnection reports whether there is an idle connection to a server.
 	HasIdleConnection func(*registry.Server) bool
 	CountKey          func(service string, key uint32)
-	// SlowKeys tells which keys are slow at their owners; nil: not known.
-	SlowKeys *keyspace.SlowKeys
 	// Place returns the failure domain for the first attempt of a request without key; nil: there
 	// are no such decisions.
 	Place     func(service string) balance.Placement
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -96,7 +96,7 @@
 	repeat := r.hasTried(server)
 	r.tried = append(r.tried, server.Instance())
 	began := time.Now()
-	slowKey := r.slowFor(began) > 0
+	slowFor, _ := r.slowFor(began)
 	r.core.Balancer.Started(server)
 	request := &serverconn.Request{
 		ID:         r.request.ID,
@@ -121,7 +121,7 @@
 			r.observeStream(server, began, now.Sub(began), response)
 		} else {
 			outcome := balanceOutcome(ctx, now.Sub(began), response, failure)
-			outcome.Answered = outcome.Answered && !slowKey // it says nothing of how fast the server is
+			outcome.Answered = outcome.Answered && slowFor == 0 // it says nothing of how fast the server is
 			r.core.Balancer.Finished(now, server, outcome)
 			r.observeEnd(ctx, server, began, failure)
 		}
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -99,7 +99,7 @@
 	registry         *registry.Registry
 	rateLimitChanges func() []ratelimit.Statement
 	// slowKeys are those that this VM knows, currentSlowKeys those that the coordinator knows.
-	slowKeys        keyspace.SlowKeys
+	slowKeys        *keyspace.SlowKeys
 	currentSlowKeys func() map[string][]keyspace.SlowSpan
 	spill           *spiller
 	client          *http.Client
@@ -111,7 +111,7 @@
 
 func newLoadReporter(s *Settings, process string, suspicions *dispatch.Suspicions, report func(keyspace.Report), times func(string) map[string]balance.Samples) *loadReporter {
 	q := suspicions.Quarantine()
-	return &loadReporter{post: func(retry.Post) {}, currentSlowKeys: func() map[string][]keyspace.SlowSpan { return nil }, process: process, stamps: &reportStamps{run: newRunID(process), now: bootclock.Now}, arrivals: newReportArrivals(process), quarantine: q, exchange: retry.NewExchange(q), suspicions: suspicions, unanswered: dispatch.NewUnansweredReports(suspicions), vm: s.VM, selfAddress: s.PeerListen, gate: overload.NewGate(), report: report, serviceTimes: times, client: newPeerClient(s.IP, peerDialTimeout, peerIdleConnections), counts: map[string]map[uint32]float64{}}
+	return &loadReporter{post: func(retry.Post) {}, slowKeys: &keyspace.SlowKeys{}, currentSlowKeys: func() map[string][]keyspace.SlowSpan { return nil }, process: process, stamps: &reportStamps{run: newRunID(process), now: bootclock.Now}, arrivals: newReportArrivals(process), quarantine: q, exchange: retry.NewExchange(q), suspicions: suspicions, unanswered: dispatch.NewUnansweredReports(suspicions), vm: s.VM, selfAddress: s.PeerListen, gate: overload.NewGate(), report: report, serviceTimes: times, client: newPeerClient(s.IP, peerDialTimeout, peerIdleConnections), counts: map[string]map[uint32]float64{}}
 }
 
 // count counts a request for a key.
--- a/internal/gateway/provision.go
+++ b/internal/gateway/provision.go
@@ -96,6 +96,7 @@
 	g.loads.registry = g.registry
 	g.loads.rateLimits = g.rateLimits
 	g.loads.rateLimitChanges = func() []ratelimit.Statement { return g.coordinator.RateLimitChanges() }
+	g.loads.slowKeys = &g.owners.Slow
 	g.loads.currentSlowKeys = func() map[string][]keyspace.SlowSpan { return g.coordinator.SlowKeys() }
 	g.loads.overloads = func() map[string]overload.Signal { return g.coordinator.Overloads() }
 	g.loads.isCoordinator = func() bool { return g.coordinatorLease.Held() }
@@ -208,7 +209,6 @@
 		Budget: g.budget, Overload: g.loads.gate, RateLimits: g.rateLimits, Pauses: g.pauses, Suspicions: g.suspicions,
 		Reach: g.reach, Relay: g.relays, HasIdleConnection: g.requestPool.HasIdle,
 		CountKey:  g.loads.count,
-		SlowKeys:  &g.loads.slowKeys,
 		Place:     g.loads.spill.place,
 		Decisions: g.decisions, Metrics: g.metrics, Dialect: g.adapter.Dialect,
 	})
--- a/internal/keyspace/overload.go
+++ b/internal/keyspace/overload.go
@@ -42,7 +42,7 @@
 	if !slices.ContainsFunc(members, mayNeedSignal) {
 		return
 	}
-	demand := c.requestCountsOf(svc.service).ownerRates(now, &svc.leases.record)
+	demand := c.requestCountsOf(svc.service).ownerRates(now, &svc.leases.record, func(key uint32) float64 { return svc.leases.slowWork(now, key) })
 	objective := c.objective(svc.service)
 	for _, m := range members {
 		rate, limited := c.rateLimitOf(&m)
--- a/internal/keyspace/overload_test.go
+++ b/internal/keyspace/overload_test.go
@@ -19,7 +19,7 @@
 	}
 	record := Record{Ranges: newPlanner(testPlan, evenProfile(100), planMembers(7)).initialRanges()}
 	now := 2 * time.Second
-	rates := counts.ownerRates(now, &record)
+	rates := counts.ownerRates(now, &record, even)
 	fast, _ := counts.profiles(now, planKeys)
 	p := newPlanner(testPlan, fast, planMembers(7))
 	p.computeLoads(record.Ranges)
@@ -84,7 +84,7 @@
 		c.Report(Report{VM: "a", Requests: map[string]map[uint32]float64{"keyed": {limited.From: 10}}, RateLimits: []ratelimit.Statement{s}})
 	}
 	report(statement)
-	demand := c.requestCountsOf("keyed").ownerRates(now, &record)[limited.Owner]
+	demand := c.requestCountsOf("keyed").ownerRates(now, &record, even)[limited.Owner]
 	s := c.Overloads()[limited.Owner.Server]
 	if sent := s.Admit * demand; !s.RateLimited || sent > rate || sent < rate/2 {
 		t.Errorf("got signal %+v, %.1f of %.1f requests per second sent; want at most %v", s, sent, demand, rate)
@@ -99,3 +99,6 @@
 		t.Errorf("got signals %v after the limit was lifted, want none", got)
 	}
 }
+
+// even is the work of requests that all take the same.
+func even(uint32) float64 { return 1 }
--- a/internal/keyspace/owners.go
+++ b/internal/keyspace/owners.go
@@ -24,6 +24,9 @@
 	records  map[string]*Record
 	versions map[string]uint64
 	changed  chan struct{} // closed and replaced at each change
+
+	// Slow is what this VM knows of slow keys.
+	Slow SlowKeys
 }
 
 // NewOwners returns an empty cache.
@@ -109,6 +112,7 @@
 		return
 	}
 	o.records[service], o.versions[service] = &record, version
+	o.Slow.observe(time.Now(), service, &record)
 	close(o.changed)
 	o.changed = make(chan struct{})
 }
--- a/internal/keyspace/request_counts.go
+++ b/internal/keyspace/request_counts.go
@@ -65,8 +65,9 @@
 }
 
 // ownerRates returns the fast rates of the requests for the keys of each owner, in requests
-// per second. It costs less than a profile of all keys.
-func (w *RequestCounts) ownerRates(now time.Duration, record *Record) map[Holder]float64 {
+// per second, each request counted by its work relative to others. It costs less than a profile of
+// all keys.
+func (w *RequestCounts) ownerRates(now time.Duration, record *Record, work func(key uint32) float64) map[Holder]float64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.decay(now)
@@ -74,7 +75,7 @@
 	rates := map[Holder]float64{}
 	for key, c := range w.counts {
 		if r := record.rangeOf(key); r != nil {
-			rates[r.Owner] += c.fast / window
+			rates[r.Owner] += work(key) * c.fast / window
 		}
 	}
 	return rates
--- a/internal/keyspace/slow_keys.go
+++ b/internal/keyspace/slow_keys.go
@@ -107,11 +107,85 @@
 	return all
 }
 
+// slowKeyWork is how much work a request for a slow key takes, relative to others: four to six times
+// as much on two sites.
+const slowKeyWork = 5.0
+
+// slowWork returns the work of a request for a key, relative to others.
+func (l *LeaseTracker) slowWork(now time.Duration, key uint32) float64 {
+	// There are only slow keys for seconds after a loss.
+	for _, s := range l.slow {
+		if s.From <= key && key <= s.To && now < s.until {
+			return slowKeyWork
+		}
+	}
+	return 1
+}
+
 // SlowKeys holds what a VM knows of slow keys. Safe for concurrent use.
 type SlowKeys struct {
 	mu       sync.RWMutex // guards the fields below
 	services map[string][]SlowSpan
 	asOf     time.Time
+	// pending are the ranges that are on the move, by service and span; moved are those that
+	// arrived lately as keys do whose former owner is lost.
+	pending map[string]map[Span]pendingRange
+	moved   map[string][]movedSpan
+}
+
+type pendingRange struct {
+	since time.Time
+	lost  bool // the former owner is known to be lost
+}
+
+type movedSpan struct {
+	Span
+	at time.Time
+}
+
+const (
+	// usualMoveTime outlasts a usual move, for which the former owner ends its requests and hands
+	// its data over. A move that takes longer waits for the end of a lease.
+	usualMoveTime = 1200 * time.Millisecond
+	// movedTime is how long a VM goes by the records alone: until it has the coordinator's answer
+	// to a report that it sent after the move.
+	movedTime = 1500 * time.Millisecond
+	// answerDelay is how long after a move the coordinator may not know that the owner has the keys.
+	answerDelay = 200 * time.Millisecond
+)
+
+// observe takes account of a new owners record of a service.
+func (k *SlowKeys) observe(now time.Time, service string, record *Record) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	before, after := k.pending[service], map[Span]pendingRange{}
+	moved := slices.DeleteFunc(k.moved[service], func(m movedSpan) bool { return now.Sub(m.at) > movedTime })
+	for i := range record.Ranges {
+		r := &record.Ranges[i]
+		was, known := before[r.Span]
+		switch {
+		case r.Pending && known:
+			after[r.Span] = was
+		case r.Pending:
+			after[r.Span] = pendingRange{now, len(r.Former) == 0}
+		case known && (was.lost || now.Sub(was.since) > usualMoveTime):
+			moved = append(moved, movedSpan{r.Span, now})
+		}
+	}
+	if k.pending == nil {
+		k.pending, k.moved = map[string]map[Span]pendingRange{}, map[string][]movedSpan{}
+	}
+	k.pending[service], k.moved[service] = after, moved
+}
+
+// JustMoved reports whether a key has just got an owner after its former one was lost, so that it is
+// probably slow, and the coordinator has not told yet.
+func (k *SlowKeys) JustMoved(now time.Time, service string, key uint32) bool {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	return slices.ContainsFunc(k.moved[service], func(m movedSpan) bool {
+		return m.From <= key && key <= m.To && now.Sub(m.at) <= movedTime && k.asOf.Before(m.at.Add(answerDelay))
+	})
 }
 
 // Update replaces the slow keys by those that the coordinator told, as of the given time.
--- a/internal/keyspace/slow_keys_test.go
+++ b/internal/keyspace/slow_keys_test.go
@@ -88,3 +88,40 @@
 		}
 	}
 }
+
+// Guards against all VMs sending at once what waited for the keys of a lost server, before the
+// coordinator has told that they are slow; and against keys of a usual move that are held back.
+func TestKeysOfLostOwnersCountAsJustMoved(t *testing.T) {
+	a, b := Holder{Server: "a", Incarnation: 1}, Holder{Server: "b", Incarnation: 1}
+	start, span := time.Unix(1000, 0), Span{100, 199}
+	for _, c := range []struct {
+		name    string
+		former  []Former
+		took    time.Duration
+		told    time.Duration // when the VM sent the report that the coordinator answered
+		at      time.Duration // after the move
+		want    bool
+		pending bool
+	}{
+		{"former owner lost", nil, 30 * time.Millisecond, 0, 100 * time.Millisecond, true, false},
+		{"still on the move", nil, 30 * time.Millisecond, 0, 100 * time.Millisecond, false, true},
+		{"waited for the end of a lease", []Former{{a, 1}}, 2 * time.Second, 0, 100 * time.Millisecond, true, false},
+		{"usual move", []Former{{a, 1}}, 400 * time.Millisecond, 0, 100 * time.Millisecond, false, false},
+		{"coordinator told since", nil, 30 * time.Millisecond, 400 * time.Millisecond, 600 * time.Millisecond, false, false},
+		{"coordinator silent", nil, 30 * time.Millisecond, 0, 1600 * time.Millisecond, false, false},
+	} {
+		var k SlowKeys
+		k.observe(start, "svc", &Record{Ranges: []Range{{Span: span, Owner: b, Pending: true, Former: c.former}}})
+		moved := start.Add(c.took)
+		k.observe(moved, "svc", &Record{Ranges: []Range{{Span: span, Owner: b, Pending: c.pending}}})
+		k.observe(moved.Add(50*time.Millisecond), "svc", &Record{Ranges: []Range{{Span: Span{0, 999}, Owner: b, Pending: c.pending}}}) // merged
+		if c.told > 0 {
+			k.Update(moved.Add(c.told), nil)
+		}
+		for key, want := range map[uint32]bool{150: c.want, 99: false, 200: false} {
+			if got := k.JustMoved(moved.Add(c.at), "svc", key); got != want {
+				t.Errorf("%s: key %d just moved: got %v, want %v", c.name, key, got, want)
+			}
+		}
+	}
+}
