--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -60,6 +60,13 @@
 	return s
 }
 
+// exceeds reports whether an answer is expected after a share of an objective because of the requests
+// before it: a service time that is long for the objective is no reason to refuse, as the
+// request takes no less later.
+func (s State) exceeds(share float64, objective time.Duration) bool {
+	return float64(s.Expected) > max(share*float64(objective), queuedFactor*float64(s.ServiceTime))
+}
+
 // Outcome says what becomes of a request.
 type Outcome int
 
@@ -98,6 +105,9 @@
 	// objectiveShare is the share of the objective up to which a server is loaded by the VM's own
 	// estimate. With the whole objective half of the answers at that load are late.
 	objectiveShare = 0.9
+	// queuedFactor is the expected latency, in service times, from which the queue makes up half
+	// of it.
+	queuedFactor = 2.0
 	// urgentShare is the share of the objective of more urgent requests up to which less urgent
 	// ones may load a server by the VM's own estimate. Single answers take up to about twice
 	// the mean.
@@ -135,9 +145,9 @@
 			reason = "it is overloaded"
 		}
 	case s.Watched || s.Load < busyPerSlot*float64(s.Slots):
-	case late || r.Objective > 0 && float64(s.Expected) > objectiveShare*float64(r.Objective):
+	case late || r.Objective > 0 && s.exceeds(objectiveShare, r.Objective):
 		reason = "an answer is expected after the objective"
-	case urgent > 0 && float64(s.Expected) > urgentShare*float64(urgent) && random >= floorShare:
+	case urgent > 0 && s.exceeds(urgentShare, urgent) && random >= floorShare:
 		reason = "more urgent requests would be answered late"
 	}
 	if reason == "" {
