--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -63,8 +63,10 @@
 	switch {
 	case refusal != nil:
 		return refusal
-	case rateLimited:
+	case rateLimited && r.core.RateLimits.WarmupRate(now, server.Instance()) == 0:
 		return nil // the signal divides the rate among the VMs by their requests
+	// The signal follows the demand of the last second, and a cold server bears no more than its
+	// rate: each VM also keeps to its share.
 	case !r.core.RateLimits.Take(now, server.Instance()):
 		return r.refuseUntilEligible([]*registry.Server{server}, r.core.eligibility.CheckUsable)
 	}
