--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -58,7 +58,7 @@
 			t.Fatal("got suspects that nobody reported")
 		}
 		c := keyspace.NewCoordinator(keyspace.Options{
-			SlowTime: func(string) time.Duration { return 0 },
+			Objective: func(string) time.Duration { return time.Second }, SlowTime: func(string) time.Duration { return 0 },
 			Settings: keyspace.CoordinatorSettings{Keys: 100}, Clock: func() time.Duration { return time.Second },
 		})
 		c.Report(report.Report)
--- a/internal/keyspace/commit_test.go
+++ b/internal/keyspace/commit_test.go
@@ -56,7 +56,7 @@
 		t.Run(name, func(t *testing.T) {
 			store := &rejectingStore{}
 			coordinator := NewCoordinator(Options{
-				SlowTime: func(string) time.Duration { return 0 },
+				Objective: func(string) time.Duration { return time.Second }, SlowTime: func(string) time.Duration { return 0 },
 				Settings: CoordinatorSettings{Tick: 10 * time.Millisecond, Keys: planKeys, RecordBytes: c.recordBytes, Plan: testPlan, Table: "t"},
 				Store:    store, CoordinatorLease: &CoordinatorLease{held: true, expiresAt: bootclock.Now() + time.Hour, clock: bootclock.Now},
 				Members: fixedMembers(planMembers(3)), Owners: NewOwners(), Services: func() []string { return []string{"keyed"} }, Clock: bootclock.Now,
--- a/internal/keyspace/recover_test.go
+++ b/internal/keyspace/recover_test.go
@@ -38,7 +38,7 @@
 			now, complete := time.Minute, false
 			owners := NewOwners()
 			c := NewCoordinator(Options{
-				SlowTime: func(string) time.Duration { return 0 },
+				Objective: func(string) time.Duration { return time.Second }, SlowTime: func(string) time.Duration { return 0 },
 				Settings: CoordinatorSettings{Timing: walkTiming, Keys: planKeys, Plan: testPlan}, Store: &recordStore{row: row}, Owners: owners,
 				CoordinatorLease: &CoordinatorLease{clock: func() time.Duration { return now }},
 				AskRecords:       func(context.Context, time.Duration) bool { return complete }, Clock: func() time.Duration { return now },
@@ -68,7 +68,7 @@
 func TestCoordinatorWaitsForLeasesOfSilentVM(t *testing.T) {
 	now := time.Minute
 	c := NewCoordinator(Options{
-		SlowTime: func(string) time.Duration { return 0 },
+		Objective: func(string) time.Duration { return time.Second }, SlowTime: func(string) time.Duration { return 0 },
 		Settings: CoordinatorSettings{Timing: walkTiming, Keys: planKeys, Plan: testPlan}, Store: &recordStore{}, Owners: NewOwners(),
 		CoordinatorLease: &CoordinatorLease{clock: func() time.Duration { return now }},
 		AskRecords:       func(context.Context, time.Duration) bool { return false }, Clock: func() time.Duration { return now },
