--- a/internal/keyspace/coordinator.go
+++ b/internal/keyspace/coordinator.go
@@ -378,7 +378,7 @@
 // planners returns a planner for the fast and one for the slow load profile.
 func (c *Coordinator) planners(now time.Duration, svc *serviceState, members []Member) (fast, slow *planner) {
 	available := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return c.unavailable(now, svc, m.Holder) })
-	available = forPlans(withoutCold(available), c.objective(svc.service))
+	available = withoutCold(available)
 	fastProfile, slowProfile := c.requestCountsOf(svc.service).profiles(now, c.settings.Keys)
 	fast, slow = newPlanner(c.settings.Plan, fastProfile, available), newPlanner(c.settings.Plan, slowProfile, available)
 	fast.acknowledged, slow.acknowledged = svc.leases.acknowledged, svc.leases.acknowledged
