--- a/internal/dispatch/evacuation_test.go
+++ b/internal/dispatch/evacuation_test.go
@@ -1,10 +1,13 @@
 package dispatch
 
 import (
+	"errors"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
+	"kumquatcleat/internal/balance"
 	"kumquatcleat/internal/fault"
 	"kumquatcleat/internal/registry"
 	"kumquatcleat/internal/serverconn"
@@ -113,3 +116,14 @@
 		}
 	}
 }
+
+// Guards against headers that can't be read and leave no trace for whoever looks for the cause.
+func TestIgnoredHeadersAreInTheAttemptsLog(t *testing.T) {
+	f := newFixture(true)
+	r := &requestState{core: f.core, request: &Request{}}
+	choice := balance.Choice{Server: f.registry.Get("s0")}
+	r.recordAttempt(attemptResult{choice: choice, response: &serverconn.Response{Status: http.StatusOK, Ignored: []error{errors.New(`load "1,2"`)}}})
+	if len(r.attemptLog) != 1 || !strings.HasSuffix(r.attemptLog[0], `200, ignored: load "1,2"`) {
+		t.Errorf("got log %q, want the header that was ignored", r.attemptLog)
+	}
+}
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -256,6 +256,9 @@
 		if e.response.HasRateLimit {
 			what += fmt.Sprintf(" limit %.1f/s", e.response.RateLimit)
 		}
+		for _, err := range e.response.Ignored {
+			what += ", ignored: " + err.Error()
+		}
 	}
 	if e.repeat {
 		what += ", repeat"
--- a/internal/serverconn/exchange.go
+++ b/internal/serverconn/exchange.go
@@ -54,6 +54,8 @@
 	// together.
 	RateLimit    float64
 	HasRateLimit bool
+	// Ignored holds why headers about the state of the server could not be read.
+	Ignored []error
 	// Warmup is how long the server says that it stays cold; 0: not stated.
 	Warmup time.Duration
 	// Leaving says that the server leaves.
@@ -315,9 +317,12 @@
 	if text == "" {
 		return
 	}
-	if load, err := s.dialect.ParseLoad(text); err == nil {
-		out.Load, out.HasLoad = load, true
+	load, err := s.dialect.ParseLoad(text)
+	if err != nil {
+		out.Ignored = append(out.Ignored, err)
+		return
 	}
+	out.Load, out.HasLoad = load, true
 }
 
 func (s *Sender) readRateLimit(h http.Header, out *Response) {
@@ -340,7 +345,7 @@
 	}
 	ms, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
 	if err != nil || !(ms >= 0 && ms <= maxPauseSeconds*1000) {
-		slog.Debug("serverconn: warm-up ignored", "server", out.ServerID, "warmup_ms", text)
+		out.Ignored = append(out.Ignored, fmt.Errorf("warm-up %q: want milliseconds", text))
 		return
 	}
 	out.Warmup = time.Duration(ms * float64(time.Millisecond))
