--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -137,7 +137,7 @@
 	case s.Expected >= r.Left:
 		reason = "an answer is expected too late"
 	case s.JustMoved:
-		if random >= justMovedShare {
+		if random >= min(justMovedShare, share) {
 			reason = "it has just got the key of a lost server"
 		}
 	case s.Limited:
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -240,4 +240,9 @@
 	if admitted != n/5 {
 		t.Errorf("got %d of %d requests admitted, want a fifth", admitted, n)
 	}
+	limited := s.Limit(3, 0.05, 0, 0)
+	limited.RateLimited = true
+	if d := Decide(start, r, limited, &Mix{}, 0.1, 0); d.Outcome == Admit {
+		t.Error("a server with a rate limit that leaves 0.05 of the requests gets a fifth of those for keys that just moved")
+	}
 }
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -108,7 +108,7 @@
 // refuseWithoutServer refuses a request whose service has no server left to try.
 func (r *requestState) refuseWithoutServer() *Answer {
 	hint := unreachedRetryAfter
-	if len(r.tried) == 0 && r.core.Registry.EvacuatedDomains() > 0 {
+	if len(r.tried) == 0 && r.evacuatedEverywhere() {
 		hint = evacuatedRetryAfter
 	}
 	return refuse(fault.NoServer, r.honored(hint), "service %q: %d servers, %d tried, %d failure domains evacuated",
@@ -206,7 +206,7 @@
 
 // evacuatedEverywhere reports whether evacuations leave the service without a usable server.
 func (r *requestState) evacuatedEverywhere() bool {
-	return len(r.core.Registry.Usable(r.service.Name)) == 0 && r.core.Registry.EvacuatedDomains() > 0
+	return len(r.core.Registry.Usable(r.service.Name)) == 0 && r.core.Registry.HasEvacuated(r.service.Name)
 }
 
 // grantDelay is how long after its owners record a grant may reach the owner: a
--- a/internal/dispatch/evacuation_test.go
+++ b/internal/dispatch/evacuation_test.go
@@ -72,6 +72,20 @@
 	}
 }
 
+// Guards against refusals that name evacuations where none concerns the service: it briefly has no
+// servers, and a failure domain without servers of it is evacuated.
+func TestEvacuationElsewhereIsNoReasonToRefuse(t *testing.T) {
+	f := newFixture(true)
+	f.registry.Evacuate(time.Now(), "unknown")
+	f.evacuate("k0", "k1", "k2")
+	for _, id := range []string{"s0", "s1", "s2"} {
+		f.registry.Remove(id, "test")
+	}
+	if a := f.serve("/p/", -1); a.Refusal != fault.NoServer || a.RetryAfter > unreachedRetryAfter {
+		t.Errorf("got answer %+v, want the usual refusal without servers", a)
+	}
+}
+
 // Guards against refusals of requests for keys while they move away from an evacuated failure
 // domain, and against requests there after that.
 func TestOwnerInEvacuatedDomainGetsRequestsForItsGrace(t *testing.T) {
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -201,7 +201,7 @@
 		return refusalOutcome(x.refuseUntil(c.server, c.verdict))
 	}
 	outcome, state := x.admissionOutcome(c)
-	if outcome.Action == operator.ActionRefuse || state.RateLimited || !c.limited || c.limit.Room {
+	if outcome.Action == operator.ActionRefuse || state.RateLimited && c.limit.WarmupRate == 0 || !c.limited || c.limit.Room {
 		return outcome
 	}
 	gate := eligibility.Gate{Registry: x.core.Registry, Pauses: x.core.Pauses, Limits: x.limits}
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -118,7 +118,7 @@
 		now := time.Now()
 		r.core.observeStatements(now, server, response)
 		if response != nil && response.Stream != nil {
-			r.observeStream(server, began, now.Sub(began), response)
+			r.observeStream(server, began, now.Sub(began), slowFor > 0, response)
 		} else {
 			outcome := balanceOutcome(ctx, now.Sub(began), response, failure)
 			outcome.Answered = outcome.Answered && slowFor == 0 // it says nothing of how fast the server is
@@ -135,12 +135,13 @@
 // observeStream records the result of an attempt with a streamed body when the stream ends. What the
 // server took is the time until the stream began and the time spent waiting for its bytes; the rest is
 // the caller's.
-func (r *requestState) observeStream(server *registry.Server, began time.Time, took time.Duration, response *serverconn.Response) {
+func (r *requestState) observeStream(server *registry.Server, began time.Time, took time.Duration, slowKey bool, response *serverconn.Response) {
 	response.Stream.OnEnd(func(failure *serverconn.Failure) {
 		// A failure here is that of the server, whatever became of the attempt's context.
 		ctx := context.Background()
 		outcome := balanceOutcome(ctx, took+response.Stream.Waited(), response, failure)
 		outcome.HasLoad = false // it came with the head and may be old
+		outcome.Answered = outcome.Answered && !slowKey
 		r.core.Balancer.Finished(time.Now(), server, outcome)
 		r.observeEnd(ctx, server, began, failure)
 		if failure == nil && response.Stream.Complete() && response.Status < http.StatusInternalServerError {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"sync"
 	"time"
 
 	"kumquatcleat/internal/registry"
@@ -12,6 +11,8 @@
 
 // applyEvacuations updates the evacuated failure domains from changed rows.
 func (g *Gateway) applyEvacuations(changed []rows.Row) {
+	g.evacuationsMu.Lock()
+	defer g.evacuationsMu.Unlock()
 	now := time.Now()
 	for _, row := range changed {
 		domain, ok := g.adapter.EvacuatedDomain(row.Key)
@@ -20,57 +21,48 @@
 		case domain == "":
 			slog.Warn("gateway: evacuation ignored, it names no failure domain", "row", row.Key, "row_version", row.Version)
 		case !row.Deleted:
-			g.unsettledEvacuations.forget(domain)
+			delete(g.unsettledEvacuations, domain)
 			g.registry.Evacuate(now, domain)
 		case row.Unsettled:
-			g.unsettledEvacuations.add(domain, now.Add(storeSettleTime))
+			g.unsettledEvacuations[domain] = now.Add(storeSettleTime)
 		default:
-			g.unsettledEvacuations.forget(domain)
+			delete(g.unsettledEvacuations, domain)
 			g.endEvacuation(domain)
 		}
 	}
 }
 
-// endEvacuation lets the servers of a failure domain get requests again.
+// endUnsettledEvacuations ends the evacuations whose row did not come back.
+func (g *Gateway) endUnsettledEvacuations(now time.Time) {
+	g.evacuationsMu.Lock()
+	defer g.evacuationsMu.Unlock()
+	for _, domain := range g.unsettledEvacuations.takeExpired(now) {
+		g.endEvacuation(domain)
+	}
+}
+
+// endEvacuation lets the servers of a failure domain get requests again. The caller holds the lock.
 func (g *Gateway) endEvacuation(domain string) {
 	if _, evacuated := g.registry.Evacuated(domain); !evacuated {
 		return
 	}
-	g.presumeCold(time.Now(), domain) // before any of them gets a request
+	now := time.Now()
+	g.presumeCold(now, domain) // before any of them gets a request
+	g.applyWarmups(now, g.registry.InDomain(domain))
 	g.registry.EndEvacuation(domain)
 }
 
-// unsettledEvacuations holds evacuations whose row was missing in a store that had just returned
-// or was restored from a copy: the operator may write it again. Safe for concurrent use.
-type unsettledEvacuations struct {
-	mu    sync.Mutex // guards until
-	until map[string]time.Time
-}
-
-func (u *unsettledEvacuations) add(domain string, until time.Time) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if u.until == nil {
-		u.until = map[string]time.Time{}
-	}
-	u.until[domain] = until
-}
-
-func (u *unsettledEvacuations) forget(domain string) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	delete(u.until, domain)
-}
+// unsettledEvacuations holds, by failure domain, until when evacuations last whose row was missing in a
+// store that had just returned or was restored from a copy: the operator may write it again.
+type unsettledEvacuations map[string]time.Time
 
 // takeExpired returns the failure domains whose row did not come back.
-func (u *unsettledEvacuations) takeExpired(now time.Time) []string {
-	u.mu.Lock()
-	defer u.mu.Unlock()
+func (u unsettledEvacuations) takeExpired(now time.Time) []string {
 	var expired []string
-	for domain, until := range u.until {
+	for domain, until := range u {
 		if !now.Before(until) {
 			expired = append(expired, domain)
-			delete(u.until, domain)
+			delete(u, domain)
 		}
 	}
 	return expired
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -96,7 +96,9 @@
 	views            *rows.Set
 
 	configs, servers, vms, keys *rows.View
-	unsettledEvacuations        unsettledEvacuations
+
+	evacuationsMu        sync.Mutex // serializes changes of evacuations, guards unsettledEvacuations
+	unsettledEvacuations unsettledEvacuations
 
 	draining atomic.Bool
 }
@@ -106,7 +108,7 @@
 
 // New returns a gateway; Run starts it.
 func New(s *Settings, adapter Adapter) *Gateway {
-	g := &Gateway{settings: s, adapter: adapter, startID: uuid.NewString(), metrics: metrics.NewRegistry()}
+	g := &Gateway{settings: s, adapter: adapter, startID: uuid.NewString(), metrics: metrics.NewRegistry(), unsettledEvacuations: unsettledEvacuations{}}
 	g.decisions = logging.NewDecisions(g.metrics)
 	g.registry = registry.New()
 	g.owners = keyspace.NewOwners()
@@ -223,9 +225,7 @@
 func (g *Gateway) sweep(ctx context.Context) {
 	for wait.For(ctx, sweepInterval) {
 		g.registry.Sweep(time.Now())
-		for _, domain := range g.unsettledEvacuations.takeExpired(time.Now()) {
-			g.endEvacuation(domain)
-		}
+		g.endUnsettledEvacuations(time.Now())
 		keep := func(instance registry.Instance) bool {
 			s := g.registry.Get(instance.ID)
 			return s != nil && s.Instance() == instance
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"hash/fnv"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -267,6 +268,13 @@
 	return p.ordered
 }
 
+// failureDomains returns the failure domains of all VMs.
+func (p *peers) failureDomains() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Collect(maps.Keys(p.domains()))
+}
+
 // mayAsk reports whether a VM may be sent requests, or is this one.
 func (p *peers) mayAsk(now time.Time, v *peer) bool {
 	return v.name == p.settings.VM || !now.Before(p.skipUntil[v.address])
--- a/internal/gateway/provision.go
+++ b/internal/gateway/provision.go
@@ -183,6 +183,7 @@
 	g.loads.spill = newSpiller(g.settings, g.balancer, g.metrics)
 	g.loads.spill.services = func() []string { return undividedServices(g.Current()) }
 	g.loads.spill.usable = g.registry.Usable
+	g.loads.spill.domains = g.peers.failureDomains
 	g.loads.spill.objective = func(service string) time.Duration { return objectiveOf(g.Current(), service) }
 	g.reach = reachability.NewMonitor(g.settings.FailureDomain, g.registry.All, g.probeServer, func(isolated bool) {
 		g.coordinatorLease.SetEligible(!isolated)
--- a/internal/gateway/spill.go
+++ b/internal/gateway/spill.go
@@ -23,6 +23,7 @@
 	totals   *spill.Totals // of this VM, if it coordinates
 	services func() []string
 	usable   func(service string) []*registry.Server
+	domains  func() []string // failure domains of VMs
 	balancer *balance.Balancer
 	// objective returns the latency within which the answers of a service should arrive.
 	objective  func(service string) time.Duration
@@ -38,7 +39,7 @@
 func newSpiller(s *Settings, balancer *balance.Balancer, m metrics.Registry) *spiller {
 	return &spiller{
 		enabled: s.spills(), domain: s.FailureDomain, decider: spill.New(spill.Settings{Domain: s.FailureDomain, Latency: time.Duration(s.CrossDomainMS * float64(time.Millisecond))}),
-		totals: spill.NewTotals(), balancer: balancer, pricePerKB: s.crossDomainPrice(),
+		totals: spill.NewTotals(), domains: func() []string { return nil }, balancer: balancer, pricePerKB: s.crossDomainPrice(),
 		metrics: m, spilled: metrics.GetOrRegisterCounter("requests_spilled", m),
 	}
 }
@@ -111,6 +112,9 @@
 	for domain := range byDomain {
 		byDomain[domain] *= slots / capacity
 	}
+	for _, domain := range s.domains() {
+		byDomain[domain] += 0 // of a domain without usable servers
+	}
 	return byDomain
 }
 
--- a/internal/keyspace/lease_tracker.go
+++ b/internal/keyspace/lease_tracker.go
@@ -205,6 +205,8 @@
 	ranges         map[rangeKey]*rangeState
 	slowTime       time.Duration // see setSlowTime
 	slow           []slowSpan
+	mergedSlow     []SlowSpan // computed from slow at mergedSlowAt; nil: to be computed
+	mergedSlowAt   time.Duration
 }
 
 // NewLeaseTracker returns a tracker for a record under which another VM may have
@@ -261,6 +263,12 @@
 		state := l.ranges[key]
 		if state == nil {
 			state = l.stateOfPart(r)
+			if before := l.record.rangeOf(r.From); before != nil && !before.Pending && before.Owner.Same(r.Owner) && before.Span == r.Span {
+				// Only its token is raised, because the first grant was not answered.
+				if known := l.ranges[rangeKey{before.Span, before.Token}]; known != nil && !known.acknowledged {
+					state.handover, state.withoutHandover = known.handover, known.withoutHandover
+				}
+			}
 			if before := pendingMoves[r.Span]; before.state != nil && before.owner.Same(r.Owner) {
 				state.former, state.handover = before.state.former, before.state.handover
 				state.withoutHandover = !r.Pending && state.handover == ""
--- a/internal/keyspace/slow_keys.go
+++ b/internal/keyspace/slow_keys.go
@@ -55,7 +55,7 @@
 // recordSlow records that the owner of a range got its keys without handover data.
 func (l *LeaseTracker) recordSlow(now time.Duration, span Span) {
 	if l.slowTime > 0 {
-		l.slow = append(l.slow, slowSpan{span, now + l.slowTime})
+		l.slow, l.mergedSlow = append(l.slow, slowSpan{span, now + l.slowTime}), nil
 	}
 }
 
@@ -63,11 +63,21 @@
 // of a lost server move in pieces.
 const mergedSlowTime = 300 * time.Millisecond
 
-// slowSpans returns the spans that are slow now, in ascending order.
+// slowSpansLife is how long slow spans are kept once they were computed: half of the interval at
+// which VMs report.
+const slowSpansLife = 200 * time.Millisecond
+
+// slowSpans returns the spans that are slow, in ascending order, as of slowSpansLife ago at most.
 func (l *LeaseTracker) slowSpans(now time.Duration) []SlowSpan {
+	if len(l.slow) == 0 {
+		return nil
+	}
+	if l.mergedSlow != nil && now-l.mergedSlowAt < slowSpansLife {
+		return l.mergedSlow
+	}
 	l.slow = slices.DeleteFunc(l.slow, func(s slowSpan) bool { return s.until <= now })
 	slices.SortFunc(l.slow, func(a, b slowSpan) int { return cmp.Compare(a.From, b.From) })
-	var list []SlowSpan
+	list := []SlowSpan{}
 	for _, s := range l.slow {
 		left := s.until - now
 		if n := len(list); n > 0 && s.From <= list[n-1].To+1 && max(left, list[n-1].Left)-min(left, list[n-1].Left) <= mergedSlowTime {
@@ -76,15 +86,16 @@
 		}
 		list = append(list, SlowSpan{s.Span, left})
 	}
+	l.mergedSlow, l.mergedSlowAt = list, now
 	return list
 }
 
-// maxSentSlowSpans bounds the slow spans that are sent to all VMs together in one reporting
-// interval, about 300 kB.
+// maxSentSlowSpans bounds the slow spans of a service that are sent to all VMs together in one
+// reporting interval, about 300 kB.
 const maxSentSlowSpans = 15_000
 
-// SlowKeys returns the slow keys of all services, those that are slow for longest if there are
-// too many.
+// SlowKeys returns the slow keys of all services, of a service those that are slow for longest if
+// there are too many.
 func (c *Coordinator) SlowKeys() map[string][]SlowSpan {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -93,6 +104,7 @@
 	for service, svc := range c.serviceStates {
 		list := svc.leases.slowSpans(now)
 		if len(list) > limit {
+			list = slices.Clone(list)
 			slices.SortFunc(list, func(a, b SlowSpan) int { return cmp.Compare(b.Left, a.Left) })
 			list = list[:limit]
 			slices.SortFunc(list, func(a, b SlowSpan) int { return cmp.Compare(a.From, b.From) })
@@ -113,11 +125,15 @@
 
 // slowWork returns the work of a request for a key, relative to others.
 func (l *LeaseTracker) slowWork(now time.Duration, key uint32) float64 {
-	// There are only slow keys for seconds after a loss.
-	for _, s := range l.slow {
-		if s.From <= key && key <= s.To && now < s.until {
-			return slowKeyWork
+	spans := l.slowSpans(now)
+	after, _ := slices.BinarySearchFunc(spans, key, func(s SlowSpan, key uint32) int {
+		if s.From <= key {
+			return -1
 		}
+		return 1
+	})
+	if after > 0 && key <= spans[after-1].To {
+		return slowKeyWork
 	}
 	return 1
 }
--- a/internal/keyspace/slow_keys_test.go
+++ b/internal/keyspace/slow_keys_test.go
@@ -39,6 +39,20 @@
 			t.Errorf("%s: got slow spans %v after the time that keys are slow", c.name, got)
 		}
 	}
+	unanswered := NewLeaseTracker(Timing{Lease: time.Second}, Record{Ranges: []Range{{Span: Span{0, 9}, Owner: b, Token: 2, Pending: true}}}, 2, 0, 0, 0)
+	unanswered.setSlowTime(slowTime)
+	unanswered.Committed(Record{Ranges: []Range{{Span: Span{0, 9}, Owner: b, Token: 3}}}, 3)
+	unanswered.Committed(Record{Ranges: []Range{{Span: Span{0, 9}, Owner: b, Token: 4}}}, 4) // the first grant got no answer
+	unanswered.Done(time.Second, Order{Kind: OrderGrant, To: b, Span: Span{0, 9}, Token: 4}, Result{Acknowledged: true})
+	if got := unanswered.slowSpans(time.Second); len(got) != 1 {
+		t.Errorf("granted at the second try: got slow spans %v, want one", got)
+	}
+	if work := unanswered.slowWork(time.Second, 9); work != slowKeyWork {
+		t.Errorf("slow key: got work %v, want %v", work, slowKeyWork)
+	}
+	if work := unanswered.slowWork(time.Second, 10); work != 1 {
+		t.Errorf("other key: got work %v, want 1", work)
+	}
 	l := NewLeaseTracker(Timing{Lease: time.Second}, Record{Ranges: []Range{{Span: Span{0, 9}, Owner: a, Token: 1}}}, 1, 1, 0, time.Second)
 	l.setSlowTime(slowTime)
 	l.Committed(Record{Ranges: []Range{{Span: Span{0, 9}, Owner: a, Token: 2}}}, 2)
--- a/internal/registry/evacuation.go
+++ b/internal/registry/evacuation.go
@@ -57,6 +57,21 @@
 // EvacuatedDomains returns the number of evacuated failure domains.
 func (r *Registry) EvacuatedDomains() int { return len(r.current.Load().evacuated) }
 
+// HasEvacuated reports whether a service has servers that get no requests only because their failure
+// domains are evacuated.
+func (r *Registry) HasEvacuated(service string) bool {
+	now := r.current.Load()
+	if len(now.evacuated) == 0 {
+		return false
+	}
+	for _, s := range now.servers {
+		if _, evacuated := now.evacuated[s.FailureDomain]; evacuated && s.Service == service && !s.Draining {
+			return true
+		}
+	}
+	return false
+}
+
 // InDomain returns all registered servers of a failure domain, whether they may receive requests or
 // not.
 func (r *Registry) InDomain(domain string) []*Server {
