--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -124,9 +124,9 @@
 			outcome.Answered = outcome.Answered && slowFor == 0 // it says nothing of how fast the server is
 			r.core.Balancer.Finished(now, server, outcome)
 			r.observeEnd(ctx, server, began, failure)
-		}
-		if response != nil {
-			r.core.Balancer.ObserveSize(server.Service, len(request.Body)+len(response.Body))
+			if response != nil {
+				r.core.Balancer.ObserveSize(server.Service, len(request.Body)+len(response.Body))
+			}
 		}
 		results <- attemptResult{choice, repeat, now.Sub(began), response, failure}
 	}()
@@ -141,8 +141,9 @@
 		ctx := context.Background()
 		outcome := balanceOutcome(ctx, took+response.Stream.Waited(), response, failure)
 		outcome.HasLoad = false // it came with the head and may be old
-		outcome.Answered = outcome.Answered && !slowKey
+		outcome.Answered = outcome.Answered && !slowKey && response.Stream.Complete()
 		r.core.Balancer.Finished(time.Now(), server, outcome)
+		r.core.Balancer.ObserveSize(server.Service, len(r.request.Body)+int(response.Stream.Passed()))
 		r.observeEnd(ctx, server, began, failure)
 		if failure == nil && response.Stream.Complete() && response.Status < http.StatusInternalServerError {
 			r.core.Suspicions.Ran(r.service.Name, r.fingerprints)
--- a/internal/entry/delivery.go
+++ b/internal/entry/delivery.go
@@ -56,6 +56,9 @@
 func (d *delivery) wrote(n int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if n == 0 {
+		return
+	}
 	d.written += n
 	d.writtenAt = time.Now()
 }
--- a/internal/httpstatus/scanner.go
+++ b/internal/httpstatus/scanner.go
@@ -1,14 +1,16 @@
 package httpstatus
 
+import "fmt"
+
 // scanner finds the statuses in the heads of the answers to one request, up to the final answer.
 // A head that net/http rejects needs no exact result.
 type scanner struct {
-	state    scanState
-	digits   int // of the status so far
-	status   int
-	line     int // bytes of the header line so far, without a carriage return at its end
-	returned bool
-	answers  Sequence
+	state   scanState
+	digits  int // of the status so far
+	status  int
+	line    int // bytes of the header line so far, without a carriage return at its end
+	sawCR   bool
+	answers Sequence
 }
 
 // scanState is the part of a head that the next byte belongs to.
@@ -29,23 +31,23 @@
 		case done:
 			return nil
 		case inVersion:
-			s.inVersion(b)
+			s.scanVersion(b)
 		case inStatus:
-			if err := s.inStatus(b); err != nil {
+			if err := s.scanStatus(b); err != nil {
 				return err
 			}
 		case inReason:
 			if b == '\n' {
-				s.state, s.line, s.returned = inHeader, 0, false
+				s.state, s.line, s.sawCR = inHeader, 0, false
 			}
 		case inHeader:
-			s.inHeader(b)
+			s.scanHeader(b)
 		}
 	}
 	return nil
 }
 
-func (s *scanner) inVersion(b byte) {
+func (s *scanner) scanVersion(b byte) {
 	switch b {
 	case ' ':
 		s.state, s.digits, s.status = inStatus, 0, 0
@@ -54,11 +56,14 @@
 	}
 }
 
-func (s *scanner) inStatus(b byte) error {
+func (s *scanner) scanStatus(b byte) error {
 	const statusDigits = 3
 	switch {
 	case b == ' ' && s.digits == 0: // net/http accepts several spaces
 		return nil
+	case b == '+' && s.digits == 0: // net/http takes +20 for a status
+		s.state = done
+		return fmt.Errorf("%w that begins with a sign", ErrInvalid)
 	case b < '0' || b > '9':
 		s.state = done
 		return nil
@@ -76,14 +81,14 @@
 	return err
 }
 
-func (s *scanner) inHeader(b byte) {
+func (s *scanner) scanHeader(b byte) {
 	switch {
 	case b == '\n' && s.line == 0:
 		s.state = inVersion
 	case b == '\n':
-		s.line, s.returned = 0, false
-	case b == '\r' && !s.returned:
-		s.returned = true
+		s.line, s.sawCR = 0, false
+	case b == '\r' && !s.sawCR:
+		s.sawCR = true
 	default:
 		s.line++
 	}
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 )
 
-// Errors of ReadAll.
+// Errors of ReadAll and ReadParts.
 var (
 	// ErrTooLarge means that a message exceeds the limit of one message.
 	ErrTooLarge = errors.New("message too large")
--- a/internal/serverconn/conn.go
+++ b/internal/serverconn/conn.go
@@ -1,5 +1,5 @@
 // Package serverconn sends requests to servers over pooled connections and reads
-// complete answers. It never sends a request twice.
+// their answers, or streams those that do not fit into memory. It never sends a request twice.
 package serverconn
 
 import (
--- a/internal/serverconn/exchange.go
+++ b/internal/serverconn/exchange.go
@@ -291,9 +291,12 @@
 // readBody reads the whole body of an answer. If the body does not fit into memory, readBody returns
 // a stream of it, or fails if it is needed whole.
 func (s *Sender) readBody(c *conn, resp *http.Response, r *Request, whole bool) ([]byte, *Stream, error) {
+	if resp.Body == http.NoBody { // the answer to HEAD states the length of a body that it does not have
+		return nil, nil, nil
+	}
 	var parts [][]byte
 	var err error
-	if resp.ContentLength > s.maxBodyBytes && r.Method != http.MethodHead {
+	if resp.ContentLength > s.maxBodyBytes {
 		err = fmt.Errorf("%w: the answer has %d bytes, the limit is %d", membudget.ErrTooLarge, resp.ContentLength, s.maxBodyBytes)
 	} else {
 		var body []byte
--- a/internal/serverconn/stream.go
+++ b/internal/serverconn/stream.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -49,7 +50,8 @@
 	offset int      // in the first of parts
 	memory *membudget.Reservation
 	buffer []byte
-	got    int64 // bytes returned
+	got    int64        // bytes returned
+	passed atomic.Int64 // got, for other goroutines
 	// returnedAt is when the last bytes were returned, heldUp for how long bytes of the server have
 	// been waiting for the caller without a break.
 	returnedAt time.Time
@@ -105,6 +107,9 @@
 	return s.waited
 }
 
+// Passed returns how many bytes of the body were passed on.
+func (s *Stream) Passed() int64 { return s.passed.Load() }
+
 // Complete reports whether the stream has ended with the whole body.
 func (s *Stream) Complete() bool { return errors.Is(s.endError(), io.EOF) }
 
@@ -139,6 +144,7 @@
 		}
 	}
 	s.got += int64(len(part))
+	s.passed.Store(s.got)
 	return part, nil
 }
 
@@ -199,7 +205,16 @@
 	for {
 		began := time.Now()
 		_ = s.conn.SetReadDeadline(began.Add(streamReadTimeout))
-		n, err := s.body.Read(s.buffer)
+		// A chunk is read until the buffer is full, however slowly its bytes come. The deadline is
+		// for a server that sends none.
+		var n int
+		var err error
+		if s.length < 0 || s.got < s.length {
+			_, err = s.conn.reader.Peek(1)
+		}
+		if err == nil || errors.Is(err, io.EOF) { // any other error is reported once
+			n, err = s.body.Read(s.buffer[:max(1, min(s.conn.reader.Buffered(), len(s.buffer)))])
+		}
 		s.mu.Lock()
 		s.waited += time.Since(began)
 		s.mu.Unlock()
--- a/internal/serverconn/stream_test.go
+++ b/internal/serverconn/stream_test.go
@@ -110,3 +110,58 @@
 		t.Errorf("got stream %v, failure %v; want a failure with progress Sent", answer, f)
 	}
 }
+
+// Guards against answers to HEAD that are taken for streams while the memory of answers is used up: a
+// sound server would be taken for one that broke off its answer.
+func TestAnswerToHeadIsNeverStreamed(t *testing.T) {
+	server := cutServer(t, func() string { return fmt.Sprintf(streamHead, "1") + "Content-Length: 100000\r\n\r\n" })
+	for limit, memory := range map[int64]*membudget.Reservation{1000: nil, 1 << 20: membudget.New(0).Open()} {
+		s := newSender()
+		s.maxBodyBytes = limit
+		response, failure := s.Do(t.Context(), &Request{ID: "1", Method: "HEAD", Target: "/x", Host: "h", Deadline: time.Now().Add(time.Second), Server: server, Memory: memory})
+		if failure != nil || response.Stream != nil || len(response.Body) > 0 || response.Header.Get("Content-Length") != "100000" {
+			t.Errorf("limit %d: got response %+v, failure %v", limit, response, failure)
+		}
+	}
+}
+
+// Guards against a server that sends steadily and is cut off because one chunk takes long to fill the
+// buffer, and against bytes that wait for that.
+func TestStreamPassesBytesOnAsTheyCome(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	const parts, pause = 6, 50 * time.Millisecond
+	go func() {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		_, _ = c.Read(make([]byte, 4096))
+		_, _ = fmt.Fprintf(c, streamHead+"Transfer-Encoding: chunked\r\n\r\n%x\r\n%s", "1", 10+parts, "0123456789")
+		for range parts {
+			time.Sleep(pause)
+			_, _ = c.Write([]byte("x"))
+		}
+		_, _ = c.Write([]byte("\r\n0\r\n\r\n"))
+	}()
+	st, failure := stream(t, newSender(), &registry.Server{ID: "s", Address: listener.Addr().String()}, 5, nil)
+	if failure != nil || st == nil {
+		t.Fatalf("got no stream, failure %v", failure)
+	}
+	got, reads := "", 0
+	for err == nil {
+		var part []byte
+		part, err = st.Next()
+		got, reads = got+string(part), reads+1
+	}
+	if want := "0123456789" + strings.Repeat("x", parts); got != want || !errors.Is(err, io.EOF) {
+		t.Errorf("got body %q, error %v; want %q as a whole", got, err, want)
+	}
+	if reads < parts {
+		t.Errorf("got the body in %d reads, want one for each of the %d parts that came apart", reads, parts)
+	}
+}
