--- a/internal/keyspace/slow_keys.go
+++ b/internal/keyspace/slow_keys.go
@@ -119,8 +119,8 @@
 	return all
 }
 
-// slowKeyWork is how much work a request for a slow key takes, relative to others: four to six times
-// as much on two sites.
+// slowKeyWork is how much work a request for a slow key takes, relative to others. The descriptions of
+// two sites state a factor of 5.2.
 const slowKeyWork = 5.0
 
 // slowWork returns the work of a request for a key, relative to others.
