Readers on net/http refuse answers with an invalid field name

What callers saw: the daemon passed on a 200 in whose head the name of a field holds a blank, without that field; with "Transfer-Encoding : chunked" beside a length, the frame of the chunk as the body. A 503 that says that the request did not start was believed. Control calls, the store, the platform's services and messages and relayed requests between VMs accepted such answers too.

Cause: the same as in the gateway's sender; net/http accepts blanks in names. The connections of httpstatus.Transport checked the statuses of the heads only.

Change: the scanner of a connection reads each head to its end, as net/http does (folded lines, line feeds only), and fails at the first byte of a name that is no token. A check of the parsed response would come too late here: its connection may be in use again.

Tests named after invalid statuses are named after heads, as they cover both; none of their cases is gone.

--- a/internal/backend/status_test.go
+++ b/internal/backend/status_test.go
@@ -7,8 +7,8 @@
 )
 
 // Guards against a connection to a server in trouble that stays in use: what follows an answer
-// without a valid status could be read as the answer to the next control call.
-func TestInvalidStatusOfControlCallEndsConnection(t *testing.T) {
+// with an invalid head could be read as the answer to the next control call.
+func TestInvalidHeadOfControlCallEndsConnection(t *testing.T) {
 	statustest.CheckClient(t, "", func(address string) error {
 		_, err := NewControlClients().For(address).Grant(t.Context(), GrantRequest{})
 		return err
--- a/internal/gateway/status_test.go
+++ b/internal/gateway/status_test.go
@@ -11,8 +11,8 @@
 )
 
 // Guards against a connection to a VM in trouble that stays in use: what follows a response
-// without a valid status could be read as the response to the next call.
-func TestInvalidStatusOfPeerEndsConnection(t *testing.T) {
+// with an invalid head could be read as the response to the next call.
+func TestInvalidHeadOfPeerEndsConnection(t *testing.T) {
 	statustest.CheckClient(t, "", func(address string) error {
 		follower, _ := newTestViewSync(t)
 		_, err := follower.ask(context.Background(), &peer{name: "reader", address: address}, map[string]uint64{}, 3*time.Second, 0)
@@ -20,9 +20,9 @@
 	})
 }
 
-// Guards against an invalid status that a VM of an earlier version passes on as the answer of a
+// Guards against an invalid head that a VM of an earlier version passes on as the answer of a
 // server: the request may have run, and is not sent again.
-func TestInvalidStatusOfRelayedAnswerIsNoAnswer(t *testing.T) {
+func TestInvalidHeadOfRelayedAnswerIsNoAnswer(t *testing.T) {
 	header := relayOutcome + ": " + relayAnswered + "\r\n"
 	for _, a := range append(statustest.Answers(header), statustest.Switching(header)) {
 		t.Run(a.Name, func(t *testing.T) {
--- a/internal/httpstatus/scanner.go
+++ b/internal/httpstatus/scanner.go
@@ -1,13 +1,19 @@
 package httpstatus
 
-// scanner finds the statuses in the heads of the answers to one request, up to the final answer.
-// A head that net/http rejects needs no exact result.
+import (
+	"bytes"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// scanner checks the heads of the answers to one request as they are read, up to that of the final
+// answer. A head that net/http rejects needs no exact result.
 type scanner struct {
 	state   scanState
 	digits  int // of the status so far
 	status  int
-	line    int // bytes of the header line so far, without a carriage return at its end
-	sawCR   bool
+	final   bool   // the head is that of the final answer
+	name    []byte // field name so far, at most maxQuotedName bytes
 	answers Sequence
 }
 
@@ -18,28 +24,49 @@
 	done      scanState = iota // nothing is checked until the next request
 	inVersion                  // protocol version
 	inStatus                   // spaces and digits after the version
-	inReason                   // rest of the status line of an interim answer
-	inHeader                   // header lines of an interim answer
+	inReason                   // rest of the status line
+	atFirst                    // start of the line after the status line
+	atLine                     // start of a later line
+	inEnd                      // after a carriage return at the start of a line
+	inName                     // name of a field
+	inValue                    // rest of a line
 )
 
-// add scans the next bytes that were read. It returns an error at an invalid status.
+// begin starts with the answers to the next request. It keeps the buffer of names.
+func (s *scanner) begin() { *s = scanner{state: inVersion, name: s.name[:0]} }
+
+// add scans the next bytes that were read. It returns an error at an invalid status or field name.
 func (s *scanner) add(p []byte) error {
-	for _, b := range p {
+	for i := 0; i < len(p); i++ {
+		var err error
 		switch s.state {
 		case done:
 			return nil
 		case inVersion:
-			s.scanVersion(b)
+			s.scanVersion(p[i])
 		case inStatus:
-			if err := s.scanStatus(b); err != nil {
-				return err
+			err = s.scanStatus(p[i])
+		case inReason, inValue:
+			end := bytes.IndexByte(p[i:], '\n')
+			if end < 0 {
+				return nil
 			}
-		case inReason:
-			if b == '\n' {
-				s.state, s.line, s.sawCR = inHeader, 0, false
+			i += end
+			if s.state == inReason {
+				s.state = atFirst
+			} else {
+				s.state = atLine
 			}
-		case inHeader:
-			s.scanHeader(b)
+		case atFirst, atLine:
+			err = s.scanLineStart(p[i])
+		case inEnd:
+			err = s.scanEnd(p[i])
+		case inName:
+			err = s.scanName(p[i])
+		}
+		if err != nil {
+			s.state = done
+			return err
 		}
 	}
 	return nil
@@ -60,7 +87,6 @@
 	case b == ' ' && s.digits == 0: // net/http accepts several spaces
 		return nil
 	case b == '+' && s.digits == 0: // net/http takes +20 for a status
-		s.state = done
 		return invalid("status that begins with a sign")
 	case b < '0' || b > '9':
 		s.state = done
@@ -70,24 +96,55 @@
 	if s.digits++; s.digits < statusDigits {
 		return nil
 	}
-	final, err := s.answers.Next(s.status)
-	if final {
-		s.state = done
-	} else {
-		s.state = inReason
-	}
+	s.state = inReason
+	var err error
+	s.final, err = s.answers.Next(s.status)
 	return err
 }
 
-func (s *scanner) scanHeader(b byte) {
+// scanLineStart scans the first byte of a line after the status line. A line that begins with a blank
+// continues the value of the line before.
+func (s *scanner) scanLineStart(b byte) error {
 	switch {
-	case b == '\n' && s.line == 0:
-		s.state = inVersion
 	case b == '\n':
-		s.line, s.sawCR = 0, false
-	case b == '\r' && !s.sawCR:
-		s.sawCR = true
+		s.endHead()
+	case b == '\r':
+		s.state = inEnd
+	case (b == ' ' || b == '\t') && s.state == atLine:
+		s.state = inValue
 	default:
-		s.line++
+		s.state, s.name = inName, s.name[:0]
+		return s.scanName(b)
+	}
+	return nil
+}
+
+func (s *scanner) scanEnd(b byte) error {
+	if b != '\n' {
+		return invalid("field name %q", "\r")
+	}
+	s.endHead()
+	return nil
+}
+
+func (s *scanner) scanName(b byte) error {
+	switch {
+	case b == ':' && len(s.name) > 0:
+		s.state = inValue
+		return nil
+	case len(s.name) < maxQuotedName:
+		s.name = append(s.name, b)
+	}
+	if !httpguts.IsTokenRune(rune(b)) {
+		return invalid("field name %q", s.name)
+	}
+	return nil
+}
+
+func (s *scanner) endHead() {
+	if s.final {
+		s.state = done
+	} else {
+		s.state = inVersion
 	}
 }
--- a/internal/httpstatus/statustest/statustest.go
+++ b/internal/httpstatus/statustest/statustest.go
@@ -26,9 +26,11 @@
 	Reason     string // part of the error that the answer causes
 }
 
-// Answers returns the answers with invalid statuses that concern any reader. header is added to each
-// head.
-func Answers(header string) []Answer {
+// Answers returns the invalid answers that concern any reader. header is added to each head.
+func Answers(header string) []Answer { return append(statuses(header), names(header)...) }
+
+// statuses returns answers with invalid statuses.
+func statuses(header string) []Answer {
 	ok := "HTTP/1.1 200 OK\r\n" + header + "Content-Length: 2\r\n\r\n{}"
 	var answers []Answer
 	for _, status := range []string{"000", "099", "600", "999"} {
@@ -50,8 +52,8 @@
 	return Answer{"101", "HTTP/1.1 101 Switching Protocols\r\n" + header + "Connection: Upgrade\r\nUpgrade: x\r\n\r\n", "invalid status 101"}
 }
 
-// Names returns answers with invalid field names. header is added to each head.
-func Names(header string) []Answer {
+// names returns answers with invalid field names.
+func names(header string) []Answer {
 	const final, interim, end = "HTTP/1.1 200 OK\r\n", "HTTP/1.1 103 Early Hints\r\n", "Content-Length: 2\r\n\r\n{}"
 	var answers []Answer
 	add := func(name, text string) { answers = append(answers, Answer{name, text, "invalid field name"}) }
--- a/internal/httpstatus/transport.go
+++ b/internal/httpstatus/transport.go
@@ -10,12 +10,12 @@
 	"sync/atomic"
 )
 
-// Transport returns a RoundTripper for base that fails for answers with invalid statuses and
-// resets their connections. base must have a DialContext.
+// Transport returns a RoundTripper for base that fails for answers with invalid heads and resets
+// their connections. base must have a DialContext.
 //
 // A check of the response alone would come too late: net/http puts a connection back into its pool
 // before it returns a response without a body, and another request could then read the bytes that
-// follow as its answer. So connections check statuses as they read them.
+// follow as its answer. So connections check heads as they read them.
 func Transport(base *http.Transport) http.RoundTripper {
 	dial := base.DialContext
 	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -58,15 +58,15 @@
 	return resp, nil
 }
 
-// Conn is a connection that checks the statuses of the answers that are read from it.
+// Conn is a connection that checks the heads of the answers that are read from it.
 type Conn struct {
 	net.Conn
 	mu   sync.Mutex // guards the fields below
 	scan scanner
-	err  error // invalid status that was read
+	err  error // invalid head that was read
 }
 
-// Read implements net.Conn. It resets the connection at an invalid status.
+// Read implements net.Conn. It resets the connection at an invalid head.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
@@ -86,7 +86,7 @@
 func (c *Conn) awaitAnswer() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.scan = scanner{state: inVersion}
+	c.scan.begin()
 }
 
 func (c *Conn) invalid() error {
--- a/internal/platformclient/status_test.go
+++ b/internal/platformclient/status_test.go
@@ -7,8 +7,8 @@
 )
 
 // Guards against a connection to a platform in trouble that stays in use: what follows an answer
-// without a valid status could be read as the answer to the next call.
-func TestInvalidStatusOfPlatformEndsConnection(t *testing.T) {
+// with an invalid head could be read as the answer to the next call.
+func TestInvalidHeadOfPlatformEndsConnection(t *testing.T) {
 	statustest.CheckClient(t, "", func(address string) error {
 		_, err := New(address).Get(t.Context(), "k")
 		return err
--- a/internal/routing/status_test.go
+++ b/internal/routing/status_test.go
@@ -6,17 +6,19 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"kumquatcleat/internal/backend"
 	"kumquatcleat/internal/httpstatus/statustest"
 	"kumquatcleat/internal/retry"
 )
 
-// Guards against a server in trouble whose answer has no valid status: the caller got it, or no
-// answer at all, and the decision log did not tell why.
-func TestInvalidStatusOfServerIsNoAnswer(t *testing.T) {
+// Guards against a server in trouble whose answer has an invalid status or field name: the caller got it
+// with another body or without the field, or no answer at all, and the decision log did not tell why.
+func TestInvalidHeadOfServerIsNoAnswer(t *testing.T) {
 	for _, a := range append(statustest.Answers(""), statustest.Switching("")) {
 		t.Run(a.Name, func(t *testing.T) {
 			raw := statustest.Serve(t, a.Text)
@@ -40,6 +42,49 @@
 	}
 }
 
+// Guards against the belief in a refusal whose head is invalid: its promise that the request did not run
+// was passed on.
+func TestRefusalInInvalidHeadIsNotBelieved(t *testing.T) {
+	raw := statustest.Serve(t, "HTTP/1.1 503 No\r\n"+backend.HeaderNotStarted+": "+backend.NotStartedDraining+"\r\nX Note: a\r\nContent-Length: 0\r\n\r\n")
+	r := newTestRouter(t, raw.Address, retry.NoRetry{})
+	resp, _, err := r.do(t, http.MethodPost, "/shop/x", "swap")
+	if err != nil || resp.StatusCode != http.StatusBadGateway || resp.Header.Get(HeaderOutcome) != "unknown" {
+		t.Errorf("got %+v, %v; want 502 and unknown", resp, err)
+	}
+	raw.CheckReset(t)
+}
+
+// Guards against a check of field names that refuses valid heads: all bytes of a token, several fields
+// of one name, folded lines and bytes above 0x7f in a value.
+func TestValidFieldsOfServerArePassedOn(t *testing.T) {
+	const token = "!#$%&'*+-.^_`|~09azAZ"
+	raw := statustest.Serve(t, "HTTP/1.1 103 Early Hints\r\nLink: a\r\n b c: d\r\n\r\nHTTP/1.1 200 OK\r\n"+token+": a\r\nX-Note: a\r\nX-Note:b\r\nX-Folded: a\r\n b c: d\r\n\te\r\nX-Empty:\r\nX-Text: \xe4 : b\r\nContent-Length: 2\r\n\r\nok")
+	r := newTestRouter(t, raw.Address, retry.NoRetry{})
+	resp, body, err := r.do(t, http.MethodGet, "/shop/x", "")
+	if err != nil || resp.StatusCode != http.StatusOK || body != "ok" {
+		t.Fatalf("got %+v, body %q, error %v; want the answer", resp, body, err)
+	}
+	for name, want := range map[string][]string{http.CanonicalHeaderKey(token): {"a"}, "X-Note": {"a", "b"}, "X-Folded": {"a b c: d e"}, "X-Empty": {""}, "X-Text": {"\xe4 : b"}} {
+		if got := resp.Header[name]; !slices.Equal(got, want) {
+			t.Errorf("got %q for %s, want %q", got, name, want)
+		}
+	}
+}
+
+// Guards against a trailer with an invalid name that reaches the caller. It says nothing about where
+// the answer ends, so the answer counts.
+func TestInvalidTrailerIsNotPassedOn(t *testing.T) {
+	raw := statustest.Serve(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n2\r\nok\r\n0\r\nX-Sum: 1\r\nX Note: a\r\nContent-Length : 1\r\n\r\n")
+	r := newTestRouter(t, raw.Address, retry.NoRetry{})
+	resp, body, err := r.do(t, http.MethodGet, "/shop/x", "")
+	if err != nil || body != "ok" {
+		t.Fatalf("got %+v, body %q, error %v; want the answer", resp, body, err)
+	}
+	if len(resp.Trailer) != 1 || resp.Trailer.Get("X-Sum") != "1" {
+		t.Errorf("got trailers %q, want X-Sum only", resp.Trailer)
+	}
+}
+
 // decisionLines returns the lines of the decision log.
 func (r *testRouter) decisionLines() string {
 	var out bytes.Buffer
--- a/internal/serverconn/status_test.go
+++ b/internal/serverconn/status_test.go
@@ -15,11 +15,6 @@
 
 const statusHeader = "Request-Id: 1\r\nSignature: x\r\n"
 
-// invalidAnswers returns the answers with invalid statuses and field names.
-func invalidAnswers(header string) []statustest.Answer {
-	return slices.Concat(statustest.Answers(header), statustest.Names(header))
-}
-
 // namesReason reports whether an error names why an answer is invalid, in the words of net/http for
 // those that it refuses by itself.
 func namesReason(err error, a statustest.Answer) bool {
@@ -29,7 +24,7 @@
 // Guards against a server in trouble whose answer has an invalid status or field name: its caller waited
 // until the deadline, or got the status or the field, or got a body that is not that of the answer.
 func TestInvalidHeadIsNoAnswer(t *testing.T) {
-	for _, a := range invalidAnswers(statusHeader) {
+	for _, a := range statustest.Answers(statusHeader) {
 		t.Run(a.Name, func(t *testing.T) {
 			raw := statustest.Serve(t, a.Text)
 			began := time.Now()
@@ -50,7 +45,7 @@
 
 // The same holds for control calls: a grant that a server answers with such a head is not confirmed.
 func TestInvalidHeadOfControlCallIsNoAnswer(t *testing.T) {
-	for _, a := range invalidAnswers("") {
+	for _, a := range statustest.Answers("") {
 		t.Run(a.Name, func(t *testing.T) {
 			raw := statustest.Serve(t, a.Text)
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
