Command line: responses with an invalid head fail the command

What users saw: status and explain printed what stood in a response with a status such as 600 or a field name with a blank, with exit code 0 or an error about its content; without a length that counts they waited until their time-out.

Cause: these commands had net/http clients of their own, without the check of heads that the other readers on net/http have.

Change: both clients use httpstatus.Transport. The test passes now, with -race.

--- a/internal/cli/explainrequest.go
+++ b/internal/cli/explainrequest.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return fault.Wrap(fault.BadRequest, err, "build request to gateway %s", q.gateway)
 	}
-	resp, err := (&http.Client{}).Do(req)
+	resp, err := newHTTPClient().Do(req)
 	if err != nil {
 		return gatewayError("gateway %s did not answer: %w", q.gateway, err)
 	}
--- a/internal/cli/explainrequest_test.go
+++ b/internal/cli/explainrequest_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 
+	"kumquatcleat/internal/httpstatus/statustest"
 	"kumquatcleat/internal/operator"
 )
 
@@ -75,3 +77,20 @@
 	run("", "explain", "--path", path, "--vm", vm, "--json").want(t, ExitOK, `"refusal": "full"`)
 	run("", "explain", "--path", "/", "--vm", vm).want(t, ExitUsage, "another path")
 }
+
+// Guards against a command that prints what stands in an answer with an invalid head, or waits for a body
+// whose length such a head hides.
+func TestInvalidHeadFailsCommand(t *testing.T) {
+	for name, args := range map[string][]string{
+		"status": {"status", "--vm"}, "explain": {"explain", "--path", "/", "--vm"}, "explain request": {"explain", "--host", "h", "--path", "/", "--gateway"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			statustest.CheckClient(t, "", func(address string) error {
+				if r := run("", append(args, address)...); r.code != ExitOK {
+					return errors.New(r.stderr)
+				}
+				return nil
+			})
+		})
+	}
+}
--- a/internal/cli/vm.go
+++ b/internal/cli/vm.go
@@ -12,6 +12,7 @@
 	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"kumquatcleat/internal/fault"
+	"kumquatcleat/internal/httpstatus"
 	"kumquatcleat/internal/operator"
 )
 
@@ -32,7 +33,13 @@
 	}
 	disableGoZeroLog()
 	breaker.NoBreakerFor(vmServiceName)
-	return &vmClient{address: o.vm, service: httpc.NewServiceWithClient(vmServiceName, &http.Client{})}, nil
+	return &vmClient{address: o.vm, service: httpc.NewServiceWithClient(vmServiceName, newHTTPClient())}, nil
+}
+
+// newHTTPClient returns a client that refuses responses with an invalid head.
+func newHTTPClient() *http.Client {
+	base := http.DefaultTransport.(*http.Transport).Clone()
+	return &http.Client{Transport: httpstatus.Transport(base)}
 }
 
 // Status returns the VM's view of the system.
