--- a/Makefile
+++ b/Makefile
@@ -53,7 +53,7 @@
 # Fuzzes each decoder of foreign bytes for a few seconds, beyond its committed seeds, which
 # unit runs. By count: a run that ends by time can fail without a failing input.
 FUZZ_TIME ?= 100000x
-FUZZ_TARGETS := internal/httpstatus:FuzzScannerReadsHeadsAsLibrary \
+FUZZ_TARGETS := internal/httphead:FuzzScannerReadsHeadsAsLibrary \
   internal/serverconn:FuzzServerAnswer internal/entry:FuzzCallerRequests internal/entry:FuzzCheckHead \
   internal/keyspace:FuzzOwnersRecord internal/gateway:FuzzPeerUpdates internal/gateway:FuzzLoadReport \
   platform:FuzzRegistration platform:FuzzConfiguration
--- a/internal/backend/http.go
+++ b/internal/backend/http.go
@@ -13,7 +13,7 @@
 	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"kumquatcleat/internal/dial"
-	"kumquatcleat/internal/httpstatus"
+	"kumquatcleat/internal/httphead"
 	"kumquatcleat/internal/membudget"
 )
 
@@ -47,7 +47,7 @@
 
 		MaxResponseHeaderBytes: controlMaxHeadBytes,
 	}
-	client := &http.Client{Transport: httpstatus.Transport(transport), Timeout: controlTimeout, CheckRedirect: dial.NoRedirects}
+	client := &http.Client{Transport: httphead.Transport(transport), Timeout: controlTimeout, CheckRedirect: dial.NoRedirects}
 	return &ControlClients{service: httpc.NewServiceWithClient(controlBreaker, client)}
 }
 
--- a/internal/cli/explainrequest_test.go
+++ b/internal/cli/explainrequest_test.go
@@ -8,7 +8,7 @@
 	"strings"
 	"testing"
 
-	"kumquatcleat/internal/httpstatus/statustest"
+	"kumquatcleat/internal/httphead/headtest"
 	"kumquatcleat/internal/operator"
 )
 
@@ -85,7 +85,7 @@
 		"status": {"status", "--vm"}, "explain": {"explain", "--path", "/", "--vm"}, "explain request": {"explain", "--host", "h", "--path", "/", "--gateway"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			statustest.CheckClient(t, "", func(address string) error {
+			headtest.CheckClient(t, "", func(address string) error {
 				if r := run("", append(args, address)...); r.code != ExitOK {
 					return errors.New(r.stderr)
 				}
--- a/internal/cli/vm.go
+++ b/internal/cli/vm.go
@@ -12,7 +12,7 @@
 	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"kumquatcleat/internal/fault"
-	"kumquatcleat/internal/httpstatus"
+	"kumquatcleat/internal/httphead"
 	"kumquatcleat/internal/operator"
 )
 
@@ -39,7 +39,7 @@
 // newHTTPClient returns a client that refuses responses with an invalid head.
 func newHTTPClient() *http.Client {
 	base := http.DefaultTransport.(*http.Transport).Clone()
-	return &http.Client{Transport: httpstatus.Transport(base)}
+	return &http.Client{Transport: httphead.Transport(base)}
 }
 
 // Status returns the VM's view of the system.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -12,7 +12,7 @@
 
 	"kumquatcleat/internal/bootclock"
 	"kumquatcleat/internal/dial"
-	"kumquatcleat/internal/httpstatus"
+	"kumquatcleat/internal/httphead"
 	"kumquatcleat/internal/membudget"
 )
 
@@ -20,7 +20,7 @@
 // to each of them.
 func newPeerClient(localIP string, dialTimeout time.Duration, idlePerVM int) *http.Client {
 	dialer := dial.WithDeadPeerDetection(localIP, dialTimeout)
-	return &http.Client{CheckRedirect: dial.NoRedirects, Transport: httpstatus.Transport(&http.Transport{
+	return &http.Client{CheckRedirect: dial.NoRedirects, Transport: httphead.Transport(&http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerVM, IdleConnTimeout: 10 * time.Second,
 		DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
 	})}
--- a/internal/gateway/status_test.go
+++ b/internal/gateway/head_test.go
@@ -7,13 +7,13 @@
 	"testing"
 	"time"
 
-	"kumquatcleat/internal/httpstatus/statustest"
+	"kumquatcleat/internal/httphead/headtest"
 )
 
 // Guards against a connection to a VM in trouble that stays in use: what follows a response
 // with an invalid head could be read as the response to the next call.
 func TestInvalidHeadOfPeerEndsConnection(t *testing.T) {
-	statustest.CheckClient(t, "", func(address string) error {
+	headtest.CheckClient(t, "", func(address string) error {
 		follower, _ := newTestViewSync(t)
 		_, err := follower.ask(context.Background(), &peer{name: "reader", address: address}, map[string]uint64{}, 3*time.Second, 0)
 		return err
@@ -24,9 +24,9 @@
 // server: the request may have run, and is not sent again.
 func TestInvalidHeadOfRelayedAnswerIsNoAnswer(t *testing.T) {
 	header := relayOutcome + ": " + relayAnswered + "\r\n"
-	for _, a := range append(statustest.Answers(header), statustest.Switching(header)) {
+	for _, a := range append(headtest.Answers(header), headtest.Switching(header)) {
 		t.Run(a.Name, func(t *testing.T) {
-			raw := statustest.Serve(t, a.Text)
+			raw := headtest.Serve(t, a.Text)
 			began := time.Now()
 			result := send(relayTo(t, map[string][]string{"a": {raw.Address}}), callerRequest(http.MethodPost, "order"))
 			if result.Answer != nil {
@@ -35,7 +35,7 @@
 			if !result.Sent || !strings.Contains(result.Err.Error(), a.Reason) {
 				t.Errorf("got sent %v, error %v; want %q of a request that may have run", result.Sent, result.Err, a.Reason)
 			}
-			if took := time.Since(began); took > statustest.MaxTime {
+			if took := time.Since(began); took > headtest.MaxTime {
 				t.Errorf("the request took %v", took)
 			}
 			raw.CheckReset(t)
--- a/internal/httpstatus/statustest/statustest.go
+++ b/internal/httphead/headtest/headtest.go
@@ -1,7 +1,7 @@
-// Package statustest is a stand-in for a server in trouble that answers with invalid heads: statuses
+// Package headtest is a stand-in for a server in trouble that answers with invalid heads: statuses
 // that no final answer has, or field names that are no tokens. Tests use it to check the readers of
 // answers of both programs.
-package statustest
+package headtest
 
 import (
 	"bufio"
--- a/internal/httpstatus/httpstatus.go
+++ b/internal/httphead/httphead.go
@@ -1,6 +1,6 @@
-// Package httpstatus checks the heads of the HTTP answers that both programs read: statuses and field
+// Package httphead checks the heads of the HTTP answers that both programs read: statuses and field
 // names. net/http accepts any three digits as a status, 101 as a final one, and blanks in field names.
-package httpstatus
+package httphead
 
 import (
 	"errors"
--- a/internal/httpstatus/httpstatus_test.go
+++ b/internal/httphead/httphead_test.go
@@ -1,4 +1,4 @@
-package httpstatus
+package httphead
 
 import (
 	"bufio"
@@ -8,7 +8,7 @@
 	"strings"
 	"testing"
 
-	"kumquatcleat/internal/httpstatus/statustest"
+	"kumquatcleat/internal/httphead/headtest"
 )
 
 // Guards against a status or a field name that the check of a connection misses because of how the
@@ -80,7 +80,7 @@
 // Guards against heads that net/http accepts and the scanner reads in another way: a field that only
 // net/http sees would go unchecked.
 func FuzzScannerReadsHeadsAsLibrary(f *testing.F) {
-	for _, a := range statustest.Answers("Link: a\r\n b\r\n") {
+	for _, a := range headtest.Answers("Link: a\r\n b\r\n") {
 		f.Add([]byte(a.Text))
 	}
 	f.Add([]byte("HTTP/1.1  200\nLink:a\n\t b c:\n\r\nok"))
--- a/internal/httpstatus/transport.go
+++ b/internal/httphead/transport.go
@@ -1,4 +1,4 @@
-package httpstatus
+package httphead
 
 import (
 	"context"
--- a/internal/peer/clients.go
+++ b/internal/peer/clients.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"kumquatcleat/internal/dial"
-	"kumquatcleat/internal/httpstatus"
+	"kumquatcleat/internal/httphead"
 )
 
 const (
@@ -70,7 +70,7 @@
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	return &Clients{
-		http:      &http.Client{Transport: limitedTransport{httpstatus.Transport(transport)}, Timeout: requestTimeout},
+		http:      &http.Client{Transport: limitedTransport{httphead.Transport(transport)}, Timeout: requestTimeout},
 		byAddress: map[string]Peer{},
 	}
 }
--- a/internal/platformclient/client.go
+++ b/internal/platformclient/client.go
@@ -16,7 +16,7 @@
 	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"kumquatcleat/internal/dial"
-	"kumquatcleat/internal/httpstatus"
+	"kumquatcleat/internal/httphead"
 	"kumquatcleat/internal/membudget"
 	"kumquatcleat/internal/platform"
 )
@@ -52,7 +52,7 @@
 
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}
-	client := &http.Client{Transport: httpstatus.Transport(transport), Timeout: callTimeout, CheckRedirect: dial.NoRedirects}
+	client := &http.Client{Transport: httphead.Transport(transport), Timeout: callTimeout, CheckRedirect: dial.NoRedirects}
 	return &Client{base: "http://" + address, service: httpc.NewServiceWithClient(breakerName, client)}
 }
 
--- a/internal/routing/forwarder.go
+++ b/internal/routing/forwarder.go
@@ -13,7 +13,7 @@
 	"kumquatcleat/internal/backend"
 	"kumquatcleat/internal/config"
 	"kumquatcleat/internal/fault"
-	"kumquatcleat/internal/httpstatus"
+	"kumquatcleat/internal/httphead"
 	"kumquatcleat/internal/limits"
 	"kumquatcleat/internal/retry"
 )
@@ -222,7 +222,7 @@
 	}
 	f.cancel(target)
 	switch {
-	case errors.Is(err, httpstatus.ErrInvalid):
+	case errors.Is(err, httphead.ErrInvalid):
 		return fault.Wrap(fault.ConnectionLost, err, "the answer of server %s is invalid", id)
 	case f.request.Context().Err() != nil || f.body.readFailed.Load():
 		return fault.Wrap(fault.CallerGone, err, "the caller left before the answer of server %s", id)
--- a/internal/routing/status_test.go
+++ b/internal/routing/head_test.go
@@ -12,23 +12,23 @@
 	"time"
 
 	"kumquatcleat/internal/backend"
-	"kumquatcleat/internal/httpstatus/statustest"
+	"kumquatcleat/internal/httphead/headtest"
 	"kumquatcleat/internal/retry"
 )
 
 // Guards against a server in trouble whose answer has an invalid status or field name: the caller got it
 // with another body or without the field, or no answer at all, and the decision log did not tell why.
 func TestInvalidHeadOfServerIsNoAnswer(t *testing.T) {
-	for _, a := range append(statustest.Answers(""), statustest.Switching("")) {
+	for _, a := range append(headtest.Answers(""), headtest.Switching("")) {
 		t.Run(a.Name, func(t *testing.T) {
-			raw := statustest.Serve(t, a.Text)
+			raw := headtest.Serve(t, a.Text)
 			r := newTestRouter(t, raw.Address, retry.NoRetry{})
 			began := time.Now()
 			resp, body, err := r.do(t, http.MethodPost, "/shop/x", "swap", HeaderTimeout, "3000")
 			if err != nil {
 				t.Fatalf("the caller got no answer: %v", err)
 			}
-			if took := time.Since(began); took > statustest.MaxTime {
+			if took := time.Since(began); took > headtest.MaxTime {
 				t.Errorf("the answer took %v", took)
 			}
 			if resp.StatusCode != http.StatusBadGateway || resp.Header.Get(HeaderOutcome) != "unknown" {
@@ -45,7 +45,7 @@
 // Guards against the belief in a refusal whose head is invalid: its promise that the request did not run
 // was passed on.
 func TestRefusalInInvalidHeadIsNotBelieved(t *testing.T) {
-	raw := statustest.Serve(t, "HTTP/1.1 503 No\r\n"+backend.HeaderNotStarted+": "+backend.NotStartedDraining+"\r\nX Note: a\r\nContent-Length: 0\r\n\r\n")
+	raw := headtest.Serve(t, "HTTP/1.1 503 No\r\n"+backend.HeaderNotStarted+": "+backend.NotStartedDraining+"\r\nX Note: a\r\nContent-Length: 0\r\n\r\n")
 	r := newTestRouter(t, raw.Address, retry.NoRetry{})
 	resp, _, err := r.do(t, http.MethodPost, "/shop/x", "swap")
 	if err != nil || resp.StatusCode != http.StatusBadGateway || resp.Header.Get(HeaderOutcome) != "unknown" {
@@ -58,7 +58,7 @@
 // of one name, folded lines and bytes above 0x7f in a value.
 func TestValidFieldsOfServerArePassedOn(t *testing.T) {
 	const token = "!#$%&'*+-.^_`|~09azAZ"
-	raw := statustest.Serve(t, "HTTP/1.1 103 Early Hints\r\nLink: a\r\n b c: d\r\n\r\nHTTP/1.1 200 OK\r\n"+token+": a\r\nX-Note: a\r\nX-Note:b\r\nX-Folded: a\r\n b c: d\r\n\te\r\nX-Empty:\r\nX-Text: \xe4 : b\r\nContent-Length: 2\r\n\r\nok")
+	raw := headtest.Serve(t, "HTTP/1.1 103 Early Hints\r\nLink: a\r\n b c: d\r\n\r\nHTTP/1.1 200 OK\r\n"+token+": a\r\nX-Note: a\r\nX-Note:b\r\nX-Folded: a\r\n b c: d\r\n\te\r\nX-Empty:\r\nX-Text: \xe4 : b\r\nContent-Length: 2\r\n\r\nok")
 	r := newTestRouter(t, raw.Address, retry.NoRetry{})
 	resp, body, err := r.do(t, http.MethodGet, "/shop/x", "")
 	if err != nil || resp.StatusCode != http.StatusOK || body != "ok" {
@@ -74,7 +74,7 @@
 // Guards against a trailer with an invalid name that reaches the caller. It says nothing about where
 // the answer ends, so the answer counts.
 func TestInvalidTrailerIsNotPassedOn(t *testing.T) {
-	raw := statustest.Serve(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n2\r\nok\r\n0\r\nX-Sum: 1\r\nX Note: a\r\nContent-Length : 1\r\n\r\n")
+	raw := headtest.Serve(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n2\r\nok\r\n0\r\nX-Sum: 1\r\nX Note: a\r\nContent-Length : 1\r\n\r\n")
 	r := newTestRouter(t, raw.Address, retry.NoRetry{})
 	resp, body, err := r.do(t, http.MethodGet, "/shop/x", "")
 	if err != nil || body != "ok" {
--- a/internal/routing/transport.go
+++ b/internal/routing/transport.go
@@ -13,7 +13,7 @@
 	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"kumquatcleat/internal/dial"
-	"kumquatcleat/internal/httpstatus"
+	"kumquatcleat/internal/httphead"
 )
 
 const (
@@ -67,7 +67,7 @@
 		DisableCompression:     true, // bodies are forwarded unchanged
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
-	client := &http.Client{Transport: httpstatus.Transport(roundTripper), CheckRedirect: dial.NoRedirects} // the caller follows redirects
+	client := &http.Client{Transport: httphead.Transport(roundTripper), CheckRedirect: dial.NoRedirects} // the caller follows redirects
 	return &Transport{service: httpc.NewServiceWithClient(serverBreaker, client)}
 }
 
@@ -109,7 +109,7 @@
 }
 
 func (s *sendTracker) gotConn(info httptrace.GotConnInfo) {
-	checked, ok := info.Conn.(*httpstatus.Conn)
+	checked, ok := info.Conn.(*httphead.Conn)
 	if !ok {
 		return
 	}
--- a/internal/serverconn/conn.go
+++ b/internal/serverconn/conn.go
@@ -15,7 +15,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"kumquatcleat/internal/httpstatus"
+	"kumquatcleat/internal/httphead"
 )
 
 const (
@@ -77,7 +77,7 @@
 // may never come.
 func (c *conn) readFinal(method string) (*http.Response, error) {
 	defer func() { c.input.left = math.MaxInt64 }() // the reader of a body has its own limit
-	for answers := (httpstatus.Sequence{}); ; {
+	for answers := (httphead.Sequence{}); ; {
 		c.input.left = maxHeadBytes
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
@@ -85,7 +85,7 @@
 		}
 		final, err := answers.Next(resp.StatusCode)
 		if err == nil {
-			err = httpstatus.CheckNames(resp.Header)
+			err = httphead.CheckNames(resp.Header)
 		}
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w", errInvalidAnswer, err)
--- a/internal/serverconn/fuzz_test.go
+++ b/internal/serverconn/fuzz_test.go
@@ -7,7 +7,7 @@
 
 	"golang.org/x/net/http/httpguts"
 
-	"kumquatcleat/internal/httpstatus/statustest"
+	"kumquatcleat/internal/httphead/headtest"
 	"kumquatcleat/internal/registry"
 )
 
@@ -33,7 +33,7 @@
 	f.Add([]byte("HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nSignature: x\r\nContent-Length: 2\r\n\r\nok"))
 	f.Add([]byte("HTTP/1.1 421 No\r\nNot-Started: 1\r\nLoad: 1,2,3\r\nKeep-Alive: timeout=5\r\nContent-Length: 0\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nSignature: x\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\nHTTP/1.1"))
-	for _, a := range statustest.Answers(statusHeader) {
+	for _, a := range headtest.Answers(answerHeader) {
 		f.Add([]byte(a.Text))
 	}
 	f.Fuzz(func(t *testing.T, input []byte) {
--- a/internal/serverconn/status_test.go
+++ b/internal/serverconn/head_test.go
@@ -9,24 +9,24 @@
 	"testing"
 	"time"
 
-	"kumquatcleat/internal/httpstatus/statustest"
+	"kumquatcleat/internal/httphead/headtest"
 	"kumquatcleat/internal/registry"
 )
 
-const statusHeader = "Request-Id: 1\r\nSignature: x\r\n"
+const answerHeader = "Request-Id: 1\r\nSignature: x\r\n"
 
 // namesReason reports whether an error names why an answer is invalid, in the words of net/http for
 // those that it refuses by itself.
-func namesReason(err error, a statustest.Answer) bool {
+func namesReason(err error, a headtest.Answer) bool {
 	return strings.Contains(err.Error(), a.Reason) || strings.Contains(err.Error(), "malformed MIME header")
 }
 
 // Guards against a server in trouble whose answer has an invalid status or field name: its caller waited
 // until the deadline, or got the status or the field, or got a body that is not that of the answer.
 func TestInvalidHeadIsNoAnswer(t *testing.T) {
-	for _, a := range statustest.Answers(statusHeader) {
+	for _, a := range headtest.Answers(answerHeader) {
 		t.Run(a.Name, func(t *testing.T) {
-			raw := statustest.Serve(t, a.Text)
+			raw := headtest.Serve(t, a.Text)
 			began := time.Now()
 			response, failure := send(newSender(), &registry.Server{ID: "s1", Incarnation: 1, Address: raw.Address}, "1", true)
 			if response != nil {
@@ -35,7 +35,7 @@
 			if failure.Progress != Sent || !errors.Is(failure.Err, errInvalidAnswer) || !namesReason(failure, a) {
 				t.Errorf("got failure %v with progress %v, want %q of a request that may have run", failure, failure.Progress, a.Reason)
 			}
-			if took := time.Since(began); took > statustest.MaxTime/2 {
+			if took := time.Since(began); took > headtest.MaxTime/2 {
 				t.Errorf("the attempt took %v", took)
 			}
 			raw.CheckReset(t)
@@ -45,9 +45,9 @@
 
 // The same holds for control calls: a grant that a server answers with such a head is not confirmed.
 func TestInvalidHeadOfControlCallIsNoAnswer(t *testing.T) {
-	for _, a := range statustest.Answers("") {
+	for _, a := range headtest.Answers("") {
 		t.Run(a.Name, func(t *testing.T) {
-			raw := statustest.Serve(t, a.Text)
+			raw := headtest.Serve(t, a.Text)
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 			defer cancel()
 			answer, failure := newSender().Call(ctx, ControlCall{
@@ -64,7 +64,7 @@
 // Guards against the belief in a refusal whose head is invalid: its promise that the request did not run
 // would be passed on.
 func TestRefusalInInvalidHeadIsNotBelieved(t *testing.T) {
-	raw := statustest.Serve(t, "HTTP/1.1 503 No\r\nRequest-Id: 1\r\nNot-Started: 1\r\nX Note: a\r\nContent-Length: 0\r\n\r\n")
+	raw := headtest.Serve(t, "HTTP/1.1 503 No\r\nRequest-Id: 1\r\nNot-Started: 1\r\nX Note: a\r\nContent-Length: 0\r\n\r\n")
 	response, failure := send(newSender(), &registry.Server{ID: "s1", Incarnation: 1, Address: raw.Address}, "1", false)
 	if response != nil || failure.Progress != Sent || !errors.Is(failure.Err, errInvalidAnswer) {
 		t.Errorf("got %+v, %+v; want an invalid answer to a request that may have run", response, failure)
@@ -76,7 +76,7 @@
 // of one name, folded lines and bytes above 0x7f in a value.
 func TestValidFieldsAreAccepted(t *testing.T) {
 	const token = "!#$%&'*+-.^_`|~09azAZ"
-	raw := statustest.Serve(t, "HTTP/1.1 200 OK\r\n"+statusHeader+token+": a\r\nX-Note: a\r\nX-Note:b\r\nX-Folded: a\r\n b c: d\r\n\te\r\nX-Empty:\r\nX-Text: \xe4 : b\r\nContent-Length: 2\r\n\r\nok")
+	raw := headtest.Serve(t, "HTTP/1.1 200 OK\r\n"+answerHeader+token+": a\r\nX-Note: a\r\nX-Note:b\r\nX-Folded: a\r\n b c: d\r\n\te\r\nX-Empty:\r\nX-Text: \xe4 : b\r\nContent-Length: 2\r\n\r\nok")
 	response, failure := send(newSender(), &registry.Server{ID: "s1", Incarnation: 1, Address: raw.Address}, "1", true)
 	if failure != nil {
 		t.Fatal(failure)
@@ -91,8 +91,8 @@
 // Guards against 101 as an answer: it is one interim answer like others, as no request asks for
 // another protocol.
 func TestSwitchingProtocolsIsInterim(t *testing.T) {
-	text := statustest.Switching(statusHeader).Text + "HTTP/1.1 200 OK\r\n" + statusHeader + "Content-Length: 2\r\n\r\nok"
-	raw := statustest.Serve(t, text)
+	text := headtest.Switching(answerHeader).Text + "HTTP/1.1 200 OK\r\n" + answerHeader + "Content-Length: 2\r\n\r\nok"
+	raw := headtest.Serve(t, text)
 	response, failure := send(newSender(), &registry.Server{ID: "s1", Incarnation: 1, Address: raw.Address}, "1", true)
 	if failure != nil || response.Status != 200 || string(response.Body) != "ok" {
 		t.Errorf("got %+v, %v; want the final answer", response, failure)
