--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -17,17 +17,17 @@
 // ErrInvalid marks an answer whose head is invalid. What else came on its connection can't be trusted.
 var ErrInvalid = errors.New("invalid head")
 
-// headError tells what is invalid in a head. It is an ErrInvalid.
+// headError tells what is invalid in a head.
 type headError struct{ what string }
 
-func invalid(format string, args ...any) error { return headError{fmt.Sprintf(format, args...)} }
-
 // Error implements error.
 func (e headError) Error() string { return "invalid " + e.what }
 
-// Is makes errors.Is find ErrInvalid.
+// Is reports that the error is an ErrInvalid.
 func (e headError) Is(target error) bool { return target == ErrInvalid }
 
+func invalid(format string, args ...any) error { return headError{fmt.Sprintf(format, args...)} }
+
 // CheckFinal returns an error if a final answer can't have the status.
 func CheckFinal(status int) error {
 	if status < http.StatusOK || status > 599 {
@@ -52,9 +52,8 @@
 	return false, nil
 }
 
-// CheckNames returns an error if the name of a field is no token (RFC 9110, section 5.1). An
-// intermediary must not pass on a head whose lines other parsers may read differently: a name that
-// ends with a blank is a length for some, and no length for others.
+// CheckNames returns an error if the name of a field is no token (RFC 9110, section 5.1). Parsers read
+// such a line differently: "Content-Length : 2" states a length for some, and nothing for others.
 func CheckNames(h http.Header) error {
 	for name := range h {
 		if !httpguts.ValidHeaderFieldName(name) {
--- a/internal/httphead/scanner.go
+++ b/internal/httphead/scanner.go
@@ -27,9 +27,9 @@
 	inReason                   // rest of the status line
 	atFirst                    // start of the line after the status line
 	atLine                     // start of a later line
-	inEnd                      // after a carriage return at the start of a line
+	inEnd                      // line feed that ends the head, after its carriage return
 	inName                     // name of a field
-	inValue                    // rest of a line
+	inValue                    // rest of a header line
 )
 
 // begin starts with the answers to the next request. It keeps the buffer of names.
@@ -128,11 +128,11 @@
 }
 
 func (s *scanner) scanName(b byte) error {
-	switch {
-	case b == ':' && len(s.name) > 0:
+	if b == ':' && len(s.name) > 0 {
 		s.state = inValue
 		return nil
-	case len(s.name) < maxQuotedName:
+	}
+	if len(s.name) < maxQuotedName {
 		s.name = append(s.name, b)
 	}
 	if !httpguts.IsTokenRune(rune(b)) {
