--- a/internal/httphead/httphead_test.go
+++ b/internal/httphead/httphead_test.go
@@ -85,7 +85,7 @@
 	}
 	f.Add([]byte("HTTP/1.1  200\nLink:a\n\t b c:\n\r\nok"))
 	f.Fuzz(func(t *testing.T, input []byte) {
-		want, read := checkParsed(input)
+		read, want := checkParsed(input)
 		if !read {
 			return
 		}
@@ -99,19 +99,19 @@
 
 // checkParsed checks the heads that net/http reads from input, up to the final one. read is false if
 // net/http rejects one before an invalid one is found.
-func checkParsed(input []byte) (err error, read bool) {
+func checkParsed(input []byte) (read bool, err error) {
 	reader := bufio.NewReader(bytes.NewReader(input))
 	for answers := (Sequence{}); ; {
 		resp, err := http.ReadResponse(reader, nil)
 		if err != nil {
-			return nil, false
+			return false, nil
 		}
 		final, err := answers.Next(resp.StatusCode)
 		if err == nil {
 			err = CheckNames(resp.Header)
 		}
 		if final || err != nil {
-			return err, true
+			return true, err
 		}
 	}
 }
