Readers on net/http refuse an answer that came before its request

What callers saw: of a server that sends a second answer together with the end of the first one, callers of the daemon got that second answer as theirs, also one with a blank in a field name.

Cause: bytes that arrive with the end of an answer are read before net/http hands the connection to the next request. net/http closes an idle connection on which bytes wait, but a request that waits for a connection may get it first. The scanner begins when a request gets the connection, and did not see these bytes.

Change: when the first byte of an answer is read from the buffer and none was read from the connection since the request got it, that byte came before the request. The connection is reset and the call fails ("invalid answer that came before its request"); the request may have run. Only the connection's own reader reads it, and only when its buffer is empty, so an answer that came after its request always has a read of its own.

--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -14,19 +14,20 @@
 // without end.
 const MaxInterim = 16
 
-// ErrInvalid marks an answer whose head is invalid. What else came on its connection can't be trusted.
-var ErrInvalid = errors.New("invalid head")
+// ErrInvalid marks an answer whose head is invalid, or that came before its request. What else came on
+// its connection can't be trusted.
+var ErrInvalid = errors.New("invalid answer")
 
-// headError tells what is invalid in a head.
-type headError struct{ what string }
+// invalidError tells what is invalid in an answer.
+type invalidError struct{ what string }
 
 // Error implements error.
-func (e headError) Error() string { return "invalid " + e.what }
+func (e invalidError) Error() string { return "invalid " + e.what }
 
 // Is reports that the error is an ErrInvalid.
-func (e headError) Is(target error) bool { return target == ErrInvalid }
+func (e invalidError) Is(target error) bool { return target == ErrInvalid }
 
-func invalid(format string, args ...any) error { return headError{fmt.Sprintf(format, args...)} }
+func invalid(format string, args ...any) error { return invalidError{fmt.Sprintf(format, args...)} }
 
 // CheckFinal returns an error if a final answer can't have the status.
 func CheckFinal(status int) error {
--- a/internal/httphead/transport.go
+++ b/internal/httphead/transport.go
@@ -16,6 +16,10 @@
 // A check of the response alone would come too late: net/http puts a connection back into its pool
 // before it returns a response without a body, and another request could then read the bytes that
 // follow as its answer. So connections check heads as they read them.
+//
+// Bytes that arrive together with the end of an answer are read before net/http hands the connection to
+// the next request, which may get them as its answer. So an answer fails, too, if its first byte was read
+// before its request was sent.
 func Transport(base *http.Transport) http.RoundTripper {
 	dial := base.DialContext
 	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -33,13 +37,29 @@
 // RoundTrip implements http.RoundTripper.
 func (t transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var used atomic.Pointer[Conn]
-	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if c, ok := info.Conn.(*Conn); ok {
-			c.awaitAnswer()
-			used.Store(c)
-		}
-	}})
+	var early atomic.Bool
+	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, ok := info.Conn.(*Conn); ok {
+				c.awaitAnswer()
+				used.Store(c)
+				early.Store(false)
+			}
+		},
+		GotFirstResponseByte: func() {
+			if c := used.Load(); c != nil && !c.answerBegun() {
+				c.reset()
+				early.Store(true)
+			}
+		},
+	})
 	resp, err := t.Transport.RoundTrip(r.WithContext(ctx))
+	if early.Load() { // the error, if any, is that of the connection, which was reset
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		return nil, fmt.Errorf("read answer: %w", invalid("answer that came before its request"))
+	}
 	if err != nil {
 		// The error may be that of a write to the connection, which the check has closed.
 		if c := used.Load(); c != nil && c.invalid() != nil {
@@ -61,9 +81,10 @@
 // Conn is a connection that checks the heads of the answers that are read from it.
 type Conn struct {
 	net.Conn
-	mu   sync.Mutex // guards the fields below
-	scan scanner
-	err  error // invalid head that was read
+	mu    sync.Mutex // guards the fields below
+	scan  scanner
+	begun bool  // bytes were read since the last request got the connection
+	err   error // invalid head that was read
 }
 
 // Read implements net.Conn. It resets the connection at an invalid head.
@@ -71,6 +92,7 @@
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.begun = c.begun || n > 0
 	if c.err == nil {
 		if c.err = c.scan.add(p[:n]); c.err != nil {
 			c.reset()
@@ -87,6 +109,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.scan.begin()
+	c.begun = false
+}
+
+// answerBegun reports whether bytes were read since awaitAnswer.
+func (c *Conn) answerBegun() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.begun
 }
 
 func (c *Conn) invalid() error {
