--- a/internal/routing/head_test.go
+++ b/internal/routing/head_test.go
@@ -35,8 +35,8 @@
 				t.Errorf("got status %d, outcome %q, body %q; want 502 and unknown", resp.StatusCode, resp.Header.Get(HeaderOutcome), body)
 			}
 			raw.CheckReset(t)
-			if log := r.decisionLines(); strings.Count(log, a.Reason) != 2 {
-				t.Errorf("want %q in the lines of the attempt and of the refusal, got:\n%s", a.Reason, log)
+			if log := r.decisionLines(); strings.Count(log, a.Reason) != 2 || strings.Count(log, "the answer of server s1 is invalid") != 2 {
+				t.Errorf("want %q of an invalid answer in the lines of the attempt and of the refusal, got:\n%s", a.Reason, log)
 			}
 		})
 	}
